--- /dev/null
+++ b/dev.py
@@ -0,0 +1,74 @@
+"""Set up the development environment and run the project's main jobs.
+
+Needs only Python 3.11 or newer with its `venv` module. Every verb first makes sure
+that `.venv` holds the pinned dependencies and the packages of this workspace.
+"""
+
+import argparse
+import hashlib
+import os
+import subprocess
+import sys
+import venv
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent
+VENV = ROOT / ".venv"
+PYTHON = VENV / "bin" / "python"
+PACKAGES = ("core", "daemon", "cli", "lab")
+TOOLS = ("hypothesis", "import-linter", "mypy", "pytest", "pytest-asyncio", "ruff")
+TEST_TOOLS = ("syrupy",)
+
+
+def run(*command: str | Path, check: bool = True) -> int:
+    """Run a command in the root folder and return its exit code."""
+    arguments = [str(part) for part in command]
+    env = {**os.environ, "PATH": f"{VENV / 'bin'}{os.pathsep}{os.environ['PATH']}"}
+    done = subprocess.run(arguments, cwd=ROOT, env=env, check=False)
+    if check and done.returncode:
+        sys.exit(done.returncode)
+    return done.returncode
+
+
+def set_up() -> None:
+    """Create `.venv` and install what the pins name, unless that is already done."""
+    pins = (ROOT / "constraints.txt").read_bytes()
+    projects = [ROOT / "packages" / name / "pyproject.toml" for name in PACKAGES]
+    wanted = hashlib.sha256(pins + b"".join(p.read_bytes() for p in projects))
+    stamp = VENV / "installed"
+    if stamp.exists() and stamp.read_text() == wanted.hexdigest():
+        return
+    venv.create(VENV, with_pip=True, symlinks=True, clear=True)
+    pip = (PYTHON, "-m", "pip", "install", "-q", "-c", "constraints.txt")
+    run(*pip, "setuptools", "wheel", *TOOLS, *TEST_TOOLS)
+    editable = [part for name in PACKAGES for part in ("-e", f"packages/{name}")]
+    run(*pip, "--no-build-isolation", *editable)
+    stamp.write_text(wanted.hexdigest())
+
+
+def test() -> int:
+    """Run formatter, linter, type checks, import contracts and all tests."""
+    run(PYTHON, "-m", "ruff", "format", "--check", ".")
+    run(PYTHON, "-m", "ruff", "check", ".")
+    run(PYTHON, "-m", "mypy", *[f"packages/{name}/src" for name in PACKAGES])
+    run(VENV / "bin" / "lint-imports", "--no-cache")
+    return run(PYTHON, "-m", "pytest", check=False)
+
+
+def demo() -> int:
+    """Run the whole system on loopback with real requests and show what happened."""
+    return run(PYTHON, "-m", "sardinequay_lab.demo", check=False)
+
+
+def main() -> int:
+    """Run the verb that the command line names."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    verbs = {"setup": lambda: 0, "demo": demo, "test": test}
+    parser.add_argument("verb", choices=sorted(verbs))
+    arguments = parser.parse_args()
+    set_up()
+    return verbs[arguments.verb]()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/cli/src/sardinequay_cli/bundle_verbs.py
@@ -0,0 +1,161 @@
+"""The verbs of bundles: build, lint, diff, sign, verify and roll."""
+
+from argparse import Namespace
+from collections.abc import Sequence
+from pathlib import Path
+
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+from returns.result import Success
+
+from sardinequay_core.approval import (
+    SignedRoot,
+    Verdict,
+    approve,
+    compare,
+    encode_signed,
+    root_digest,
+    valid_approvers,
+    verify,
+)
+from sardinequay_core.bundle import Bundle, assemble, build
+from sardinequay_core.bundle_diff import diff
+from sardinequay_core.bundle_lint import Finding, lint, lint_sizes
+
+from .errors import EXIT_FINDINGS, EXIT_REFUSED, CommandError
+from .files import (
+    ROOT_NAME,
+    public_hex,
+    read_blobs,
+    read_bytes,
+    read_contents,
+    read_private_key,
+    read_signed,
+    read_trust,
+    write_blobs,
+    write_private_key,
+    write_signed,
+    write_whole,
+)
+from .output import Output
+
+
+def keygen(arguments: Namespace) -> Output:
+    """Make an approver's key."""
+    key = Ed25519PrivateKey.generate()
+    write_private_key(arguments.key, key)
+    public = public_hex(key)
+    lines = (f"private key: {arguments.key}", f"public key: {public}")
+    return Output(lines, {"private_key": str(arguments.key), "public_key": public})
+
+
+def report_findings(findings: Sequence[Finding]) -> Output:
+    """Return faults as output, with the exit code that says whether there are any."""
+    lines = tuple(str(f) for f in findings) or ("no findings",)
+    document = {
+        "findings": [
+            {"where": f.where, "value": f.value, "allowed": f.allowed} for f in findings
+        ]
+    }
+    return Output(lines, document, EXIT_FINDINGS if findings else 0)
+
+
+def lint_verb(arguments: Namespace) -> Output:
+    """Check contents."""
+    contents = read_contents(arguments.contents)
+    findings = lint(contents)
+    if not findings:
+        built = build(contents, 1)
+        findings = lint_sizes(built, len(encode_signed(SignedRoot(built.root))))
+    return report_findings(findings)
+
+
+def build_verb(arguments: Namespace) -> Output:
+    """Build a root and blobs from contents that have no faults."""
+    contents = read_contents(arguments.contents)
+    findings = lint(contents)
+    if findings:
+        return report_findings(findings)
+    built = build(contents, arguments.version, arguments.note)
+    write_blobs(arguments.out, built.blobs)
+    signed = SignedRoot(built.root)
+    write_signed(arguments.out / ROOT_NAME, signed)
+    size = sum(len(blob) for blob in built.blobs.values())
+    digest = root_digest(built.root)
+    line = f"version {arguments.version}, {len(built.blobs)} blobs, {size} bytes"
+    document = {
+        "version": arguments.version,
+        "digest": digest,
+        "blobs": len(built.blobs),
+        "bytes": size,
+    }
+    return Output((line, f"root {digest}"), document)
+
+
+def diff_verb(arguments: Namespace) -> Output:
+    """Show what changes from one file of contents to another."""
+    found = diff(read_contents(arguments.old), read_contents(arguments.new))
+    lines = tuple(str(d) for d in found) or ("no differences",)
+    document = {
+        "differences": [
+            {"where": d.where, "change": d.change, "details": d.details} for d in found
+        ]
+    }
+    return Output(lines, document)
+
+
+def sign_verb(arguments: Namespace) -> Output:
+    """Add one approval to a root."""
+    signed = read_signed(arguments.root)
+    key = read_private_key(arguments.key)
+    signed = approve(signed, arguments.key_id, key)
+    write_signed(arguments.root, signed)
+    names = [a.key_id for a in signed.approvals]
+    line = f"version {signed.root.version} approved by {', '.join(names)}"
+    document = {"version": signed.root.version, "approvals": names}
+    return Output((line,), document)
+
+
+def check_whole(root: Path, blobs: Path, settings: Path) -> tuple[SignedRoot, Bundle]:
+    """Return a bundle that hosts with these settings would put in force."""
+    verified = verify(read_bytes(root), read_trust(settings))
+    if not isinstance(verified, Success):
+        raise CommandError(f"refused: {verified.failure()}", EXIT_REFUSED)
+    signed = verified.unwrap()
+    made = assemble(signed.root, root_digest(signed.root), read_blobs(blobs))
+    if not isinstance(made, Success):
+        raise CommandError(f"refused: {made.failure()}", EXIT_REFUSED)
+    return signed, made.unwrap()
+
+
+def verify_verb(arguments: Namespace) -> Output:
+    """Check approvals and completeness as a host would."""
+    blobs = arguments.blobs or arguments.root.parent
+    signed, bundle = check_whole(arguments.root, blobs, arguments.settings)
+    approvers = sorted(valid_approvers(signed, read_trust(arguments.settings)))
+    line = f"version {bundle.version} is good: approved by {', '.join(approvers)}"
+    document = {
+        "version": bundle.version,
+        "digest": bundle.digest,
+        "approvers": approvers,
+        "adapters": len(bundle.adapters),
+    }
+    return Output((line, f"{len(bundle.adapters)} adapters"), document)
+
+
+def roll_verb(arguments: Namespace) -> Output:
+    """Place a good, newer bundle where the platform publishes from."""
+    blobs = arguments.blobs or arguments.root.parent
+    signed, bundle = check_whole(arguments.root, blobs, arguments.settings)
+    published = arguments.publish / ROOT_NAME
+    if published.exists():
+        verdict = compare(signed.root, read_signed(published).root)
+        if verdict is not Verdict.NEWER:
+            message = f"refused: {verdict.value} beside the published version"
+            raise CommandError(message, EXIT_REFUSED)
+    needed = {signed.root.base, *signed.root.index, *bundle.leaves}
+    have = read_blobs(blobs)
+    # The root goes last: whoever sees it finds every blob that it names.
+    write_blobs(arguments.publish, {d: have[d] for d in needed})
+    write_whole(published, encode_signed(signed))
+    document = {"version": bundle.version, "digest": bundle.digest}
+    return Output((f"version {bundle.version} is to be published",), document)
--- /dev/null
+++ b/packages/cli/src/sardinequay_cli/files.py
@@ -0,0 +1,133 @@
+"""Files that operators keep: contents, signed roots, blobs, keys and settings."""
+
+import os
+from collections.abc import Mapping
+from pathlib import Path
+from typing import TypeVar
+
+import msgspec
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+from returns.result import Success
+
+from sardinequay_core.approval import SignedRoot, Trust, encode_signed, parse_signed
+from sardinequay_core.bundle import Contents
+from sardinequay_core.names import Digest
+from sardinequay_daemon.settings import Settings
+from sardinequay_daemon.settings_check import read_settings
+
+from .errors import EXIT_REFUSED, EXIT_USAGE, CommandError
+
+T = TypeVar("T")
+ROOT_NAME = "root"
+PRIVATE_MODE = 0o600
+
+
+def read_bytes(path: Path) -> bytes:
+    """Read a file."""
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        message = f"{path}: {error.strerror}"
+        raise CommandError(message, EXIT_USAGE) from error
+
+
+def read_contents(path: Path) -> Contents:
+    """Read what a bundle is to offer, in JSON."""
+    try:
+        return msgspec.json.decode(read_bytes(path), type=Contents)
+    except msgspec.DecodeError as error:
+        raise CommandError(f"{path}: {error}", EXIT_USAGE) from error
+
+
+def read_signed(path: Path) -> SignedRoot:
+    """Read a root with the approvals it has so far."""
+    parsed = parse_signed(read_bytes(path))
+    if not isinstance(parsed, Success):
+        raise CommandError(f"{path}: {parsed.failure()}", EXIT_REFUSED)
+    signed: SignedRoot = parsed.unwrap()
+    return signed
+
+
+def write_signed(path: Path, signed: SignedRoot) -> None:
+    """Write a root with its approvals so that a reader sees the old or the new one."""
+    write_whole(path, encode_signed(signed))
+
+
+def write_whole(path: Path, data: bytes) -> None:
+    """Write a file that appears whole or not at all."""
+    try:
+        path.parent.mkdir(parents=True, exist_ok=True)
+        part = path.with_name(path.name + ".part")
+        part.write_bytes(data)
+        part.replace(path)
+    except OSError as error:
+        raise CommandError(f"{path}: {error.strerror}", EXIT_USAGE) from error
+
+
+def read_blobs(directory: Path) -> dict[Digest, bytes]:
+    """Read all blobs of a directory, by their names."""
+    try:
+        files = [f for f in directory.iterdir() if len(f.name) == 64]
+    except OSError as error:
+        raise CommandError(f"{directory}: {error.strerror}", EXIT_USAGE) from error
+    return {Digest(f.name): f.read_bytes() for f in files}
+
+
+def write_blobs(directory: Path, blobs: Mapping[Digest, bytes]) -> None:
+    """Write blobs under their digests; one that exists is the same already."""
+    for digest, blob in blobs.items():
+        path = directory / digest
+        if not path.exists():
+            write_whole(path, blob)
+
+
+def read_trust(path: Path) -> Trust:
+    """Read the approvers' keys and the threshold from a host's settings."""
+    settings = read_host_settings(path)
+    return Trust(settings.trust.keys, settings.trust.threshold)
+
+
+def read_host_settings(path: Path) -> Settings:
+    """Read a host's settings."""
+    read = read_settings(path)
+    if not isinstance(read, Success):
+        raise CommandError(str(read.failure()), EXIT_USAGE)
+    settings: Settings = read.unwrap()
+    return settings
+
+
+def read_private_key(path: Path) -> Ed25519PrivateKey:
+    """Read an approver's private key."""
+    try:
+        key = serialization.load_pem_private_key(read_bytes(path), None)
+    except (ValueError, TypeError) as error:
+        message = f"{path}: not a private key without passphrase"
+        raise CommandError(message, EXIT_USAGE) from error
+    if not isinstance(key, Ed25519PrivateKey):
+        raise CommandError(f"{path}: not an Ed25519 key", EXIT_USAGE)
+    return key
+
+
+def write_private_key(path: Path, key: Ed25519PrivateKey) -> None:
+    """Write a new private key, readable by its owner alone; never over an old one."""
+    data = key.private_bytes(
+        serialization.Encoding.PEM,
+        serialization.PrivateFormat.PKCS8,
+        serialization.NoEncryption(),
+    )
+    try:
+        path.parent.mkdir(parents=True, exist_ok=True)
+        flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL
+        with os.fdopen(os.open(path, flags, PRIVATE_MODE), "wb") as file:
+            file.write(data)
+    except OSError as error:
+        raise CommandError(f"{path}: {error.strerror}", EXIT_USAGE) from error
+
+
+def public_hex(key: Ed25519PrivateKey) -> str:
+    """Return the public key as settings name it."""
+    raw = key.public_key().public_bytes(
+        serialization.Encoding.Raw, serialization.PublicFormat.Raw
+    )
+    return raw.hex()
--- /dev/null
+++ b/packages/cli/src/sardinequay_cli/fleet_verbs.py
@@ -0,0 +1,97 @@
+"""The verbs that ask a running fleet; all are read-only."""
+
+import asyncio
+from argparse import Namespace
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+
+from .errors import EXIT_FINDINGS, EXIT_UNREACHABLE
+from .files import read_host_settings
+from .output import Output
+
+TIMEOUT_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class HostAnswer:
+    """What one host answered; no body if it could not be reached."""
+
+    address: str
+    body: Any = None
+    error: str = ""
+
+
+async def ask(session: aiohttp.ClientSession, address: str, path: str) -> HostAnswer:
+    """Ask one host's operators' listener."""
+    try:
+        async with session.get(f"http://{address}{path}") as answer:
+            return HostAnswer(address, await answer.json())
+    except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+        return HostAnswer(address, error=type(error).__name__)
+
+
+async def ask_all(addresses: list[str], path: str) -> list[HostAnswer]:
+    """Ask all hosts at once."""
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        return list(await asyncio.gather(*[ask(session, a, path) for a in addresses]))
+
+
+def settings_check(arguments: Namespace) -> Output:
+    """Check a host's settings."""
+    settings = read_host_settings(arguments.settings)
+    line = f"settings of {settings.host_id} are good"
+    return Output((line,), {"host": settings.host_id, "good": True})
+
+
+def status(arguments: Namespace) -> Output:
+    """Show what is in force, host by host."""
+    answers = asyncio.run(ask_all(arguments.hosts, "/v1/status"))
+    lines = tuple(status_line(answer) for answer in answers)
+    versions = {a.body["bundle_version"] for a in answers if a.body}
+    document = {
+        "hosts": [
+            a.body or {"address": a.address, "unreachable": a.error} for a in answers
+        ],
+        "agreed": len(versions) == 1 and all(a.body for a in answers),
+    }
+    return Output(lines, document, exit_code_of(answers))
+
+
+def exit_code_of(answers: list[HostAnswer]) -> int:
+    """Return the exit code that says whether every host answered."""
+    return EXIT_UNREACHABLE if any(a.body is None for a in answers) else 0
+
+
+def status_line(answer: HostAnswer) -> str:
+    """Return one host's line."""
+    if answer.body is None:
+        return f"{answer.address}  unreachable: {answer.error}"
+    body = answer.body
+    state = "ready" if body["ready"] else "not ready"
+    refused = len(body["bundles_refused"])
+    return (
+        f"{body['host']}  {body['data_centre']}  {state}  "
+        f"bundle {body['bundle_version']}  since {body['bundle_since']}  "
+        f"roster {body['roster_number']}  in flight {body['in_flight']}  "
+        f"refused bundles {refused}"
+    )
+
+
+def explain(arguments: Namespace) -> Output:
+    """Show what the fleet remembers of a request, a load or an eviction."""
+    path = f"/v1/explain/{arguments.id}"
+    answers = asyncio.run(ask_all(arguments.hosts, path))
+    lines: list[str] = []
+    entries: list[dict[str, Any]] = []
+    for answer in answers:
+        for entry in answer.body or ():
+            details = "  ".join(f"{k}={v}" for k, v in entry["details"].items())
+            lines.append(f"{entry['at']}  {answer.address}  {entry['what']}  {details}")
+            entries.append({"address": answer.address, **entry})
+    found = bool(entries)
+    text = tuple(sorted(lines)) or (f"nothing is remembered of {arguments.id}",)
+    code = exit_code_of(answers) if found else EXIT_FINDINGS
+    return Output(text, {"id": arguments.id, "entries": entries}, code)
--- /dev/null
+++ b/packages/core/src/sardinequay_core/clock.py
@@ -0,0 +1,24 @@
+"""The interface through which the time is read."""
+
+from datetime import datetime, timedelta
+from typing import Protocol
+
+Instant = timedelta
+"""A reading of a monotonic clock: the time since an origin of the process's own."""
+
+ZERO = timedelta(0)
+
+
+class Clock(Protocol):
+    """Reads the wall clock and the monotonic clock."""
+
+    def now(self) -> datetime:
+        """Return the wall-clock time in UTC."""
+
+    def monotonic(self) -> Instant:
+        """Return the monotonic clock's reading; it counts time spent stopped."""
+
+
+def seconds(value: float) -> timedelta:
+    """Return `value` seconds as a duration."""
+    return timedelta(seconds=value)
--- /dev/null
+++ b/packages/core/src/sardinequay_core/demand.py
@@ -0,0 +1,39 @@
+"""Demand for adapters, decayed so that popularity can shift."""
+
+import math
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from .clock import Instant
+from .names import AdapterRef
+
+HALF_LIFE = timedelta(seconds=60)
+"""Long enough to rank adapters by a few requests each, short beside a lesson."""
+
+FORGET_BELOW = 0.01
+
+
+@dataclass(slots=True)
+class DemandTable:
+    """Requests for each adapter, halved every `HALF_LIFE`."""
+
+    half_life: timedelta = HALF_LIFE
+    counts: dict[AdapterRef, tuple[float, Instant]] = field(default_factory=dict)
+
+    def value(self, adapter: AdapterRef, now: Instant) -> float:
+        """Return the decayed count of requests for an adapter."""
+        found = self.counts.get(adapter)
+        if found is None:
+            return 0.0
+        count, at = found
+        return count * math.exp2(-((now - at) / self.half_life))
+
+    def add(self, adapter: AdapterRef, now: Instant, count: float = 1.0) -> None:
+        """Count requests for an adapter."""
+        self.counts[adapter] = (self.value(adapter, now) + count, now)
+
+    def forget_idle(self, now: Instant) -> None:
+        """Drop adapters that nobody has asked for in a long time."""
+        idle = [a for a in self.counts if self.value(a, now) < FORGET_BELOW]
+        for adapter in idle:
+            del self.counts[adapter]
--- /dev/null
+++ b/packages/core/src/sardinequay_core/joining.py
@@ -0,0 +1,231 @@
+"""How a guard enters a view: by gathering what earlier guards remember.
+
+A guard votes in a view only after a majority of each earlier view that can hold claims
+has sealed it and told its claims. Which views those are is found by following what the
+answers name: the base a guard last voted in, and later views it heard of.
+
+A guard that restarted starts blank. It waits a window, so that no attempt counts a vote
+of its earlier self any more, then gathers from majorities of the others. If a majority
+of a view has provably forgotten (each said so twice around one instant), no attempt can
+win in that view any more, and the claims it may hold are waited out instead. So they
+are, after a much longer time, if a view's guards are silent and the platform lists
+others: a guard stops voting when it has not seen itself listed for `ClaimPolicy.lapse`.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from .claims import ClaimPolicy, Guard, Handover, HandoverRequest
+from .clock import Instant
+from .names import HostId
+from .views import GuardAddress, View
+
+
+class Standing(Enum):
+    """How far a view's claims are gathered."""
+
+    GATHERING = "gathering"
+    GATHERED = "gathered"
+    WAITED_OUT = "waited_out"
+
+
+@dataclass(slots=True)
+class Answer:
+    """A guard's whole answer, and when it was asked for."""
+
+    handover: Handover
+    asked_at: Instant
+
+
+@dataclass(slots=True)
+class Amnesia:
+    """That one incarnation of a guard said it is blank: first and last time asked."""
+
+    incarnation: int
+    first: Instant
+    last: Instant
+
+
+@dataclass(slots=True)
+class Gathering:
+    """What the guards of one view have answered so far."""
+
+    view: View
+    answers: dict[HostId, Answer] = field(default_factory=dict)
+    amnesia: dict[HostId, Amnesia] = field(default_factory=dict)
+
+    def forgotten_at(self, guard: Guard, now: Instant) -> Instant | None:
+        """Return a time at which too many guards were blank for any majority."""
+        needed = len(self.view.guards) - self.view.majority + 1
+        blanks = list(self.amnesia.values())
+        if not guard.remembers and self.view.has(guard.me):
+            blanks.append(Amnesia(guard.incarnation, guard.started_at, now))
+        for moment in sorted({a.first for a in blanks}):
+            if sum(a.first <= moment <= a.last for a in blanks) >= needed:
+                return moment
+        return None
+
+
+class Joining:
+    """One guard's way into one view.
+
+    Parameters
+    ----------
+    guard : Guard
+        The memory to fill.
+    target : View
+        The view to enter; it has the guard among its guards.
+    start : View
+        A view in which some host has voted: the founding one, or what a peer said.
+    not_before : timedelta
+        When this process may vote: a window after its start.
+    """
+
+    def __init__(
+        self, guard: Guard, target: View, start: View, not_before: Instant
+    ) -> None:
+        self.guard = guard
+        self.target = target
+        self.not_before = not_before
+        self.gatherings: dict[int, Gathering] = {}
+        self.add(guard.base or start)
+        for view in list(guard.heard.values()):
+            self.add(view)
+
+    @property
+    def policy(self) -> ClaimPolicy:
+        """Return the durations that claims rest on."""
+        return self.guard.policy
+
+    def add(self, view: View) -> None:
+        """Gather from one more view, if it lies before the target."""
+        is_own_past = not self.guard.remembers and view.number == self.target.number
+        if view.number < self.target.number or is_own_past:
+            self.gatherings.setdefault(view.number, Gathering(view))
+
+    def requests(self, now: Instant) -> list[tuple[GuardAddress, HandoverRequest]]:
+        """Return what to ask now, and whom."""
+        wanted = []
+        for gathering in self.gatherings.values():
+            if self.standing(gathering, now) is not Standing.GATHERING:
+                continue
+            for guard in gathering.view.guards:
+                is_fresh = self.is_fresh(gathering.answers.get(guard.host_id), now)
+                if guard.host_id != self.guard.me and not is_fresh:
+                    wanted.append((guard, self.request_for(gathering.view)))
+        return wanted
+
+    def request_for(self, view: View) -> HandoverRequest:
+        """Return the request to a guard of an earlier view."""
+        guard = self.guard
+        return HandoverRequest(view, self.target, guard.me, guard.incarnation)
+
+    def is_fresh(self, answer: Answer | None, now: Instant) -> bool:
+        """Return whether an answer is young enough to count."""
+        return answer is not None and now - answer.asked_at <= self.policy.window
+
+    def take(
+        self, view: View, host_id: HostId, handover: Handover, asked_at: Instant
+    ) -> None:
+        """Take a guard's answer; `asked_at` is when its first page was asked for."""
+        gathering = self.gatherings.get(view.number)
+        if gathering is None:
+            return
+        if handover.remembers:
+            gathering.answers[host_id] = Answer(handover, asked_at)
+            gathering.amnesia.pop(host_id, None)
+            self.follow(handover)
+        else:
+            self.note_amnesia(gathering, host_id, handover.incarnation, asked_at)
+
+    def note_amnesia(
+        self,
+        gathering: Gathering,
+        host_id: HostId,
+        incarnation: int,
+        asked_at: Instant,
+    ) -> None:
+        """Remember since when a guard says that it is blank."""
+        noted = gathering.amnesia.get(host_id)
+        if noted is None or noted.incarnation != incarnation:
+            gathering.amnesia[host_id] = Amnesia(incarnation, asked_at, asked_at)
+        else:
+            noted.last = max(noted.last, asked_at)
+
+    def follow(self, handover: Handover) -> None:
+        """Gather from the views that an answer names, too."""
+        bases = [handover.base] if handover.base is not None else []
+        for view in (*bases, *handover.later_views, *handover.asked_before):
+            self.add(view)
+            self.guard.hear_view(view)
+
+    def overtaken_by(self) -> View | None:
+        """Return a later view than the target, if one was heard of."""
+        newest = self.guard.newest_view()
+        if newest is not None and newest.number > self.target.number:
+            return newest
+        return None
+
+    def standing(self, gathering: Gathering, now: Instant) -> Standing:
+        """Return how far one view's claims are gathered."""
+        answers = self.fresh_answers(gathering, now)
+        own = int(self.guard.remembers and gathering.view.has(self.guard.me))
+        if len(answers) + own >= gathering.view.majority:
+            return Standing.GATHERED
+        if self.is_over(gathering, now):
+            return Standing.WAITED_OUT
+        return Standing.GATHERING
+
+    def is_over(self, gathering: Gathering, now: Instant) -> bool:
+        """Return whether no attempt can win in a view, and all claims in it are old."""
+        policy = self.policy
+        forgotten = gathering.forgotten_at(self.guard, now)
+        if forgotten is not None and now > forgotten + policy.life:
+            return True
+        left = self.guard.left_at.get(gathering.view.guards, self.guard.started_at)
+        is_left = gathering.view.guards != self.target.guards
+        return is_left and now > left + policy.list_lag + policy.lapse + policy.life
+
+    def fresh_answers(self, gathering: Gathering, now: Instant) -> list[Handover]:
+        """Return the answers that count."""
+        answers = gathering.answers.values()
+        return [a.handover for a in answers if self.is_fresh(a, now)]
+
+    def is_anchored(self, gathering: Gathering, now: Instant) -> bool:
+        """Return whether claims from before a gathered view are surely among it.
+
+        They are if one who answered voted in that view or a later one, having gathered
+        all before it; or if an earlier view that someone voted in is gathered too.
+        """
+        number = gathering.view.number
+        if self.standing(gathering, now) is Standing.WAITED_OUT or number == 0:
+            return True
+        bases = [h.base for h in self.fresh_answers(gathering, now)]
+        if self.guard.remembers and gathering.view.has(self.guard.me):
+            bases.append(self.guard.base)
+        if any(base is not None and base.number >= number for base in bases):
+            return True
+        earlier = [base.number for base in bases if base is not None]
+        return any(n in self.gatherings and n < number for n in earlier)
+
+    def is_done(self, now: Instant) -> bool:
+        """Return whether the guard may vote in the target now."""
+        if now < self.not_before or self.overtaken_by() is not None:
+            return False
+        gatherings = self.gatherings.values()
+        return (
+            bool(gatherings)
+            and all(self.standing(g, now) is not Standing.GATHERING for g in gatherings)
+            and all(self.is_anchored(g, now) for g in gatherings)
+        )
+
+    def finish(self, now: Instant) -> None:
+        """Take all claims that were told, and vote in the target from now on."""
+        self.merge_all(now)
+        self.guard.enter(self.target)
+
+    def merge_all(self, now: Instant) -> None:
+        """Take the claims of every answer, aged since it was asked for."""
+        for gathering in self.gatherings.values():
+            for answer in gathering.answers.values():
+                self.guard.merge(answer.handover.records, answer.asked_at)
--- /dev/null
+++ b/packages/core/src/sardinequay_core/keeper.py
@@ -0,0 +1,543 @@
+"""The keeper of one pool in one data centre: loads, evictions and use leases.
+
+One entry host keeps all engines of a pool in its data centre. It alone orders loads and
+evictions there, each with a fencing token above the highest that the engine reported.
+
+An adapter is evicted only when no use lease on it can still be used: each was returned,
+or ran out longer ago than the longest request. A keeper grants leases only while an
+engine's report, asked for less than a lease ago, showed no higher token than its own;
+so a keeper that was replaced stops granting, and its successor waits out what it may
+have granted before it evicts anything.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from .clock import ZERO, Instant
+from .leases import HolderId, Use
+from .load_queue import GiveUp, LoadPolicy, LoadQueue
+from .names import AdapterRef, TargetId
+from .roster import Presence, Target
+
+SUFFIX_BITS = 24
+
+
+@dataclass(frozen=True, slots=True)
+class KeeperPolicy:
+    """What a keeper works by.
+
+    Parameters
+    ----------
+    lease : timedelta
+        How long a use lease lasts.
+    longest_request : timedelta
+        The bound that hosts put on any request; an eviction outlasts it.
+    report_lag : timedelta
+        How old what an engine reports may be.
+    max_drains : int
+        Evictions prepared at once.
+    silent_after : timedelta
+        An engine without a report for so long gets no new work.
+    """
+
+    lease: timedelta = timedelta(seconds=10)
+    longest_request: timedelta = timedelta(seconds=120)
+    report_lag: timedelta = timedelta(seconds=2)
+    max_drains: int = 2
+    silent_after: timedelta = timedelta(seconds=2)
+    loads: LoadPolicy = field(default_factory=LoadPolicy)
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """What an engine says of itself, late.
+
+    Parameters
+    ----------
+    incarnation : str
+        Differs after each restart, which loses all that was loaded.
+    running, waiting : int
+        Requests in the batch, and those that wait for a place in it.
+    in_use : tuple of AdapterRef
+        Adapters with a request in the batch.
+    """
+
+    target: TargetId
+    incarnation: str
+    highest_token: int
+    slots: int
+    resident: tuple[AdapterRef, ...]
+    running: int = 0
+    waiting: int = 0
+    in_use: tuple[AdapterRef, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class OrderLoad:
+    """Command: have an engine load an adapter; done at once if it holds it."""
+
+    use: Use
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class OrderUnload:
+    """Command: have an engine evict an adapter."""
+
+    use: Use
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class OrderRecall:
+    """Command: ask a holder to stop using an adapter and to return its lease."""
+
+    holder: HolderId
+    use: Use
+
+
+Command = OrderLoad | OrderUnload | OrderRecall | GiveUp
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """When a lease ends, and the holder's message that it answers."""
+
+    until: Instant
+    sequence: int
+
+
+@dataclass(slots=True)
+class KeptEngine:
+    """What the keeper knows of one engine.
+
+    Parameters
+    ----------
+    token : int
+        The last token used; 0 while another keeper has the engine.
+    reported_at : timedelta
+        When the last report came.
+    confirmed_at : timedelta or None
+        When the last report was asked for that showed no higher token.
+    evict_from : timedelta
+        Before this nothing is evicted: an earlier keeper's leases may last until then.
+    ordered : dict
+        What orders changed since, with the time: reports lag behind them.
+    """
+
+    target: Target
+    report: EngineReport | None = None
+    token: int = 0
+    asserting: bool = False
+    confirmed_at: Instant | None = None
+    reported_at: Instant = ZERO
+    stepped_down_at: Instant | None = None
+    evict_from: Instant = ZERO
+    loading: AdapterRef | None = None
+    draining: set[AdapterRef] = field(default_factory=set)
+    unloading: set[AdapterRef] = field(default_factory=set)
+    ordered: dict[AdapterRef, tuple[bool, Instant]] = field(default_factory=dict)
+    resident: set[AdapterRef] = field(default_factory=set)
+
+    def usable(self) -> list[AdapterRef]:
+        """Return resident adapters that are not on their way out."""
+        return sorted(self.resident - self.draining)
+
+    def free_slots(self) -> int:
+        """Return the slots that hold nothing and wait for nothing."""
+        if self.report is None:
+            return 0
+        loading = self.loading is not None and self.loading not in self.resident
+        return self.report.slots - len(self.resident) - int(loading)
+
+    def next_token(self, suffix: int) -> int:
+        """Return a token above all that were used before, and unlike any other's."""
+        self.token = next_token(self.token, suffix)
+        return self.token
+
+    def is_ordered_by_us(self) -> bool:
+        """Return whether this keeper may order the engine at all."""
+        return self.report is not None and self.token > 0
+
+    def load(self) -> int:
+        """Return the requests on the engine, as last reported."""
+        return self.report.running + self.report.waiting if self.report else 0
+
+
+def next_token(token: int, suffix: int) -> int:
+    """Return the lowest token above `token` that ends in a keeper's own suffix."""
+    return ((token >> SUFFIX_BITS) + 1) << SUFFIX_BITS | suffix
+
+
+class Keeper:
+    """The state of one keepership; every method is a transition without any wait.
+
+    Parameters
+    ----------
+    policy : KeeperPolicy
+        What it works by.
+    suffix : int
+        Below ``1 << SUFFIX_BITS``, drawn at random by each keeper, so that two keepers
+        never use the same token.
+    now : timedelta
+        The monotonic clock's reading.
+    """
+
+    def __init__(self, policy: KeeperPolicy, suffix: int, now: Instant) -> None:
+        self.policy = policy
+        self.suffix = suffix
+        self.engines: dict[TargetId, KeptEngine] = {}
+        self.leases: dict[Use, dict[HolderId, Grant]] = {}
+        self.queue = LoadQueue(policy.loads, now)
+
+    # What the platform and the engines say.
+
+    def set_targets(self, targets: Iterable[Target]) -> None:
+        """Take the pool's engines in this data centre."""
+        wanted = {t.target_id: t for t in targets}
+        for gone in self.engines.keys() - wanted.keys():
+            del self.engines[gone]
+        for target_id, target in wanted.items():
+            kept = self.engines.get(target_id)
+            if kept is None or kept.target.address != target.address:
+                self.engines[target_id] = KeptEngine(target)
+            else:
+                kept.target = target
+
+    def take_report(
+        self, report: EngineReport, asked_at: Instant, now: Instant
+    ) -> None:
+        """Take an engine's report that was asked for at `asked_at`."""
+        kept = self.engines.get(report.target)
+        if kept is None:
+            return
+        before = kept.report
+        kept.report = report
+        kept.reported_at = now
+        if before is None:
+            self.take_over(kept, now)
+        elif before.incarnation != report.incarnation:
+            self.restarted(kept)
+        elif kept.token and report.highest_token > kept.token:
+            self.step_down(kept, now)
+        self.merge_resident(kept, asked_at)
+        if kept.token and not kept.asserting:
+            kept.confirmed_at = max(kept.confirmed_at or asked_at, asked_at)
+
+    def step_down(self, kept: KeptEngine, now: Instant) -> None:
+        """Leave an engine to the keeper with the higher token."""
+        kept.token = 0
+        kept.confirmed_at = None
+        kept.stepped_down_at = now
+
+    def superseded(self, target: TargetId, now: Instant) -> None:
+        """Take an engine's refusal of an order because of its old token."""
+        kept = self.engines.get(target)
+        if kept is not None:
+            kept.loading = None
+            kept.unloading.clear()
+            self.step_down(kept, now)
+
+    def take_over(self, kept: KeptEngine, now: Instant) -> None:
+        """Become an engine's keeper: a higher token, and a wait for old leases."""
+        assert kept.report is not None
+        kept.token = kept.report.highest_token
+        kept.asserting = True
+        kept.confirmed_at = None
+        kept.stepped_down_at = None
+        kept.next_token(self.suffix)
+        if kept.report.resident:
+            kept.evict_from = now + self.wait_out()
+
+    def wait_out(self) -> timedelta:
+        """Return how long another keeper's last lease can still have work."""
+        policy = self.policy
+        return policy.lease + policy.longest_request + policy.report_lag
+
+    def restarted(self, kept: KeptEngine) -> None:
+        """Take an engine that lost all it had.
+
+        Its leases are kept: holders may still dispatch under them, and an adapter
+        that is loaded again must not be evicted under such a request. It forgot its
+        highest token too, so the token is asserted anew before anything is granted.
+        """
+        kept.asserting = True
+        kept.confirmed_at = None
+        kept.loading = None
+        kept.draining.clear()
+        kept.unloading.clear()
+        kept.ordered.clear()
+
+    def merge_resident(self, kept: KeptEngine, asked_at: Instant) -> None:
+        """Hold what orders changed against reports that are older than they."""
+        assert kept.report is not None
+        resident = set(kept.report.resident)
+        for adapter, (present, at) in list(kept.ordered.items()):
+            if asked_at > at + self.policy.report_lag:
+                del kept.ordered[adapter]
+            elif present:
+                resident.add(adapter)
+            else:
+                resident.discard(adapter)
+        kept.resident = resident
+        kept.draining &= resident | kept.unloading
+
+    # What the hosts ask.
+
+    def may_grant(self, kept: KeptEngine, now: Instant) -> bool:
+        """Return whether this keeper's authority over an engine is recent enough."""
+        return (
+            kept.token > 0
+            and kept.confirmed_at is not None
+            and now < kept.confirmed_at + self.policy.lease
+        )
+
+    def grant(
+        self, kept: KeptEngine, use: Use, holder: HolderId, sequence: int
+    ) -> None:
+        """Grant a lease that ends with this keeper's own authority at the latest."""
+        assert kept.confirmed_at is not None
+        until = kept.confirmed_at + self.policy.lease
+        old = self.leases.setdefault(use, {}).get(holder)
+        if old is not None:
+            until, sequence = max(until, old.until), max(sequence, old.sequence)
+        self.leases[use][holder] = Grant(until, sequence)
+
+    def acquire(
+        self, holder: HolderId, adapter: AdapterRef, sequence: int, now: Instant
+    ) -> list[tuple[Use, timedelta]]:
+        """Grant leases on every engine of the data centre that holds an adapter.
+
+        Returns
+        -------
+        list of (Use, timedelta)
+            Each lease with how long it lasts from now.
+        """
+        self.queue.demand.add(adapter, now)
+        granted = []
+        for target_id, kept in self.engines.items():
+            use = Use(adapter, target_id)
+            if adapter in kept.resident and self.is_renewable(kept, use, now):
+                self.grant(kept, use, holder, sequence)
+                granted.append((use, self.remaining(kept, now)))
+        return granted
+
+    def remaining(self, kept: KeptEngine, now: Instant) -> timedelta:
+        """Return how long a lease granted now lasts."""
+        assert kept.confirmed_at is not None
+        return kept.confirmed_at + self.policy.lease - now
+
+    def renew(
+        self,
+        holder: HolderId,
+        uses: Iterable[tuple[Use, int]],
+        sequence: int,
+        now: Instant,
+    ) -> list[tuple[Use, timedelta]]:
+        """Renew a holder's leases and return those renewed; the others are recalled."""
+        renewed = []
+        for use, in_flight in uses:
+            kept = self.engines.get(use.target)
+            if kept is None or use.adapter not in kept.resident:
+                continue
+            if self.is_renewable(kept, use, now):
+                self.queue.demand.add(use.adapter, now, in_flight)
+                self.grant(kept, use, holder, sequence)
+                renewed.append((use, self.remaining(kept, now)))
+            elif in_flight:
+                # Recalled, but still running: the eviction waits for it.
+                until = now + self.policy.lease
+                self.leases.setdefault(use, {})[holder] = Grant(until, sequence)
+            else:
+                self.give_back(holder, use, sequence)
+        return renewed
+
+    def is_renewable(self, kept: KeptEngine, use: Use, now: Instant) -> bool:
+        """Return whether leases on a use are granted and go on."""
+        return (
+            use.adapter not in kept.draining
+            and kept.target.presence is Presence.LIVE
+            and self.is_responsive(kept, now)
+            and self.may_grant(kept, now)
+        )
+
+    def is_responsive(self, kept: KeptEngine, now: Instant) -> bool:
+        """Return whether an engine reported lately."""
+        return now - kept.reported_at <= self.policy.silent_after
+
+    def give_back(self, holder: HolderId, use: Use, sequence: int) -> None:
+        """Take a lease back, unless it was granted by a later message."""
+        held = self.leases.get(use, {})
+        grant = held.get(holder)
+        if grant is not None and sequence >= grant.sequence:
+            del held[holder]
+
+    def want(
+        self, ticket: int, adapter: AdapterRef, deadline: Instant, now: Instant
+    ) -> GiveUp | None:
+        """Queue a request for a cold adapter, or give it up at once."""
+        self.queue.demand.add(adapter, now)
+        if adapter in self.loading():
+            deadline = max(deadline, now + self.queue.load_time)
+        return self.queue.add(ticket, adapter, deadline, now)
+
+    def loading(self) -> frozenset[AdapterRef]:
+        """Return the adapters whose load is under way."""
+        return frozenset(k.loading for k in self.engines.values() if k.loading)
+
+    # What is decided.
+
+    def tick(self, now: Instant) -> list[Command]:
+        """Decide what to order now."""
+        self.queue.refill(now)
+        self.retake(now)
+        commands: list[Command] = [*self.queue.give_up_hopeless(now, self.loading())]
+        commands += self.assert_tokens()
+        commands += self.unload_drained(now)
+        for adapter in self.queue.order(now):
+            commands += self.advance_load(adapter, now)
+        return commands
+
+    def retake(self, now: Instant) -> None:
+        """Take an engine again that another keeper had, if it is still ours to keep."""
+        for kept in self.engines.values():
+            at = kept.stepped_down_at
+            if at is not None and now >= at + self.policy.lease:
+                self.take_over(kept, now)
+
+    def assert_tokens(self) -> list[Command]:
+        """Make taken-over engines know the new token by an order without effect."""
+        commands: list[Command] = []
+        for kept in self.engines.values():
+            if kept.asserting and kept.resident and kept.loading is None:
+                adapter = min(kept.resident)
+                kept.loading = adapter
+                use = Use(adapter, kept.target.target_id)
+                commands.append(OrderLoad(use, kept.next_token(self.suffix)))
+        return commands
+
+    def orderable(self) -> list[KeptEngine]:
+        """Return the engines that may be ordered to load or evict."""
+        return [
+            kept
+            for kept in self.engines.values()
+            if kept.is_ordered_by_us() and kept.target.presence is Presence.LIVE
+        ]
+
+    def advance_load(self, adapter: AdapterRef, now: Instant) -> list[Command]:
+        """Order a load where a slot is free, else make room for it."""
+        if adapter in self.loading():
+            return []
+        kept = self.engine_with_room(adapter, now)
+        if kept is None:
+            return self.make_room(adapter, now)
+        if self.queue.permits < 1:
+            return []
+        self.queue.permits -= 1
+        kept.loading = adapter
+        return [
+            OrderLoad(Use(adapter, kept.target.target_id), kept.next_token(self.suffix))
+        ]
+
+    def engine_with_room(self, adapter: AdapterRef, now: Instant) -> KeptEngine | None:
+        """Return the least busy engine that can load an adapter now."""
+        free = [
+            kept
+            for kept in self.orderable()
+            if kept.free_slots() > 0
+            and kept.loading is None
+            and adapter not in kept.resident
+            and self.is_responsive(kept, now)
+        ]
+        return min(free, key=lambda k: (k.load(), k.target.target_id), default=None)
+
+    def make_room(self, adapter: AdapterRef, now: Instant) -> list[Command]:
+        """Start draining the least wanted adapter, if `adapter` is worth its place."""
+        drains = sum(len(kept.draining) for kept in self.engines.values())
+        if drains >= self.policy.max_drains:
+            return []
+        candidates = [
+            (self.queue.priority(resident, now), resident, kept.target.target_id)
+            for kept in self.orderable()
+            if now >= kept.evict_from and not kept.asserting
+            for resident in kept.usable()
+            if resident != kept.loading
+        ]
+        worth = self.queue.priority(adapter, now)
+        if not candidates or min(candidates)[0] >= worth:
+            return []
+        _, victim, target = min(candidates)
+        return self.drain(self.engines[target], victim)
+
+    def drain(self, kept: KeptEngine, victim: AdapterRef) -> list[Command]:
+        """Stop granting an adapter and recall what was granted."""
+        kept.draining.add(victim)
+        use = Use(victim, kept.target.target_id)
+        return [OrderRecall(holder, use) for holder in sorted(self.leases.get(use, {}))]
+
+    def unload_drained(self, now: Instant) -> list[Command]:
+        """Order the eviction of adapters that nobody can use any more."""
+        commands: list[Command] = []
+        for kept in self.orderable():
+            for adapter in sorted(kept.draining - kept.unloading):
+                use = Use(adapter, kept.target.target_id)
+                if self.is_unused(kept, use, now):
+                    kept.unloading.add(adapter)
+                    commands.append(OrderUnload(use, kept.next_token(self.suffix)))
+        return commands
+
+    def is_unused(self, kept: KeptEngine, use: Use, now: Instant) -> bool:
+        """Return whether no lease on a use can still have a request on it."""
+        grants = self.leases.get(use, {}).values()
+        over = all(now >= g.until + self.policy.longest_request for g in grants)
+        in_use = kept.report is not None and use.adapter in kept.report.in_use
+        return over and not in_use and now >= kept.evict_from
+
+    # What became of orders.
+
+    def load_done(self, use: Use, took: timedelta, now: Instant) -> tuple[int, ...]:
+        """Take a finished load; return the tickets that need not wait any more."""
+        kept = self.engines.get(use.target)
+        if kept is None or kept.loading != use.adapter:
+            return ()
+        kept.loading = None
+        kept.resident.add(use.adapter)
+        kept.ordered[use.adapter] = (True, now)
+        if kept.asserting:
+            kept.asserting = False
+            # Leases of the keeper before end a lease after it saw our token.
+            if kept.evict_from > ZERO:
+                kept.evict_from = now + self.wait_out()
+        if kept.token:
+            kept.confirmed_at = max(kept.confirmed_at or now - took, now - took)
+        return self.queue.loaded(use.adapter, took)
+
+    def load_failed(self, use: Use, now: Instant) -> None:
+        """Take a failed load: back off, and try where room is when the time comes."""
+        kept = self.engines.get(use.target)
+        if kept is not None and kept.loading == use.adapter:
+            kept.loading = None
+        if kept is None or not kept.asserting:
+            self.queue.failed(use.adapter, now)
+
+    def unload_done(self, use: Use, now: Instant) -> None:
+        """Take a finished eviction."""
+        kept = self.engines.get(use.target)
+        if kept is None:
+            return
+        kept.unloading.discard(use.adapter)
+        kept.draining.discard(use.adapter)
+        kept.resident.discard(use.adapter)
+        kept.ordered[use.adapter] = (False, now)
+        self.leases.pop(use, None)
+
+    def unload_failed(self, use: Use) -> None:
+        """Take an eviction of unknown fate; it is ordered again at the next tick."""
+        kept = self.engines.get(use.target)
+        if kept is not None:
+            kept.unloading.discard(use.adapter)
+
+    def explain(self, use: Use) -> tuple[HolderId, ...]:
+        """Return who holds a lease on a use."""
+        return tuple(sorted(self.leases.get(use, {})))
--- /dev/null
+++ b/packages/core/src/sardinequay_core/names.py
@@ -0,0 +1,66 @@
+"""Identifiers that every package shares."""
+
+from dataclasses import dataclass
+from typing import NewType
+
+from returns.result import Failure, Result, Success
+
+from .errors import InvalidNameError
+
+HostId = NewType("HostId", str)
+DataCentre = NewType("DataCentre", str)
+TargetId = NewType("TargetId", str)
+PoolName = NewType("PoolName", str)
+CallerName = NewType("CallerName", str)
+RequestId = NewType("RequestId", str)
+AttemptId = NewType("AttemptId", str)
+Digest = NewType("Digest", str)
+
+MAX_NAME_CHARS = 200
+SEPARATOR = "@"
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Address:
+    """An IP number and a port, written ``ip:port``."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.ip}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class AdapterRef:
+    """One version of one adapter, written ``name@version``."""
+
+    name: str
+    version: str
+
+    def __str__(self) -> str:
+        return f"{self.name}{SEPARATOR}{self.version}"
+
+
+def parse_adapter_ref(text: str) -> Result[AdapterRef, InvalidNameError]:
+    """Read an adapter reference.
+
+    Parameters
+    ----------
+    text : str
+        ``name@version``; both parts are non-empty, `MAX_NAME_CHARS` at most over all.
+    """
+    name, separator, version = text.rpartition(SEPARATOR)
+    if not (name and separator and version) or len(text) > MAX_NAME_CHARS:
+        return Failure(InvalidNameError("model", text[:MAX_NAME_CHARS], "name@version"))
+    return Success(AdapterRef(name, version))
+
+
+def parse_address(text: str) -> Result[Address, InvalidNameError]:
+    """Read an ``ip:port`` pair; host names are not accepted."""
+    ip, separator, port = text.rpartition(":")
+    plain = ip.strip("[]")
+    is_ip = bool(plain) and all(c in "0123456789abcdefABCDEF.:" for c in plain)
+    if not (separator and is_ip and port.isdigit() and int(port) < 1 << 16):
+        return Failure(InvalidNameError("address", text, "ip:port with an IP number"))
+    return Success(Address(plain, int(port)))
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon of sardinequay: sockets, files and timers around the core."""
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/answers.py
@@ -0,0 +1,102 @@
+"""Answers to callers: whole answers put together, and failures as typed JSON."""
+
+import math
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from sardinequay_core.outcome import Refusal
+
+from .server_sent_events import DONE, EVENT_END, data_of
+
+REQUEST_HEADER = "Sardinequay-Request"
+OUTCOME_HEADER = "Sardinequay-Outcome"
+REASON_HEADER = "Sardinequay-Reason"
+ADAPTER_HEADER = "Sardinequay-Adapter"
+BUNDLE_HEADER = "Sardinequay-Bundle"
+
+
+def refusal_body(refusal: Refusal, request_id: str) -> dict[str, Any]:
+    """Return a failure as JSON tells it."""
+    error: dict[str, Any] = {
+        "reason": refusal.reason.value,
+        "outcome": refusal.outcome.value,
+        "message": refusal.message,
+        "request": request_id,
+    }
+    if refusal.retry_after is not None:
+        error["retry_after_s"] = round(refusal.retry_after.total_seconds(), 3)
+    return {"error": error}
+
+
+def refusal_headers(refusal: Refusal, request_id: str) -> dict[str, str]:
+    """Return a failure as headers tell it."""
+    headers = {
+        REQUEST_HEADER: request_id,
+        OUTCOME_HEADER: refusal.outcome.value,
+        REASON_HEADER: refusal.reason.value,
+    }
+    if refusal.retry_after is not None:
+        wait_s = math.ceil(refusal.retry_after.total_seconds())
+        headers["Retry-After"] = str(max(1, wait_s))
+    return headers
+
+
+def refusal_response(refusal: Refusal, request_id: str) -> web.Response:
+    """Return a failure as an HTTP response."""
+    return web.json_response(
+        refusal_body(refusal, request_id),
+        status=refusal.status,
+        headers=refusal_headers(refusal, request_id),
+    )
+
+
+def refusal_event(refusal: Refusal, request_id: str) -> bytes:
+    """Return a failure as the last event of a stream that had begun."""
+    body = msgspec.json.encode(refusal_body(refusal, request_id))
+    return b"event: error\ndata: " + body + EVENT_END
+
+
+class WholeAnswer:
+    """Puts the chunks of a stream together into the answer of one piece."""
+
+    def __init__(self) -> None:
+        self.template: dict[str, Any] = {}
+        self.texts: dict[int, list[str]] = {}
+        self.choices: dict[int, dict[str, Any]] = {}
+
+    def take(self, data: bytes) -> None:
+        """Take whole events."""
+        for event in data.split(EVENT_END):
+            payload = data_of(event)
+            if payload and DONE not in event:
+                self.take_chunk(msgspec.json.decode(payload))
+
+    def take_chunk(self, chunk: dict[str, Any]) -> None:
+        """Take one chunk of a completion or of a chat."""
+        self.template.update({k: v for k, v in chunk.items() if k != "choices"})
+        for choice in chunk.get("choices", ()):
+            index = choice.get("index", 0)
+            delta = choice.get("delta") or {}
+            text = choice.get("text") or delta.get("content") or ""
+            self.texts.setdefault(index, []).append(text)
+            kept = self.choices.setdefault(index, {"index": index})
+            kept.update({k: v for k, v in choice.items() if k not in ("text", "delta")})
+            kept.setdefault("is_chat", "delta" in choice)
+
+    def body(self) -> bytes:
+        """Return the whole answer as JSON."""
+        choices = [self.choice(index) for index in sorted(self.choices)]
+        kind = str(self.template.get("object", "")).removesuffix(".chunk")
+        return msgspec.json.encode(
+            {**self.template, "object": kind, "choices": choices}
+        )
+
+    def choice(self, index: int) -> dict[str, Any]:
+        """Return one choice with its whole text."""
+        kept = dict(self.choices[index])
+        text = "".join(self.texts[index])
+        if kept.pop("is_chat"):
+            return {**kept, "message": {"role": "assistant", "content": text}}
+        return {**kept, "text": text}
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/caller_requests.py
@@ -0,0 +1,179 @@
+"""Reading callers' requests: everything is checked before anything is dispatched."""
+
+import re
+import uuid
+from collections.abc import Mapping
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from sardinequay_core.admission import MAX_PRIORITY
+from sardinequay_core.bundle import Adapter, Bundle, Caller, Pool
+from sardinequay_core.claims import MAX_KEY_CHARS
+from sardinequay_core.clock import Instant
+from sardinequay_core.names import AdapterRef, RequestId, parse_adapter_ref
+from sardinequay_core.outcome import Reason, Refusal, not_run
+
+from .settings import LimitSettings
+
+KEY_HEADER = "Idempotency-Key"
+DEADLINE_HEADER = "Sardinequay-Deadline"
+PRIORITY_HEADER = "Sardinequay-Priority"
+REQUEST_HEADER = "X-Request-Id"
+DEFAULT_PRIORITY = 5
+PRINTABLE = re.compile(rf"[\x21-\x7e]{{1,{MAX_KEY_CHARS}}}")
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """What every request carries beside its body.
+
+    Parameters
+    ----------
+    deadline : timedelta
+        On this host's monotonic clock.
+    key : str
+        The idempotency key; empty for a request that may be repeated.
+    """
+
+    request_id: RequestId
+    caller: Caller
+    bundle: Bundle
+    priority: int
+    deadline: Instant
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class ModelRequest:
+    """A request for a model."""
+
+    envelope: Envelope
+    path: str
+    body: bytes
+    adapter: AdapterRef
+    pool: Pool
+    stream: bool
+
+
+def new_request_id(headers: Mapping[str, str]) -> RequestId:
+    """Return the caller's request id if it is usable, else a new one."""
+    given = headers.get(REQUEST_HEADER, "")
+    return RequestId(given if PRINTABLE.fullmatch(given) else uuid.uuid4().hex)
+
+
+def read_envelope(
+    headers: Mapping[str, str],
+    request_id: RequestId,
+    bundle: Bundle | None,
+    limits: LimitSettings,
+    now: Instant,
+) -> Result[Envelope, Refusal]:
+    """Check who calls and under which terms."""
+    if bundle is None:
+        text = "no bundle is in force yet"
+        return Failure(not_run(Reason.NO_BUNDLE, text, timedelta(seconds=1)))
+    scheme, _, token = headers.get("Authorization", "").partition(" ")
+    caller = bundle.caller(token) if scheme.lower() == "bearer" else None
+    if caller is None:
+        return Failure(not_run(Reason.UNAUTHENTICATED, "no known bearer token"))
+    key = headers.get(KEY_HEADER, "")
+    if KEY_HEADER in headers and not PRINTABLE.fullmatch(key):
+        return Failure(bad_header(KEY_HEADER, key, "1 to 200 printable characters"))
+    return read_deadline(headers, limits).bind(
+        lambda wait: read_priority(headers, caller).bind(
+            lambda priority: check_deadline(
+                Envelope(request_id, caller, bundle, priority, now + wait, key), wait
+            )
+        )
+    )
+
+
+def bad_header(name: str, value: str, allowed: str) -> Refusal:
+    """Return the refusal of a header's value."""
+    text = f"{name} is {value[:80]!r}; allowed: {allowed}"
+    return not_run(Reason.BAD_HEADER, text)
+
+
+def read_deadline(
+    headers: Mapping[str, str], limits: LimitSettings
+) -> Result[timedelta, Refusal]:
+    """Return how long the caller waits, in seconds from now in its header."""
+    given = headers.get(DEADLINE_HEADER)
+    if given is None:
+        return Success(timedelta(seconds=limits.default_deadline_s))
+    try:
+        value_s = float(given)
+    except ValueError:
+        value_s = float("nan")
+    if not value_s <= limits.longest_request_s:
+        allowed = f"seconds from now, at most {limits.longest_request_s}"
+        return Failure(bad_header(DEADLINE_HEADER, given, allowed))
+    return Success(timedelta(seconds=max(value_s, -1.0)))
+
+
+def read_priority(headers: Mapping[str, str], caller: Caller) -> Result[int, Refusal]:
+    """Return the priority asked for, at most the caller's own."""
+    given = headers.get(
+        PRIORITY_HEADER, str(min(DEFAULT_PRIORITY, caller.max_priority))
+    )
+    if not given.isdigit() or int(given) > MAX_PRIORITY:
+        allowed = f"0 to {MAX_PRIORITY}"
+        return Failure(bad_header(PRIORITY_HEADER, given, allowed))
+    return Success(min(int(given), caller.max_priority))
+
+
+def check_deadline(envelope: Envelope, wait: timedelta) -> Result[Envelope, Refusal]:
+    """Refuse a request whose deadline is over."""
+    if wait <= timedelta(0):
+        text = "the deadline has passed"
+        return Failure(not_run(Reason.DEADLINE_EXPIRED, text))
+    return Success(envelope)
+
+
+def read_model_request(
+    envelope: Envelope, path: str, body: bytes
+) -> Result[ModelRequest, Refusal]:
+    """Check the body of a model request and what it names."""
+    try:
+        fields: Any = msgspec.json.decode(body)
+    except msgspec.DecodeError as error:
+        return Failure(not_run(Reason.MALFORMED, f"the body is no JSON: {error}"))
+    model = fields.get("model") if isinstance(fields, dict) else None
+    if not isinstance(model, str):
+        return Failure(not_run(Reason.MALFORMED, "the body names no model"))
+    ref = parse_adapter_ref(model)
+    if not isinstance(ref, Success):
+        return Failure(not_run(Reason.MALFORMED, str(ref.failure())))
+    stream = fields.get("stream", False)
+    if not isinstance(stream, bool):
+        return Failure(not_run(Reason.MALFORMED, "stream is neither true nor false"))
+    return find_offer(envelope, ref.unwrap()).bind(
+        lambda pool: Success(
+            ModelRequest(envelope, path, body, ref.unwrap(), pool, stream)
+        )
+    )
+
+
+def find_offer(envelope: Envelope, ref: AdapterRef) -> Result[Pool, Refusal]:
+    """Return the pool of an adapter version, if it is offered to the caller."""
+    bundle = envelope.bundle
+    adapter = bundle.adapters.get(ref.name)
+    if adapter is None or not is_offered(adapter, envelope.caller):
+        # Whether it exists for somebody else is not this caller's to know.
+        text = f"model {str(ref)!r} is not offered to you"
+        return Failure(not_run(Reason.UNKNOWN_MODEL, text))
+    pool = bundle.pools.get(adapter.pool)
+    if ref.version not in adapter.versions or pool is None:
+        offered = ", ".join(adapter.versions)
+        text = f"version {ref.version!r} is not offered; offered: {offered}"
+        return Failure(not_run(Reason.NOT_OFFERED, text))
+    return Success(pool)
+
+
+def is_offered(adapter: Adapter, caller: Caller) -> bool:
+    """Return whether a caller may name an adapter."""
+    return caller.name in adapter.callers
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/callers.py
@@ -0,0 +1,331 @@
+"""The callers' listener: model requests, the model list and plain services."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Mapping
+from contextlib import aclosing
+from dataclasses import dataclass
+from datetime import timedelta
+
+import aiohttp
+from aiohttp import web
+from opentelemetry.trace import Span
+from returns.result import Success
+
+from sardinequay_core.admission import OVERLOAD_RETRY, Admission
+from sardinequay_core.bundle import Bundle
+from sardinequay_core.clock import Clock, Instant
+from sardinequay_core.names import RequestId
+from sardinequay_core.outcome import Outcome, Reason, Refusal, not_run
+
+from .answers import (
+    ADAPTER_HEADER,
+    BUNDLE_HEADER,
+    OUTCOME_HEADER,
+    REQUEST_HEADER,
+    WholeAnswer,
+    refusal_event,
+    refusal_response,
+)
+from .caller_requests import (
+    Envelope,
+    ModelRequest,
+    new_request_id,
+    read_envelope,
+    read_model_request,
+)
+from .dispatch import ModelDispatcher
+from .journal import Journal
+from .metrics import Metrics
+from .progress import Progress, Refused
+from .services import ServiceForwarder, ServiceRequest, pass_through
+from .settings import LimitSettings
+from .tracing import Tracing, trace_id
+
+MODEL_PATHS = ("/v1/completions", "/v1/chat/completions")
+MODELS_PATH = "/v1/models"
+log = logging.getLogger(__name__)
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection; nobody is left to answer."""
+
+
+@dataclass(slots=True)
+class Exchange:
+    """One request of a caller, on its way through this host."""
+
+    http: web.Request
+    request_id: RequestId
+    span: Span
+    progress: Progress
+    began: Instant
+    response: web.StreamResponse | None = None
+
+
+class CallerServer:
+    """Serves callers.
+
+    Parameters
+    ----------
+    bundle : callable
+        Returns the bundle in force; each request asks once and keeps the answer.
+    """
+
+    def __init__(
+        self,
+        bundle: Callable[[], Bundle | None],
+        dispatcher: ModelDispatcher,
+        forwarder: ServiceForwarder,
+        admission: Admission,
+        limits: LimitSettings,
+        tracing: Tracing,
+        metrics: Metrics,
+        journal: Journal,
+        clock: Clock,
+    ) -> None:
+        self.bundle = bundle
+        self.dispatcher = dispatcher
+        self.forwarder = forwarder
+        self.admission = admission
+        self.limits = limits
+        self.tracing = tracing
+        self.metrics = metrics
+        self.journal = journal
+        self.clock = clock
+        self.is_stopping = False
+        self.idle = asyncio.Event()
+        self.idle.set()
+
+    def app(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application(client_max_size=self.limits.max_body_bytes)
+        app.router.add_route("*", "/{path:.*}", self.serve)
+        return app
+
+    async def serve(self, http: web.Request) -> web.StreamResponse:
+        """Serve one request, whatever it is."""
+        request_id = new_request_id(http.headers)
+        span = self.tracing.server_span(f"{http.method} {http.path}", http.headers)
+        began = self.clock.monotonic()
+        exchange = Exchange(http, request_id, span, Progress(), began)
+        try:
+            response = await self.answer(exchange)
+            self.metrics.requests.inc({"outcome": "answered"})
+            return response
+        except Refused as error:
+            return await self.refuse(exchange, error.refusal)
+        except (CallerGoneError, asyncio.CancelledError) as error:
+            self.metrics.requests.inc({"outcome": "caller_gone"})
+            self.journal.note(request_id, "caller gone")
+            if isinstance(error, asyncio.CancelledError):
+                raise
+            return exchange.response or web.Response(status=499)
+        finally:
+            took = self.clock.monotonic() - began
+            self.journal.note(request_id, "ended", took_s=took.total_seconds())
+            span.set_attribute("request", request_id)
+            span.end()
+
+    async def answer(self, exchange: Exchange) -> web.StreamResponse:
+        """Check, admit and run one request within its deadline."""
+        http = exchange.http
+        if self.is_stopping:
+            raise Refused(shutting_down())
+        read = read_envelope(
+            http.headers,
+            exchange.request_id,
+            self.bundle(),
+            self.limits,
+            self.clock.monotonic(),
+        )
+        if not isinstance(read, Success):
+            raise Refused(read.failure())
+        envelope = read.unwrap()
+        if not self.admission.enter(envelope.priority):
+            text = "this host is full; requests of higher priority go first"
+            raise Refused(not_run(Reason.OVERLOADED, text, OVERLOAD_RETRY))
+        self.count_in_flight()
+        try:
+            return await self.within_deadline(exchange, envelope)
+        finally:
+            self.admission.leave()
+            self.count_in_flight()
+
+    def count_in_flight(self) -> None:
+        """Publish how many requests are in flight."""
+        count = self.admission.in_flight
+        self.metrics.in_flight.set({}, count)
+        if count:
+            self.idle.clear()
+        else:
+            self.idle.set()
+
+    async def within_deadline(
+        self, exchange: Exchange, envelope: Envelope
+    ) -> web.StreamResponse:
+        """Run one request, and end it when its time is over."""
+        remaining = envelope.deadline - self.clock.monotonic()
+        try:
+            async with asyncio.timeout(remaining.total_seconds()):
+                return await self.route(exchange, envelope)
+        except TimeoutError as error:
+            text = "the deadline passed"
+            outcome = exchange.progress.outcome
+            refusal = Refusal(Reason.DEADLINE_EXPIRED, outcome, text)
+            raise Refused(refusal) from error
+
+    async def route(self, exchange: Exchange, envelope: Envelope) -> web.StreamResponse:
+        """Run one request by what its path means."""
+        http = exchange.http
+        if http.path == MODELS_PATH and http.method == "GET":
+            return self.models(envelope)
+        body = await self.read_body(http)
+        if http.path in MODEL_PATHS and http.method == "POST":
+            read = read_model_request(envelope, http.path, body)
+            if not isinstance(read, Success):
+                raise Refused(read.failure())
+            return await self.run_model(exchange, read.unwrap())
+        service = envelope.bundle.service(http.path)
+        if service is None or envelope.caller.name not in service.callers:
+            text = f"nothing is offered to you at {http.path!r}"
+            raise Refused(not_run(Reason.UNKNOWN_ROUTE, text))
+        request = ServiceRequest(
+            envelope, service, http.method, http.raw_path, http.headers, body
+        )
+        return await self.run_service(exchange, request)
+
+    async def read_body(self, http: web.Request) -> bytes:
+        """Read a request's body up to the limit."""
+        limit = self.limits.max_body_bytes
+        try:
+            if (http.content_length or 0) <= limit:
+                return await http.read()
+        except web.HTTPRequestEntityTooLarge:
+            pass
+        except (OSError, aiohttp.ClientError) as error:
+            raise CallerGoneError from error
+        text = f"the body exceeds {limit} bytes"
+        raise Refused(not_run(Reason.TOO_LARGE, text))
+
+    def models(self, envelope: Envelope) -> web.Response:
+        """Answer with the models that the caller may name."""
+        offered = envelope.bundle.offered_to(envelope.caller.name)
+        data = [{"id": str(ref), "object": "model"} for ref in offered]
+        headers = self.answer_headers(envelope)
+        return web.json_response({"object": "list", "data": data}, headers=headers)
+
+    def answer_headers(self, envelope: Envelope) -> dict[str, str]:
+        """Return the headers that every good answer carries."""
+        return {
+            REQUEST_HEADER: envelope.request_id,
+            OUTCOME_HEADER: Outcome.RAN.value,
+            BUNDLE_HEADER: str(envelope.bundle.version),
+        }
+
+    async def run_model(
+        self, exchange: Exchange, request: ModelRequest
+    ) -> web.StreamResponse:
+        """Run a model request, streamed or in one piece."""
+        headers = self.answer_headers(request.envelope)
+        headers[ADAPTER_HEADER] = str(request.adapter)
+        events = self.dispatcher.events(request, exchange.progress, exchange.span)
+        async with aclosing(events) as parts:
+            if request.stream:
+                headers["Content-Type"] = "text/event-stream"
+                headers["Cache-Control"] = "no-store"
+                async for part in parts:
+                    await self.write(exchange, 200, headers, part.data)
+                return await self.end(exchange)
+            whole = WholeAnswer()
+            async for part in parts:
+                whole.take(part.data)
+        return web.Response(
+            body=whole.body(), headers=headers, content_type="application/json"
+        )
+
+    async def run_service(
+        self, exchange: Exchange, request: ServiceRequest
+    ) -> web.StreamResponse:
+        """Run a request for a plain service and pass its answer through."""
+        forward = self.forwarder.forward(request, exchange.progress, exchange.span)
+        async with forward as answer:
+            headers = pass_through(answer.headers)
+            headers.update(self.answer_headers(request.envelope))
+            if answer.content_length is not None:
+                headers["Content-Length"] = str(answer.content_length)
+            await self.write(exchange, answer.status, headers, b"")
+            async for data in answer.content.iter_any():
+                await self.write(exchange, answer.status, headers, data)
+        return await self.end(exchange)
+
+    async def write(
+        self,
+        exchange: Exchange,
+        status: int,
+        headers: Mapping[str, str],
+        data: bytes,
+    ) -> None:
+        """Pass a part of an answer on to the caller."""
+        try:
+            if exchange.response is None:
+                response = web.StreamResponse(status=status, headers=headers)
+                exchange.response = response
+                self.observe_first_byte(exchange)
+                await response.prepare(exchange.http)
+            if data:
+                await exchange.response.write(data)
+        except (OSError, aiohttp.ClientError) as error:
+            raise CallerGoneError from error
+
+    def observe_first_byte(self, exchange: Exchange) -> None:
+        """Count the time to the first byte of an answer."""
+        took = self.clock.monotonic() - exchange.began
+        self.metrics.first_byte.observe({}, took.total_seconds())
+
+    async def end(self, exchange: Exchange) -> web.StreamResponse:
+        """End a streamed answer."""
+        assert exchange.response is not None
+        try:
+            await exchange.response.write_eof()
+        except (OSError, aiohttp.ClientError) as error:
+            raise CallerGoneError from error
+        return exchange.response
+
+    async def refuse(self, exchange: Exchange, refusal: Refusal) -> web.StreamResponse:
+        """Give a request its final answer at once."""
+        self.metrics.requests.inc({"outcome": refusal.outcome.value})
+        self.metrics.refusals.inc({"reason": refusal.reason.value})
+        details = {
+            "request": exchange.request_id,
+            "trace": trace_id(exchange.span),
+            "reason": refusal.reason.value,
+            "outcome": refusal.outcome.value,
+            "detail": refusal.message,
+        }
+        self.journal.note(exchange.request_id, "refused", **details)
+        log.info("request refused", extra=details)
+        if exchange.response is None:
+            return refusal_response(refusal, exchange.request_id)
+        return await self.cut_off(exchange, refusal)
+
+    async def cut_off(self, exchange: Exchange, refusal: Refusal) -> web.StreamResponse:
+        """End an answer that had begun, so that nobody takes it for a whole one."""
+        response = exchange.response
+        assert response is not None
+        if response.content_type == "text/event-stream":
+            event = refusal_event(refusal, exchange.request_id)
+            try:
+                await self.write(exchange, response.status, {}, event)
+                return await self.end(exchange)
+            except CallerGoneError:
+                return response
+        if exchange.http.transport is not None:
+            exchange.http.transport.abort()
+        return response
+
+
+def shutting_down() -> Refusal:
+    """Return the refusal of a host that is stopping."""
+    text = "this host is stopping; another one serves you"
+    return not_run(Reason.SHUTTING_DOWN, text, timedelta(seconds=1))
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/engines.py
@@ -0,0 +1,241 @@
+"""The port to model engines: orders, reports, and streams of answers.
+
+What a failure proves is decided here, next to the bytes: only an error before the
+request was written, or the engine's own refusal, proves that it has not run.
+"""
+
+from collections.abc import AsyncGenerator, AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+import aiohttp
+import msgspec
+from returns.result import Failure, Result, Success
+
+from sardinequay_core.keeper import EngineReport
+from sardinequay_core.leases import Use
+from sardinequay_core.names import AdapterRef, Address, TargetId
+from sardinequay_core.roster import Target
+
+from .errors import TargetError, TargetFault
+from .server_sent_events import EventCutter, Events
+
+NOT_LOADED = "not_loaded"
+STALE_TOKEN = "stale_token"
+REFUSED_STATUSES = frozenset({400, 404, 413, 422, 429, 503})
+"""Statuses by which an engine says that it did not start on a request."""
+REQUEST_HEADER = "X-Request-Id"
+
+
+@dataclass(frozen=True, slots=True)
+class EngineRequest:
+    """One request as it goes to an engine."""
+
+    path: str
+    request_id: str
+    body: bytes
+    headers: Mapping[str, str]
+    fresh_connection: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ReportBody:
+    """An engine's report as it comes over the wire."""
+
+    incarnation: str
+    highest_token: int
+    slots: int
+    resident: tuple[AdapterRef, ...]
+    running: int = 0
+    waiting: int = 0
+    in_use: tuple[AdapterRef, ...] = ()
+
+
+class Engines(Protocol):
+    """What the rest of the daemon needs of engines."""
+
+    async def report(self, target: Target) -> Result[EngineReport, TargetError]:
+        """Return what an engine says of itself."""
+
+    async def load(
+        self, target: Target, use: Use, token: int
+    ) -> Result[None, TargetError]:
+        """Have an adapter loaded; return when it is."""
+
+    async def unload(
+        self, target: Target, use: Use, token: int
+    ) -> Result[None, TargetError]:
+        """Have an adapter evicted; return when it is."""
+
+    async def cancel(self, address: Address, request_id: str) -> None:
+        """Have a request ended whose caller is gone."""
+
+
+class HttpEngines:
+    """Engines over HTTP."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        fresh_session: aiohttp.ClientSession,
+        silence_s: float,
+        order_timeout_s: float,
+    ) -> None:
+        self.session = session
+        self.fresh_session = fresh_session
+        self.silence_s = silence_s
+        self.order_timeout = aiohttp.ClientTimeout(total=order_timeout_s)
+        self.report_timeout = aiohttp.ClientTimeout(total=silence_s)
+
+    async def report(self, target: Target) -> Result[EngineReport, TargetError]:
+        """Return what an engine says of itself."""
+        url = f"http://{target.address}/v1/report"
+        try:
+            async with self.session.get(url, timeout=self.report_timeout) as answer:
+                data = await answer.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Failure(TargetError(TargetFault.BROKEN, repr(error)))
+        if answer.status != 200:
+            detail = f"report: {answer.status}"
+            return Failure(TargetError(TargetFault.BROKEN, detail))
+        return decode_report(target.target_id, data)
+
+    async def load(
+        self, target: Target, use: Use, token: int
+    ) -> Result[None, TargetError]:
+        """Have an adapter loaded; return when it is."""
+        return await self.order(target, "/v1/load_lora_adapter", use, token)
+
+    async def unload(
+        self, target: Target, use: Use, token: int
+    ) -> Result[None, TargetError]:
+        """Have an adapter evicted; return when it is."""
+        return await self.order(target, "/v1/unload_lora_adapter", use, token)
+
+    async def order(
+        self, target: Target, path: str, use: Use, token: int
+    ) -> Result[None, TargetError]:
+        """Give an order with its fencing token."""
+        body = {
+            "adapter": use.adapter.name,
+            "version": use.adapter.version,
+            "fencing_token": token,
+        }
+        url = f"http://{target.address}{path}"
+        try:
+            async with self.session.post(
+                url, json=body, timeout=self.order_timeout
+            ) as answer:
+                data = await answer.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Failure(TargetError(TargetFault.BROKEN, repr(error)))
+        if answer.status == 200:
+            return Success(None)
+        return Failure(fault_of(answer.status, data))
+
+    @asynccontextmanager
+    async def start(
+        self, address: Address, request: EngineRequest
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Send a request; raises `TargetError` unless the engine took it."""
+        session = self.fresh_session if request.fresh_connection else self.session
+        headers = {**request.headers, REQUEST_HEADER: request.request_id}
+        url = f"http://{address}{request.path}"
+        async with turned_errors():
+            call = session.post(
+                url, data=request.body, headers=headers, timeout=self.stream_timeout()
+            )
+            async with call as answer:
+                if answer.status != 200:
+                    raise fault_of(answer.status, await answer.read())
+                yield answer
+
+    @asynccontextmanager
+    async def resume(
+        self, address: Address, request_id: str, after: int
+    ) -> AsyncIterator[aiohttp.ClientResponse]:
+        """Open a running request's stream again, after an event."""
+        url = f"http://{address}/v1/requests/{request_id}/events"
+        async with turned_errors():
+            call = self.fresh_session.get(
+                url, params={"after": str(after)}, timeout=self.stream_timeout()
+            )
+            async with call as answer:
+                if answer.status != 200:
+                    detail = f"resume: {answer.status}"
+                    raise TargetError(TargetFault.BROKEN, detail)
+                yield answer
+
+    def stream_timeout(self) -> aiohttp.ClientTimeout:
+        """Return the bound on silence; engines tell that they live between tokens."""
+        return aiohttp.ClientTimeout(
+            total=None, connect=self.silence_s, sock_read=self.silence_s
+        )
+
+    async def cancel(self, address: Address, request_id: str) -> None:
+        """Have a request ended whose caller is gone; best effort."""
+        url = f"http://{address}/v1/requests/{request_id}"
+        try:
+            async with self.session.delete(url, timeout=self.report_timeout) as answer:
+                await answer.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return
+
+
+@asynccontextmanager
+async def turned_errors() -> AsyncIterator[None]:
+    """Turn the HTTP library's errors into what they prove."""
+    try:
+        yield
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        raise TargetError(TargetFault.NOT_SENT, repr(error)) from error
+    except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+        raise TargetError(TargetFault.BROKEN, repr(error)) from error
+
+
+async def events_of(answer: aiohttp.ClientResponse) -> AsyncGenerator[Events, None]:
+    """Yield whole events of a stream as they come."""
+    cutter = EventCutter()
+    async with turned_errors():
+        while data := await answer.content.readany():
+            events = cutter.feed(data)
+            if events is not None:
+                yield events
+
+
+def decode_report(target: TargetId, data: bytes) -> Result[EngineReport, TargetError]:
+    """Read an engine's report."""
+    try:
+        body = msgspec.json.decode(data, type=ReportBody)
+    except msgspec.DecodeError as error:
+        return Failure(TargetError(TargetFault.BROKEN, f"report: {error}"))
+    return Success(
+        EngineReport(
+            target,
+            body.incarnation,
+            body.highest_token,
+            body.slots,
+            body.resident,
+            body.running,
+            body.waiting,
+            body.in_use,
+        )
+    )
+
+
+def fault_of(status: int, data: bytes) -> TargetError:
+    """Return what an engine's refusal proves."""
+    try:
+        body: Any = msgspec.json.decode(data)
+    except msgspec.DecodeError:
+        body = {}
+    code = body.get("error", "") if isinstance(body, dict) else ""
+    detail = f"{status} {code or data[:200]!r}"
+    if code == NOT_LOADED:
+        return TargetError(TargetFault.NOT_LOADED, detail)
+    if code == STALE_TOKEN:
+        return TargetError(TargetFault.STALE_TOKEN, detail)
+    if status in REFUSED_STATUSES:
+        return TargetError(TargetFault.REFUSED, detail)
+    return TargetError(TargetFault.BROKEN, detail)
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/guard_task.py
@@ -0,0 +1,254 @@
+"""The task that guards idempotency keys, and brings guards into their views."""
+
+import asyncio
+import logging
+from datetime import timedelta
+
+from returns.result import Success
+
+from sardinequay_core.claims import (
+    ClaimPolicy,
+    ClaimRequest,
+    ClaimVote,
+    Guard,
+    Handover,
+    HandoverRequest,
+    Settle,
+    Settled,
+    ViewQuery,
+    ViewReply,
+)
+from sardinequay_core.clock import Clock, Instant
+from sardinequay_core.joining import Joining
+from sardinequay_core.names import DataCentre, HostId, parse_address
+from sardinequay_core.roster import EMPTY_ROSTER, Roster
+from sardinequay_core.views import GuardAddress, View, view_of
+
+from .mailbox import Envelope, Mailbox, every
+from .peers import PeerCaller
+from .settings import ClaimSettings
+
+JOIN_STEP_S = 0.1
+EXPIRE_S = 5.0
+log = logging.getLogger(__name__)
+
+
+def claim_policy(settings: ClaimSettings) -> ClaimPolicy:
+    """Return the core's durations."""
+    return ClaimPolicy(
+        life=timedelta(seconds=settings.life_s),
+        window=timedelta(seconds=settings.window_s),
+        lapse=timedelta(seconds=settings.lapse_s),
+        list_lag=timedelta(seconds=settings.list_lag_s),
+    )
+
+
+def founding_view(settings: ClaimSettings, data_centre: DataCentre) -> View:
+    """Return view 0 of a data centre, which the settings name."""
+    guards = []
+    for entry in settings.founders[data_centre]:
+        address = parse_address(entry.address).unwrap()
+        guards.append(GuardAddress(entry.host_id, address))
+    return View(data_centre, 0, tuple(sorted(guards)))
+
+
+class GuardTask:
+    """Owns this host's memory of claims, for each data centre that it guards."""
+
+    def __init__(
+        self,
+        me: HostId,
+        incarnation: int,
+        settings: ClaimSettings,
+        peers: PeerCaller,
+        clock: Clock,
+    ) -> None:
+        self.me = me
+        self.settings = settings
+        self.policy = claim_policy(settings)
+        self.peers = peers
+        self.clock = clock
+        self.started_at = clock.monotonic()
+        is_founder = clock.now() <= settings.in_service_from
+        self.guards = {
+            name: self.make_guard(name, incarnation, is_founder)
+            for name in settings.founders
+        }
+        self.joining: dict[DataCentre, Joining] = {}
+        self.roster = EMPTY_ROSTER
+        self.inbox = Mailbox()
+
+    def make_guard(
+        self, data_centre: DataCentre, incarnation: int, is_founder: bool
+    ) -> Guard:
+        """Return an empty memory, which is a full one if nothing came before."""
+        founding = founding_view(self.settings, data_centre) if is_founder else None
+        return Guard(self.me, incarnation, self.policy, self.started_at, founding)
+
+    async def run(self) -> None:
+        """Answer and join for good."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.inbox.serve(self.handle))
+            group.create_task(every(JOIN_STEP_S, self.join_step))
+            group.create_task(every(EXPIRE_S, self.expire))
+
+    def handle(self, envelope: Envelope) -> None:
+        """Answer one message from the state as it is now."""
+        message, now = envelope.message, self.clock.monotonic()
+        if isinstance(message, ClaimRequest):
+            envelope.answer(self.claim(message, now))
+        elif isinstance(message, Settle):
+            self.guards[message.data_centre].settle(message)
+            envelope.answer(Settled())
+        elif isinstance(message, HandoverRequest):
+            guard = self.guards[message.view.data_centre]
+            envelope.answer(guard.hand_over(message, now))
+        elif isinstance(message, ViewQuery):
+            envelope.answer(ViewReply(self.guards[message.data_centre].active))
+
+    def claim(self, message: ClaimRequest, now: Instant) -> ClaimVote:
+        """Vote, and start to join a view that the claim makes known."""
+        guard = self.guards[message.view.data_centre]
+        vote = guard.claim(message, now)
+        self.start_joining(message.view.data_centre)
+        return vote
+
+    def take_list(self, roster: Roster) -> None:
+        """Take the list that was read from the platform just now."""
+        self.roster = roster
+        now = self.clock.monotonic()
+        for name, guard in self.guards.items():
+            guard.read_list(view_of(roster, name), now)
+            self.start_joining(name)
+
+    def hear_roster(self, roster: Roster) -> None:
+        """Take a roster that a peer told: it may name a later view."""
+        self.roster = max(self.roster, roster, key=lambda r: r.number)
+        for name, guard in self.guards.items():
+            guard.hear_view(view_of(roster, name))
+            self.start_joining(name)
+
+    def start_joining(self, data_centre: DataCentre) -> None:
+        """Head for the newest view heard of, if this host guards in it."""
+        guard = self.guards[data_centre]
+        newest = guard.newest_view()
+        if newest is None or newest == guard.active or not newest.has(self.me):
+            return
+        under_way = self.joining.get(data_centre)
+        if under_way is not None and under_way.target.number >= newest.number:
+            return
+        guard.follow_same_guards(newest)
+        if guard.active == newest:
+            return
+        start = founding_view(self.settings, data_centre)
+        ready = self.started_at + self.policy.window
+        is_new_here = guard.remembers
+        not_before = self.clock.monotonic() if is_new_here else ready
+        self.joining[data_centre] = Joining(guard, newest, start, not_before)
+
+    async def join_step(self) -> None:
+        """Ask for what is still missing, and enter views that are complete."""
+        for data_centre, joining in list(self.joining.items()):
+            await self.gather(data_centre, joining)
+            now = self.clock.monotonic()
+            if self.joining.get(data_centre) is not joining:
+                continue
+            if joining.is_done(now):
+                joining.finish(now)
+                del self.joining[data_centre]
+                self.log_entered(data_centre, joining)
+            elif joining.overtaken_by() is not None:
+                del self.joining[data_centre]
+                self.start_joining(data_centre)
+
+    def log_entered(self, data_centre: DataCentre, joining: Joining) -> None:
+        """Log that this host votes in a view from now on."""
+        guard = self.guards[data_centre]
+        log.info(
+            "guard entered a view",
+            extra={
+                "view": joining.target.number,
+                "guards": [g.host_id for g in joining.target.guards],
+                "of": data_centre,
+                "claims": len(guard.claims),
+            },
+        )
+
+    async def gather(self, data_centre: DataCentre, joining: Joining) -> None:
+        """Ask once for everything that is missing."""
+        if not self.guards[data_centre].remembers:
+            await self.find_start(data_centre, joining)
+        wanted = joining.requests(self.clock.monotonic())
+        await asyncio.gather(
+            *[self.ask(joining, guard, request) for guard, request in wanted]
+        )
+
+    async def find_start(self, data_centre: DataCentre, joining: Joining) -> None:
+        """Ask the hosts of the data centre in which view they vote."""
+        hosts = {h.peer_address for h in self.roster.hosts_in(data_centre)}
+        hosts |= {g.address for g in joining.target.guards if g.host_id != self.me}
+        query = ViewQuery(data_centre)
+        answers = await asyncio.gather(
+            *[self.peers.call(address, query) for address in sorted(hosts)]
+        )
+        for answer in answers:
+            reply = answer.value_or(None)
+            if isinstance(reply, ViewReply) and reply.view is not None:
+                joining.add(reply.view)
+                self.guards[data_centre].hear_view(reply.view)
+
+    async def ask(
+        self, joining: Joining, guard: GuardAddress, request: HandoverRequest
+    ) -> None:
+        """Fetch all pages of one guard's memory."""
+        asked_at = self.clock.monotonic()
+        pages: list[Handover] = []
+        after = ""
+        while True:
+            page_request = HandoverRequest(
+                request.view,
+                request.successor,
+                request.asker,
+                request.incarnation,
+                after,
+            )
+            answer = await self.peers.call(guard.address, page_request)
+            if not isinstance(answer, Success):
+                return
+            page: Handover = answer.unwrap()
+            pages.append(page)
+            if not page.more:
+                break
+            after = page.records[-1].key
+        joining.take(request.view, guard.host_id, whole(pages), asked_at)
+
+    def expire(self) -> None:
+        """Forget claims whose life is over."""
+        for guard in self.guards.values():
+            guard.expire(self.clock.monotonic())
+
+    def is_guard(self) -> bool:
+        """Return whether this host guards any data centre in the latest list."""
+        names = self.guards
+        return any(view_of(self.roster, name).has(self.me) for name in names)
+
+    def views(self) -> dict[str, int | None]:
+        """Return the view in which this host votes, for each data centre."""
+        return {
+            str(name): guard.active.number if guard.active else None
+            for name, guard in self.guards.items()
+        }
+
+
+def whole(pages: list[Handover]) -> Handover:
+    """Join the pages of one guard's answer; the first one names its views."""
+    first = pages[0]
+    later = {v.number: v for page in pages for v in page.later_views}
+    return Handover(
+        remembers=all(page.remembers for page in pages),
+        incarnation=first.incarnation,
+        base=first.base,
+        later_views=tuple(later.values()),
+        asked_before=first.asked_before,
+        records=tuple(record for page in pages for record in page.records),
+    )
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/host.py
@@ -0,0 +1,409 @@
+"""One entry host: its tasks put together, started and stopped."""
+
+import asyncio
+import logging
+import ssl
+from random import Random
+
+import aiohttp
+from aiohttp import web
+
+from sardinequay_core.admission import Admission, AdmissionPolicy, RetryPolicy
+from sardinequay_core.approval import Trust
+from sardinequay_core.bundle import Bundle
+from sardinequay_core.claims import ClaimRequest, HandoverRequest, Settle, ViewQuery
+from sardinequay_core.clock import Clock
+from sardinequay_core.leases import HolderId
+from sardinequay_core.membership import Member
+from sardinequay_core.names import Address, parse_address
+from sardinequay_core.roster import Roster
+
+from .callers import CallerServer
+from .claimer import Claimer
+from .dispatch import ModelDispatcher, RetryBudgets
+from .engines import HttpEngines
+from .errors import StartError
+from .guard_task import GuardTask, claim_policy
+from .journal import Journal
+from .keeper_task import KeeperTask
+from .lease_task import LeaseTask
+from .membership_task import MembershipTask, PeerInForce
+from .messages import (
+    Acquire,
+    FetchBlobs,
+    FetchRoot,
+    FetchRoster,
+    GiveBack,
+    InForce,
+    Offer,
+    Ping,
+    Recall,
+    Renew,
+    Want,
+)
+from .metrics import Metrics
+from .operators import HostStatus, OperatorServer
+from .peers import PeerCaller, PeerServer
+from .platform import HttpConfigurationService, HttpHostList, HttpReader
+from .rollout_task import PeerOffer, RolloutTask
+from .roster_task import RosterTask
+from .services import ServiceForwarder
+from .settings import Settings
+from .tls import client_context, server_context
+from .tracing import Tracing
+
+EXIT_PORT_IN_USE = 3
+EXIT_BAD_KEY = 4
+GUARD_MESSAGES = (ClaimRequest, Settle, HandoverRequest, ViewQuery)
+KEEPER_MESSAGES = (Acquire, Renew, GiveBack, Want)
+IDLE_CONNECTION_S = 15.0
+log = logging.getLogger(__name__)
+
+
+class Host:
+    """One entry host, from its settings."""
+
+    def __init__(
+        self, settings: Settings, clock: Clock, random: Random, tracing: Tracing
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.random = random
+        self.tracing = tracing
+        self.metrics = Metrics(settings.host_id, settings.data_centre)
+        self.journal = Journal(clock)
+        self.listener = parse_address(settings.peer_listener).unwrap()
+        advertised = settings.advertised_peer_address or settings.peer_listener
+        self.peer_address = parse_address(advertised).unwrap()
+        self.incarnation = int(clock.now().timestamp() * 1000)
+        self.is_stopping = False
+        self.peer_server = PeerServer(self.metrics)
+        self.peers = PeerCaller(
+            settings.timing,
+            self.metrics,
+            self.listener.ip,
+            client_context(settings.peer_tls),
+        )
+        self.sessions: list[aiohttp.ClientSession] = []
+        self.runners: list[web.AppRunner] = []
+
+    # Putting it together.
+
+    def build(self) -> None:
+        """Make every task and say who hears whom."""
+        settings, timing = self.settings, self.settings.timing
+        pooled, fresh = self.session(False), self.session(True)
+        self.sessions = [pooled, fresh]
+        self.membership = self.make_membership()
+        self.guard = GuardTask(
+            settings.host_id, self.incarnation, settings.claims, self.peers, self.clock
+        )
+        self.roster = RosterTask(
+            HttpHostList(self.reader(pooled, settings.host_list, "host_list")),
+            self.peers,
+            timing,
+            self.metrics,
+            self.membership.is_reader,
+            self.guard.is_guard,
+        )
+        self.rollout = RolloutTask(
+            Trust(settings.trust.keys, settings.trust.threshold),
+            HttpConfigurationService(
+                self.reader(pooled, settings.configuration_service, "configuration")
+            ),
+            self.peers,
+            timing,
+            self.metrics,
+            self.journal,
+            self.clock,
+            self.membership.is_reader,
+        )
+        engines = HttpEngines(
+            pooled, fresh, timing.silence_s, settings.limits.longest_request_s
+        )
+        self.keeper = KeeperTask(
+            settings.host_id,
+            settings.data_centre,
+            engines,
+            self.peers,
+            timing,
+            settings.limits,
+            self.clock,
+            self.random,
+            self.metrics,
+            self.journal,
+        )
+        self.leases = LeaseTask(
+            HolderId(f"{settings.host_id}#{self.incarnation}"),
+            self.peer_address,
+            settings.data_centre,
+            self.peers,
+            timing,
+            self.clock,
+            self.metrics,
+        )
+        self.claimer = Claimer(
+            settings.data_centres,
+            claim_policy(settings.claims),
+            self.peers,
+            self.clock,
+            self.metrics,
+            self.journal,
+            self.tracing,
+        )
+        self.callers = self.make_callers(engines, pooled, fresh)
+        self.operators = OperatorServer(
+            self, self.metrics, self.journal, self.refresh_metrics
+        )
+        self.connect()
+        self.register()
+
+    def session(self, is_fresh: bool) -> aiohttp.ClientSession:
+        """Make a client whose connections are pooled, or each used once."""
+        source = (self.listener.ip, 0)
+        connector = (
+            aiohttp.TCPConnector(limit=0, force_close=True, local_addr=source)
+            if is_fresh
+            else aiohttp.TCPConnector(
+                limit=0, keepalive_timeout=IDLE_CONNECTION_S, local_addr=source
+            )
+        )
+        return aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+
+    def reader(self, session: aiohttp.ClientSession, url: str, name: str) -> HttpReader:
+        """Make the reader of one of the platform's services."""
+        return HttpReader(session, url, self.metrics, name)
+
+    def make_membership(self) -> MembershipTask:
+        """Make the membership of this host's data centre."""
+        me = Member(self.settings.host_id, self.peer_address, self.incarnation)
+        return MembershipTask(
+            me,
+            self.settings.data_centre,
+            self.settings.timing,
+            self.peers,
+            self.clock,
+            self.random,
+            self.metrics,
+            self.in_force,
+            self.hear,
+        )
+
+    def make_callers(
+        self,
+        engines: HttpEngines,
+        pooled: aiohttp.ClientSession,
+        fresh: aiohttp.ClientSession,
+    ) -> CallerServer:
+        """Make what serves callers."""
+        limits = self.settings.limits
+        budgets = RetryBudgets(
+            RetryPolicy(ratio=limits.retry_ratio, max_attempts=limits.max_attempts)
+        )
+        dispatcher = ModelDispatcher(
+            engines,
+            self.leases,
+            self.claimer,
+            budgets,
+            self.tracing,
+            self.metrics,
+            self.journal,
+        )
+        self.forwarder = ServiceForwarder(
+            pooled,
+            fresh,
+            self.claimer,
+            budgets,
+            self.tracing,
+            self.metrics,
+            self.journal,
+            self.clock,
+            self.random,
+            self.settings.timing.silence_s,
+        )
+        policy = AdmissionPolicy(limits.max_in_flight, limits.reserved_share)
+        return CallerServer(
+            self.bundle,
+            dispatcher,
+            self.forwarder,
+            Admission(policy),
+            limits,
+            self.tracing,
+            self.metrics,
+            self.journal,
+            self.clock,
+        )
+
+    def connect(self) -> None:
+        """Say which task hears of which change."""
+        rosters = self.roster.rosters
+        rosters.subscribe(self.membership.take_roster)
+        rosters.subscribe(self.claimer.take_roster)
+        rosters.subscribe(self.leases.take_roster)
+        rosters.subscribe(self.forwarder.take_roster)
+        rosters.subscribe(self.hear_roster)
+        self.roster.direct_reads.subscribe(self.guard.take_list)
+        self.membership.live.subscribe(self.leases.take_members)
+        self.keeper.subscribe(self.rollout.bundles, rosters, self.membership.live)
+        self.rollout.bundles.subscribe(self.bundle_changed)
+
+    def hear_roster(self, roster: Roster) -> None:
+        """Have the guard hear of a roster, however it came."""
+        if roster.number:
+            self.guard.hear_roster(roster)
+
+    def bundle_changed(self, bundle: Bundle | None) -> None:
+        """Tell peers at once of a bundle that came into force."""
+        if bundle is not None:
+            self.membership.spread()
+
+    def register(self) -> None:
+        """Say who answers which message of a peer."""
+        server = self.peer_server
+        server.register(Ping, self.membership.answer_ping)
+        server.register(Offer, self.membership.answer_offer)
+        server.register(FetchRoot, self.rollout.answer_root)
+        server.register(FetchBlobs, self.rollout.answer_blobs)
+        server.register(FetchRoster, self.roster.answer_fetch)
+        server.register(Recall, self.leases.answer_recall)
+        for guarded in GUARD_MESSAGES:
+            server.register(guarded, self.guard.inbox.ask)
+        for kept in KEEPER_MESSAGES:
+            server.register(kept, self.keeper.inbox.ask)
+
+    # What is in force.
+
+    def in_force(self) -> InForce:
+        """Return what to tell peers with each heartbeat."""
+        return self.rollout.in_force(self.roster.roster.number)
+
+    def hear(self, event: PeerInForce) -> None:
+        """Pass on what a peer has in force to those who may want it."""
+        said = event.in_force
+        offer = PeerOffer(said.bundle_version, said.bundle_digest, event.address)
+        if self.rollout.is_worth_asking(offer):
+            self.rollout.inbox.tell(offer)
+        if said.roster_number > self.roster.roster.number:
+            self.roster.inbox.tell((said.roster_number, event.address))
+
+    def bundle(self) -> Bundle | None:
+        """Return the bundle in force."""
+        in_place = self.rollout.in_place
+        return in_place.bundle if in_place else None
+
+    def is_ready(self) -> bool:
+        """Return whether this host takes requests."""
+        has_all = self.bundle() is not None and self.roster.roster.number > 0
+        return has_all and bool(self.rollout.confirmed_by) and not self.is_stopping
+
+    def status(self) -> HostStatus:
+        """Return what is in force on this host."""
+        in_place = self.rollout.in_place
+        return HostStatus(
+            host=self.settings.host_id,
+            data_centre=self.settings.data_centre,
+            ready=self.is_ready(),
+            stopping=self.is_stopping,
+            bundle_version=in_place.bundle.version if in_place else 0,
+            bundle_digest=in_place.bundle.digest if in_place else "",
+            bundle_since=in_place.since.isoformat() if in_place else "",
+            confirmed_by=self.rollout.confirmed_by,
+            bundles_refused=sorted(f"{r} {d}" for r, d in self.rollout.refused),
+            roster_number=self.roster.roster.number,
+            in_flight=self.callers.admission.in_flight,
+            members=self.membership.health_of(),
+            guard_views=self.guard.views(),
+            resident=self.keeper.summary(),
+        )
+
+    def refresh_metrics(self) -> None:
+        """Bring metrics up to date that only time changes."""
+        in_place = self.rollout.in_place
+        if in_place is not None:
+            age = (self.clock.now() - in_place.since).total_seconds()
+            self.metrics.bundle_age.set({}, age)
+
+    # Life.
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until told to stop, then let what is in flight finish."""
+        self.build()
+        peer_listener = await self.listen()
+        try:
+            async with asyncio.TaskGroup() as group:
+                work = [
+                    group.create_task(self.roster.run()),
+                    group.create_task(self.rollout.run(self.membership.first_peers)),
+                    group.create_task(self.membership.run()),
+                    group.create_task(self.guard.run()),
+                    group.create_task(self.keeper.run()),
+                    group.create_task(self.leases.run()),
+                ]
+                await stop.wait()
+                await self.drain()
+                for task in work:
+                    task.cancel()
+        finally:
+            peer_listener.close()
+            await self.close()
+
+    async def listen(self) -> asyncio.Server:
+        """Open the three listeners."""
+        settings = self.settings
+        try:
+            peer_tls = server_context(settings.peer_tls)
+            listener = await self.peer_server.start(self.listener, peer_tls)
+            await self.serve_http(
+                self.operators.app(), settings.operator_listener, None
+            )
+            caller_tls = server_context(settings.caller_tls)
+            await self.serve_http(
+                self.callers.app(), settings.caller_listener, caller_tls
+            )
+        except OSError as error:
+            raise StartError(f"cannot listen: {error}", EXIT_PORT_IN_USE) from error
+        log.info("listening", extra={"callers": settings.caller_listener})
+        return listener
+
+    async def serve_http(
+        self, app: web.Application, listener: str, tls: ssl.SSLContext | None
+    ) -> None:
+        """Serve an HTTP application at an address."""
+        address: Address = parse_address(listener).unwrap()
+        runner = web.AppRunner(
+            app, handler_cancellation=True, access_log=None, shutdown_timeout=1.0
+        )
+        await runner.setup()
+        self.runners.append(runner)
+        site = web.TCPSite(runner, address.ip, address.port, ssl_context=tls)
+        await site.start()
+
+    async def drain(self) -> None:
+        """Become unready, tell the peers, and let requests in flight finish."""
+        timing = self.settings.timing
+        log.info("stopping", extra={"in_flight": self.callers.admission.in_flight})
+        self.is_stopping = True
+        await self.membership.leave()
+        # The balancer needs a moment to see that this host is not ready.
+        await asyncio.sleep(timing.leave_notice_s)
+        self.callers.is_stopping = True
+        try:
+            async with asyncio.timeout(timing.shutdown_s):
+                await self.callers.idle.wait()
+        except TimeoutError:
+            left = self.callers.admission.in_flight
+            log.error("stopped with requests in flight", extra={"in_flight": left})
+        await self.leases.give_back_all()
+
+    async def close(self) -> None:
+        """Close all that is open."""
+        for runner in reversed(self.runners):
+            await runner.cleanup()
+        self.peers.close()
+        self.peer_server.close()
+        for session in self.sessions:
+            await session.close()
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/journal.py
@@ -0,0 +1,41 @@
+"""What a host decided and why, kept for a while to be asked about by id."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from datetime import datetime
+from typing import Any
+
+from sardinequay_core.clock import Clock
+
+MAX_SUBJECTS = 4096
+"""Requests and orders remembered; some minutes at a host's peak of 36 a second."""
+MAX_ENTRIES = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One decision or event."""
+
+    at: datetime
+    what: str
+    details: dict[str, Any]
+
+
+@dataclass(slots=True)
+class Journal:
+    """The latest subjects and their entries."""
+
+    clock: Clock
+    subjects: OrderedDict[str, list[Entry]] = field(default_factory=OrderedDict)
+
+    def note(self, subject: str, what: str, **details: Any) -> None:
+        """Note an event under a request's or an order's id."""
+        entries = self.subjects.setdefault(subject, [])
+        if len(entries) < MAX_ENTRIES:
+            entries.append(Entry(self.clock.now(), what, details))
+        if len(self.subjects) > MAX_SUBJECTS:
+            self.subjects.popitem(last=False)
+
+    def explain(self, subject: str) -> list[Entry]:
+        """Return what is remembered of an id."""
+        return list(self.subjects.get(subject, ()))
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/logs.py
@@ -0,0 +1,21 @@
+"""Structured logs: one JSON object a line."""
+
+import logging
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+
+FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
+RENAMED = {"asctime": "time", "levelname": "level", "name": "logger"}
+
+
+def configure(level: str, host_id: str) -> None:
+    """Send all logs to standard error as JSON, each line naming this host."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        JsonFormatter(FIELDS, rename_fields=RENAMED, static_fields={"host": host_id})
+    )
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level)
+    logging.getLogger("aiohttp.access").setLevel(logging.WARNING)
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/main.py
@@ -0,0 +1,72 @@
+"""The entry point of ``sardinequayd``."""
+
+import argparse
+import asyncio
+import logging
+import signal
+import sys
+from pathlib import Path
+from random import SystemRandom
+
+from returns.result import Success
+
+from .errors import StartError
+from .host import Host
+from .logs import configure
+from .settings import Settings
+from .settings_check import read_settings
+from .system_clock import SystemClock
+from .tracing import Tracing
+
+EXIT_OK = 0
+EXIT_BAD_SETTINGS = 2
+log = logging.getLogger(__name__)
+
+
+def parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    made = argparse.ArgumentParser(
+        prog="sardinequayd", description="Serve LoRA adapters on this entry host."
+    )
+    made.add_argument("settings", type=Path, help="the settings file, in JSON")
+    made.add_argument(
+        "--check", action="store_true", help="check the settings and exit"
+    )
+    return made
+
+
+async def serve(settings: Settings) -> None:
+    """Run one host until SIGTERM or SIGINT."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    tracing = Tracing(settings.traces, settings.host_id)
+    try:
+        await Host(settings, SystemClock(), SystemRandom(), tracing).run(stop)
+    finally:
+        tracing.shut_down()
+
+
+def main() -> int:
+    """Run the daemon; return its exit code."""
+    arguments = parser().parse_args()
+    read = read_settings(arguments.settings)
+    if not isinstance(read, Success):
+        print(f"sardinequayd: {read.failure()}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    settings = read.unwrap()
+    if arguments.check:
+        print("settings are good")
+        return EXIT_OK
+    configure(settings.logs.level, settings.host_id)
+    try:
+        asyncio.run(serve(settings))
+    except StartError as error:
+        print(f"sardinequayd: {error}", file=sys.stderr)
+        return error.exit_code
+    return EXIT_OK
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/membership_task.py
@@ -0,0 +1,210 @@
+"""The task that keeps membership: heartbeats in the data centre, hints beyond it."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+
+from reactivex.subject import BehaviorSubject
+from returns.result import Success
+
+from sardinequay_core.clock import Clock
+from sardinequay_core.membership import Health, Member, Membership, MembershipPolicy
+from sardinequay_core.names import Address, DataCentre
+from sardinequay_core.rendezvous import rank
+from sardinequay_core.roster import EMPTY_ROSTER, EntryHost, Presence, Roster
+
+from .mailbox import every
+from .messages import InForce, Offer, Ping, Pong, Taken
+from .metrics import Metrics
+from .peers import PeerCaller
+from .settings import TimingSettings
+
+READERS = 2
+"""Hosts of a data centre that watch the platform: one may be lost unnoticed."""
+REMOTE_EVERY = 10
+"""Gossip periods between two hints to a host of another data centre."""
+Live = tuple[Member, ...]
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class PeerInForce:
+    """Event: what a peer has in force."""
+
+    in_force: InForce
+    address: Address
+
+
+class MembershipTask:
+    """Owns the membership of this host's data centre.
+
+    Parameters
+    ----------
+    in_force : callable
+        What this host has in force, to be told with each heartbeat.
+    heard : callable
+        Takes what a peer has in force.
+    """
+
+    def __init__(
+        self,
+        me: Member,
+        data_centre: DataCentre,
+        timing: TimingSettings,
+        peers: PeerCaller,
+        clock: Clock,
+        random: Random,
+        metrics: Metrics,
+        in_force: Callable[[], InForce],
+        heard: Callable[[PeerInForce], None],
+    ) -> None:
+        policy = MembershipPolicy(
+            period=timedelta(seconds=timing.gossip_s),
+            suspect_for=timedelta(seconds=timing.suspect_s),
+        )
+        self.membership = Membership(me, policy, random)
+        self.data_centre = data_centre
+        self.timing = timing
+        self.peers = peers
+        self.clock = clock
+        self.random = random
+        self.metrics = metrics
+        self.in_force = in_force
+        self.heard = heard
+        self.roster = EMPTY_ROSTER
+        self.live: BehaviorSubject[Live] = BehaviorSubject((me,))
+        self.rounds = 0
+        self.sending: set[asyncio.Task[None]] = set()
+
+    def take_roster(self, roster: Roster) -> None:
+        """Take hosts of this data centre that were never heard of."""
+        self.roster = roster
+        local = roster.hosts_in(self.data_centre)
+        members = [
+            Member(h.host_id, h.peer_address, 0)
+            for h in local
+            if h.presence is Presence.LIVE
+        ]
+        self.membership.seed(members, self.clock.monotonic())
+        self.publish()
+
+    async def run(self) -> None:
+        """Send heartbeats for good."""
+        await every(self.timing.gossip_s, self.round)
+
+    async def round(self) -> None:
+        """Ping one member of the data centre, and now and then a host elsewhere."""
+        self.rounds += 1
+        self.membership.tick(self.clock.monotonic())
+        member = self.membership.next_ping()
+        if member is not None:
+            await self.ping(member)
+        remote = self.remote_hosts()
+        if remote and self.rounds % REMOTE_EVERY == 0:
+            await self.hint(self.random.choice(remote).peer_address)
+        self.publish()
+
+    def remote_hosts(self) -> list[EntryHost]:
+        """Return the hosts of other data centres."""
+        return [h for h in self.roster.entry_hosts if h.data_centre != self.data_centre]
+
+    async def ping(self, member: Member) -> None:
+        """Ping a member and take its news."""
+        message = Ping(self.membership.news(), self.in_force())
+        answer = await self.peers.call(member.address, message)
+        now = self.clock.monotonic()
+        pong = answer.value_or(None)
+        if isinstance(pong, Pong):
+            self.membership.hear(pong.news, now)
+            self.membership.answered(member.host_id, now)
+            self.heard(PeerInForce(pong.in_force, member.address))
+        else:
+            self.membership.unanswered(member.host_id, now)
+
+    async def hint(self, address: Address) -> None:
+        """Exchange with a host elsewhere what is in force."""
+        answer = await self.peers.call(address, Ping((), self.in_force()))
+        if isinstance(answer, Success) and isinstance(answer.unwrap(), Pong):
+            self.heard(PeerInForce(answer.unwrap().in_force, address))
+
+    async def answer_ping(self, ping: Ping) -> Pong:
+        """Answer a heartbeat; an empty one comes from another data centre."""
+        if ping.news:
+            self.membership.hear(ping.news, self.clock.monotonic())
+            self.publish()
+            self.heard(PeerInForce(ping.in_force, ping.news[0].address))
+            return Pong(self.membership.news(), self.in_force())
+        return Pong((), self.in_force())
+
+    async def answer_offer(self, offer: Offer) -> Taken:
+        """Take what a peer has newly in force."""
+        ip, _, port = offer.address.rpartition(":")
+        self.heard(PeerInForce(offer.in_force, Address(ip, int(port))))
+        return Taken()
+
+    def publish(self) -> None:
+        """Tell the other tasks when the set of live members changes."""
+        live = self.membership.live()
+        known = [(m.host_id, m.incarnation) for m in self.live.value]
+        if [(m.host_id, m.incarnation) for m in live] != known:
+            self.metrics.peers.set({}, len(live))
+            self.live.on_next(live)
+
+    def is_reader(self) -> bool:
+        """Return whether this host watches the platform for its data centre."""
+        members = [m.host_id for m in self.membership.live()]
+        ranked = rank(f"readers/{self.data_centre}", members)
+        return self.membership.me.host_id in ranked[:READERS]
+
+    def first_peers(self) -> list[Address]:
+        """Return whom a new host hears: its data centre, and one host of each other."""
+        others = [m.address for m in self.membership.live() if not self.is_me(m)]
+        elsewhere: dict[DataCentre, Address] = {}
+        for host in self.remote_hosts():
+            elsewhere.setdefault(host.data_centre, host.peer_address)
+        return others + list(elsewhere.values())
+
+    def is_me(self, member: Member) -> bool:
+        """Return whether a member is this host."""
+        return member.host_id == self.membership.me.host_id
+
+    def spread(self) -> None:
+        """Tell at once what is newly in force: locally all, elsewhere two of each."""
+        targets = [m.address for m in self.membership.live() if not self.is_me(m)]
+        told: dict[DataCentre, int] = {}
+        for host in self.random.sample(self.remote_hosts(), len(self.remote_hosts())):
+            if told.get(host.data_centre, 0) < READERS and self.is_reader():
+                told[host.data_centre] = told.get(host.data_centre, 0) + 1
+                targets.append(host.peer_address)
+        if self.is_reader():
+            self.tell(targets)
+
+    def tell(self, targets: list[Address]) -> None:
+        """Send an offer to some hosts without waiting for them."""
+        offer = Offer(self.in_force(), str(self.membership.me.address))
+        for address in targets:
+            task = asyncio.create_task(self.send(address, offer))
+            self.sending.add(task)
+            task.add_done_callback(self.sending.discard)
+
+    async def send(self, address: Address, offer: Offer) -> None:
+        """Send one offer; a host that misses it hears of it by heartbeat."""
+        await self.peers.call(address, offer)
+
+    async def leave(self) -> None:
+        """Tell the members that this host is leaving."""
+        self.membership.leave()
+        self.publish()
+        ping = Ping(self.membership.news(), self.in_force())
+        peers = [m.address for m in self.membership.live()]
+        await asyncio.gather(*[self.peers.call(address, ping) for address in peers])
+
+    def health_of(self) -> dict[str, str]:
+        """Return how each member is seen, for operators."""
+        known = self.membership.known.items()
+        seen = {str(host_id): k.member.health.name.lower() for host_id, k in known}
+        me = self.membership.me
+        return {**seen, str(me.host_id): Health(me.health).name.lower()}
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/peers.py
@@ -0,0 +1,276 @@
+"""Calls between entry hosts over streams of msgpack frames.
+
+A link tells its other side that it is alive while calls wait on it, and closes when it
+has heard nothing for the silence bound; calls on it fail, and the next call opens a new
+link. So a link that died without a word costs one bound, never a request's whole time.
+"""
+
+import asyncio
+import contextlib
+import itertools
+import logging
+import ssl
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from sardinequay_core.names import Address
+
+from .errors import PeerError
+from .metrics import Metrics
+from .settings import TimingSettings
+from .wire import (
+    Frame,
+    FrameError,
+    FrameReader,
+    Kind,
+    encode_frame,
+    frame_of,
+    message_of,
+)
+
+READ_BYTES = 65_536
+ALIVE_PER_SILENCE = 4
+"""Signs of life within one silence bound, so that one lost in a pause is no death."""
+
+Handler = Callable[[Any], Awaitable[Any]]
+log = logging.getLogger(__name__)
+
+
+class Connection:
+    """What both ends of a link share: framed writing, counted by kind of message."""
+
+    def __init__(self, writer: asyncio.StreamWriter, metrics: Metrics) -> None:
+        self.writer = writer
+        self.metrics = metrics
+
+    def send(self, frame: Frame) -> None:
+        """Write a frame; the transport buffers it."""
+        data = encode_frame(frame)
+        labels = {"message": frame.tag or frame.kind.name.lower()}
+        self.metrics.peer_bytes.add(labels, len(data))
+        self.metrics.peer_messages.inc(labels)
+        self.writer.write(data)
+
+    def close(self) -> None:
+        """Close without waiting for the other side."""
+        with contextlib.suppress(OSError, RuntimeError):
+            self.writer.transport.abort()
+
+
+class Link(Connection):
+    """The calling end of one connection."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        metrics: Metrics,
+        silence_s: float,
+    ) -> None:
+        super().__init__(writer, metrics)
+        self.reader = reader
+        self.silence_s = silence_s
+        self.numbers = itertools.count(1)
+        self.waiting: dict[int, asyncio.Future[Any]] = {}
+        self.heard_at = asyncio.get_running_loop().time()
+        self.tasks = (
+            asyncio.create_task(self.read_loop()),
+            asyncio.create_task(self.watch_silence()),
+        )
+        self.is_open = True
+
+    async def call(self, message: Any) -> Any:
+        """Send a request and wait for its reply."""
+        number = next(self.numbers)
+        future = asyncio.get_running_loop().create_future()
+        if not self.waiting:
+            self.heard_at = asyncio.get_running_loop().time()
+        self.waiting[number] = future
+        try:
+            self.send(frame_of(Kind.REQUEST, number, message))
+            return await future
+        finally:
+            self.waiting.pop(number, None)
+
+    async def read_loop(self) -> None:
+        """Hand replies to those who wait for them."""
+        frames = FrameReader()
+        try:
+            while data := await self.reader.read(READ_BYTES):
+                self.heard_at = asyncio.get_running_loop().time()
+                for frame in frames.feed(data):
+                    self.take(frame)
+            self.fail("closed by the peer")
+        except (OSError, FrameError) as error:
+            self.fail(str(error))
+
+    def take(self, frame: Frame) -> None:
+        """Complete the call that a frame answers."""
+        future = self.waiting.get(frame.correlation)
+        if future is None or future.done() or frame.kind is Kind.ALIVE:
+            return
+        if frame.kind is Kind.REPLY:
+            future.set_result(message_of(frame))
+        else:
+            detail = frame.body.decode(errors="replace")
+            future.set_exception(PeerError("", detail))
+
+    async def watch_silence(self) -> None:
+        """Ask for signs of life while calls wait; fail them when none come."""
+        while True:
+            await asyncio.sleep(self.silence_s / ALIVE_PER_SILENCE)
+            if not self.waiting:
+                continue
+            silent_s = asyncio.get_running_loop().time() - self.heard_at
+            if silent_s > self.silence_s:
+                self.fail(f"silent for {silent_s:.1f} s")
+                return
+            self.send(Frame(Kind.ALIVE, 0))
+
+    def fail(self, detail: str) -> None:
+        """Close the link and fail the calls that wait on it."""
+        if not self.is_open:
+            return
+        self.is_open = False
+        self.close()
+        for future in self.waiting.values():
+            if not future.done():
+                future.set_exception(PeerError("", detail))
+
+    def stop(self) -> None:
+        """End the link's tasks."""
+        self.fail("this host is stopping")
+        for task in self.tasks:
+            task.cancel()
+
+
+class PeerCaller:
+    """Calls to any entry host, over one link to each.
+
+    Parameters
+    ----------
+    source_ip : str
+        The IP number that calls come from: that of this host's own listener.
+    """
+
+    def __init__(
+        self,
+        timing: TimingSettings,
+        metrics: Metrics,
+        source_ip: str,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.timing = timing
+        self.metrics = metrics
+        self.source = (source_ip, 0)
+        self.tls = tls
+        self.links: dict[Address, Link] = {}
+        self.opening: dict[Address, asyncio.Lock] = {}
+
+    async def call(
+        self, address: Address, message: Any, timeout_s: float | None = None
+    ) -> Result[Any, PeerError]:
+        """Send a request and wait for its reply, by default for the call timeout."""
+        bound_s = self.timing.call_timeout_s if timeout_s is None else timeout_s
+        try:
+            async with asyncio.timeout(bound_s):
+                link = await self.link(address)
+                return Success(await link.call(message))
+        except TimeoutError:
+            return Failure(PeerError(str(address), f"no answer in {bound_s} s"))
+        except PeerError as error:
+            return Failure(PeerError(str(address), error.detail))
+        except (OSError, FrameError) as error:
+            return Failure(PeerError(str(address), str(error)))
+
+    async def link(self, address: Address) -> Link:
+        """Return the open link to a host, or open one."""
+        async with self.opening.setdefault(address, asyncio.Lock()):
+            link = self.links.get(address)
+            if link is None or not link.is_open:
+                if link is not None:
+                    link.stop()
+                link = self.links[address] = await self.open(address)
+            return link
+
+    async def open(self, address: Address) -> Link:
+        """Connect to a host."""
+        async with asyncio.timeout(self.timing.connect_timeout_s):
+            reader, writer = await asyncio.open_connection(
+                address.ip, address.port, ssl=self.tls, local_addr=self.source
+            )
+        return Link(reader, writer, self.metrics, self.timing.silence_s)
+
+    def close(self) -> None:
+        """Close all links."""
+        for link in self.links.values():
+            link.stop()
+
+
+class PeerServer:
+    """Answers the calls of other entry hosts."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self.metrics = metrics
+        self.handlers: dict[type, Handler] = {}
+        self.connections: set[Connection] = set()
+
+    def register(self, kind: type, handler: Handler) -> None:
+        """Have requests of one type answered by a handler."""
+        self.handlers[kind] = handler
+
+    async def start(
+        self, address: Address, tls: ssl.SSLContext | None = None
+    ) -> asyncio.Server:
+        """Listen."""
+        return await asyncio.start_server(self.serve, address.ip, address.port, ssl=tls)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection until it ends, then cancel what it still asked for."""
+        connection = Connection(writer, self.metrics)
+        self.connections.add(connection)
+        frames, running = FrameReader(), set[asyncio.Task[None]]()
+        try:
+            while data := await reader.read(READ_BYTES):
+                for frame in frames.feed(data):
+                    self.start_answer(connection, frame, running)
+        except (OSError, FrameError) as error:
+            log.info("peer connection ended", extra={"error": str(error)})
+        finally:
+            for task in running:
+                task.cancel()
+            self.connections.discard(connection)
+            connection.close()
+
+    def start_answer(
+        self, connection: Connection, frame: Frame, running: set[asyncio.Task[None]]
+    ) -> None:
+        """Answer a request in a task of its own, and a sign of life at once."""
+        if frame.kind is Kind.ALIVE:
+            connection.send(frame)
+            return
+        task = asyncio.create_task(self.answer(connection, frame))
+        running.add(task)
+        task.add_done_callback(running.discard)
+
+    async def answer(self, connection: Connection, frame: Frame) -> None:
+        """Answer one request."""
+        try:
+            message = message_of(frame)
+            handler = self.handlers.get(type(message))
+            if handler is None:
+                raise FrameError(f"{frame.tag} is no request")
+            reply = await handler(message)
+            connection.send(frame_of(Kind.REPLY, frame.correlation, reply))
+        except FrameError as error:
+            failure = Frame(Kind.FAILURE, frame.correlation, "", str(error).encode())
+            connection.send(failure)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for connection in list(self.connections):
+            connection.close()
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/platform.py
@@ -0,0 +1,134 @@
+"""The platform's services as this system sees them: read and watched, never written.
+
+Both answer ``GET`` with a revision and let a reader wait for a later one. Each module
+that needs them takes the interfaces, so that the users' real services cost one module.
+"""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+import aiohttp
+import msgspec
+from returns.result import Failure, Result, Success
+
+from sardinequay_core.bundle import MAX_VALUE_BYTES
+from sardinequay_core.names import Digest
+from sardinequay_core.roster import Roster
+
+from .errors import PlatformError
+from .metrics import Metrics
+
+ROOT_KEY = "root"
+REVISION_HEADER = "X-Revision"
+ANSWER_MARGIN_S = 5.0
+"""How much longer than asked for a watch may take before it counts as dead."""
+
+
+@dataclass(frozen=True, slots=True)
+class Value:
+    """A published value and its revision; no data if it did not change."""
+
+    revision: int
+    data: bytes | None
+
+
+class ConfigurationService(Protocol):
+    """Reads and watches published values."""
+
+    async def watch_root(
+        self, after: int, wait_s: float
+    ) -> Result[Value, PlatformError]:
+        """Return the signed root once its revision is above `after`, or in the end."""
+
+    async def blob(self, digest: Digest) -> Result[bytes, PlatformError]:
+        """Return a blob of a bundle."""
+
+
+class HostList(Protocol):
+    """Reads and watches the list of live and leaving hosts."""
+
+    async def watch(self, after: int, wait_s: float) -> Result[Roster, PlatformError]:
+        """Return the list once its number is above `after`, or in the end."""
+
+
+class HttpReader:
+    """Reads one service over HTTP and counts the calls."""
+
+    def __init__(
+        self, session: aiohttp.ClientSession, url: str, metrics: Metrics, name: str
+    ) -> None:
+        self.session = session
+        self.url = url.rstrip("/")
+        self.metrics = metrics
+        self.name = name
+
+    async def get(
+        self, path: str, after: int | None = None, wait_s: float = 0.0
+    ) -> Result[Value, PlatformError]:
+        """Read a value, or wait for a later one than `after`."""
+        self.metrics.platform_calls.inc({"service": self.name})
+        params = {} if after is None else {"after": str(after), "wait_s": str(wait_s)}
+        timeout = aiohttp.ClientTimeout(total=wait_s + ANSWER_MARGIN_S)
+        try:
+            async with self.session.get(
+                self.url + path, params=params, timeout=timeout
+            ) as answer:
+                return await self.read(path, answer)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Failure(PlatformError(self.name, f"{path}: {error!r}"))
+
+    async def read(
+        self, path: str, answer: aiohttp.ClientResponse
+    ) -> Result[Value, PlatformError]:
+        """Turn an answer into a value."""
+        revision = int(answer.headers.get(REVISION_HEADER, "0"))
+        if answer.status == 304:
+            return Success(Value(revision, None))
+        if answer.status != 200:
+            return Failure(PlatformError(self.name, f"{path}: {answer.status}"))
+        data = await answer.content.read(MAX_VALUE_BYTES + 1)
+        while len(data) <= MAX_VALUE_BYTES and not answer.content.at_eof():
+            data += await answer.content.read(MAX_VALUE_BYTES + 1)
+        if len(data) > MAX_VALUE_BYTES:
+            return Failure(PlatformError(self.name, f"{path}: over the limit"))
+        return Success(Value(revision, data))
+
+
+class HttpConfigurationService:
+    """The configuration service over HTTP."""
+
+    def __init__(self, reader: HttpReader) -> None:
+        self.reader = reader
+
+    async def watch_root(
+        self, after: int, wait_s: float
+    ) -> Result[Value, PlatformError]:
+        """Return the signed root once its revision is above `after`, or in the end."""
+        return await self.reader.get(f"/v1/values/{ROOT_KEY}", after, wait_s)
+
+    async def blob(self, digest: Digest) -> Result[bytes, PlatformError]:
+        """Return a blob of a bundle."""
+        value = await self.reader.get(f"/v1/values/{digest}")
+        return value.map(lambda v: v.data or b"")
+
+
+class HttpHostList:
+    """The list of hosts over HTTP."""
+
+    def __init__(self, reader: HttpReader) -> None:
+        self.reader = reader
+
+    async def watch(self, after: int, wait_s: float) -> Result[Roster, PlatformError]:
+        """Return the list once its number is above `after`, or in the end."""
+        value = await self.reader.get("/v1/hosts", after, wait_s)
+        return value.bind(decode_roster)
+
+
+def decode_roster(value: Value) -> Result[Roster, PlatformError]:
+    """Decode the list; an unchanged one comes as a number without members."""
+    if value.data is None:
+        return Success(Roster(value.revision))
+    try:
+        return Success(msgspec.json.decode(value.data, type=Roster))
+    except msgspec.DecodeError as error:
+        return Failure(PlatformError("host list", str(error)))
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/rollout_task.py
@@ -0,0 +1,273 @@
+"""The task that keeps the bundle in force: the newest that verifies, and never back.
+
+A few hosts of each data centre watch the configuration service; the others are told by
+peers. Whoever brings a bundle, each host verifies it for itself. A new host hears its
+peers before it is ready, so that a stale service cannot make it serve an old bundle.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from datetime import datetime
+
+from reactivex.subject import BehaviorSubject
+from returns.result import Failure, Result, Success
+
+from sardinequay_core.approval import (
+    SignedRoot,
+    Trust,
+    Verdict,
+    compare,
+    root_digest,
+    verify,
+)
+from sardinequay_core.bundle import MISSING_BLOB, Bundle, assemble, missing_blobs
+from sardinequay_core.bundle import digest_of as blob_digest
+from sardinequay_core.clock import Clock
+from sardinequay_core.errors import BundleError
+from sardinequay_core.names import Address, Digest
+
+from .journal import Journal
+from .mailbox import Mailbox
+from .messages import BlobsReply, FetchBlobs, FetchRoot, InForce, RootReply
+from .metrics import Metrics
+from .peers import PeerCaller
+from .platform import ConfigurationService
+from .settings import TimingSettings
+
+RETRY_S = 0.5
+FETCH_TIMEOUT_S = 10.0
+BLOBS_PER_FETCH = 64
+JOURNAL_SUBJECT = "bundle"
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class PeerOffer:
+    """Event: a peer says what bundle it has in force."""
+
+    version: int
+    digest: str
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class InPlace:
+    """The bundle in force and what it was made from."""
+
+    bundle: Bundle
+    signed: SignedRoot
+    data: bytes
+    blobs: dict[Digest, bytes]
+    since: datetime
+
+
+class RolloutTask:
+    """Owns the bundle in force and publishes each change."""
+
+    def __init__(
+        self,
+        trust: Trust,
+        service: ConfigurationService,
+        peers: PeerCaller,
+        timing: TimingSettings,
+        metrics: Metrics,
+        journal: Journal,
+        clock: Clock,
+        is_reader: Callable[[], bool],
+    ) -> None:
+        self.trust = trust
+        self.service = service
+        self.peers = peers
+        self.timing = timing
+        self.metrics = metrics
+        self.journal = journal
+        self.clock = clock
+        self.is_reader = is_reader
+        self.in_place: InPlace | None = None
+        self.bundles: BehaviorSubject[Bundle | None] = BehaviorSubject(None)
+        self.refused: set[tuple[str, str]] = set()
+        self.confirmed_by = ""
+        self.revision = 0
+        self.inbox = Mailbox()
+        self.changing = asyncio.Lock()
+
+    def in_force(self, roster_number: int) -> InForce:
+        """Return what to tell peers."""
+        if self.in_place is None:
+            return InForce(0, "", roster_number)
+        bundle = self.in_place.bundle
+        return InForce(bundle.version, bundle.digest, roster_number)
+
+    async def run(self, first_peers: Callable[[], Iterable[Address]]) -> None:
+        """Join, then watch the service and take offers for good."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.take_offers())
+            await self.join(first_peers)
+            group.create_task(self.watch())
+
+    async def join(self, first_peers: Callable[[], Iterable[Address]]) -> None:
+        """Hear what peers have in force before the service is believed.
+
+        After the bound a host that hears no peer goes on alone, and says so.
+        """
+        bound = self.timing.join_wait_s
+        try:
+            async with asyncio.timeout(bound):
+                while not self.confirmed_by:
+                    await self.hear_peers(list(first_peers()))
+                    if not self.confirmed_by:
+                        await asyncio.sleep(self.timing.gossip_s)
+        except TimeoutError:
+            self.confirmed_by = "nobody"
+            log.warning("no peer heard before serving", extra={"bound_s": bound})
+
+    async def hear_peers(self, addresses: list[Address]) -> None:
+        """Ask several peers at once for the root that they have in force."""
+        calls = [self.peers.call(address, FetchRoot()) for address in addresses]
+        answers = await asyncio.gather(*calls)
+        for address, answer in zip(addresses, answers, strict=True):
+            if not isinstance(answer, Success):
+                continue
+            reply = answer.unwrap()
+            if isinstance(reply, RootReply) and reply.data:
+                await self.consider(reply.data, address)
+                self.confirmed_by = str(address)
+            elif isinstance(reply, RootReply) and len(addresses) > 0:
+                self.confirmed_by = self.confirmed_by or str(address)
+
+    async def watch(self) -> None:
+        """Watch the service as a reader, or while nothing is in force."""
+        while True:
+            if not (self.is_reader() or self.in_place is None):
+                await asyncio.sleep(RETRY_S)
+                continue
+            wait_s = self.timing.platform_wait_s if self.revision else 0.0
+            found = await self.service.watch_root(self.revision, wait_s)
+            if not isinstance(found, Success):
+                error = str(found.failure())
+                log.warning("configuration service not read", extra={"error": error})
+                await asyncio.sleep(RETRY_S)
+                continue
+            value = found.unwrap()
+            is_settled = value.data is None or await self.consider(value.data, None)
+            if is_settled:
+                self.revision = value.revision
+            if self.in_place is None or not is_settled:
+                await asyncio.sleep(RETRY_S)
+
+    async def take_offers(self) -> None:
+        """Fetch newer bundles from the peers that offer them."""
+        while True:
+            offer: PeerOffer = (await self.inbox.queue.get()).message
+            if not self.is_worth_asking(offer):
+                continue
+            found = await self.peers.call(offer.address, FetchRoot())
+            if isinstance(found, Success) and isinstance(found.unwrap(), RootReply):
+                await self.consider(found.unwrap().data, offer.address)
+
+    def is_worth_asking(self, offer: PeerOffer) -> bool:
+        """Return whether an offer is newer, or another bundle of the same version."""
+        if self.in_place is None:
+            return offer.version > 0
+        bundle = self.in_place.bundle
+        is_conflict = offer.version == bundle.version and offer.digest != bundle.digest
+        is_known = ("conflict", offer.digest) in self.refused
+        return offer.version > bundle.version or (is_conflict and not is_known)
+
+    async def consider(self, data: bytes, source: Address | None) -> bool:
+        """Judge a signed root, and put it in force if it is newer and whole.
+
+        Returns
+        -------
+        bool
+            False if it is worth another try, because parts of it were not to be had.
+        """
+        async with self.changing:
+            verified = verify(data, self.trust)
+            if not isinstance(verified, Success):
+                self.refuse(verified.failure(), str(blob_digest(data)))
+                return True
+            signed = verified.unwrap()
+            if self.judge(signed) is not Verdict.NEWER:
+                return True
+            done = await self.put_in_force(signed, data, source)
+            if isinstance(done, Success):
+                return True
+            self.refuse(done.failure(), str(root_digest(signed.root)))
+            return done.failure().reason != MISSING_BLOB
+
+    def judge(self, signed: SignedRoot) -> Verdict:
+        """Compare a verified root with the one in force, and tell of refusals."""
+        in_force = self.in_place.signed.root if self.in_place else None
+        verdict = compare(signed.root, in_force)
+        if verdict in (Verdict.OLDER, Verdict.CONFLICT):
+            assert in_force is not None
+            detail = f"version {signed.root.version} beside {in_force.version} in force"
+            error = BundleError(verdict.value, detail)
+            self.refuse(error, str(root_digest(signed.root)))
+        return verdict
+
+    def refuse(self, error: BundleError, digest: str) -> None:
+        """Tell of a refused bundle: count each time, log each once."""
+        self.metrics.bundle_refusals.inc({"reason": error.reason})
+        if (error.reason, digest) in self.refused:
+            return
+        self.refused.add((error.reason, digest))
+        details = {"reason": error.reason, "detail": error.detail, "digest": digest}
+        self.journal.note(JOURNAL_SUBJECT, "refused", **details)
+        log.error("bundle refused", extra=details)
+
+    async def put_in_force(
+        self, signed: SignedRoot, data: bytes, source: Address | None
+    ) -> Result[None, BundleError]:
+        """Fetch what a newer bundle needs, assemble it whole, and switch to it."""
+        old = self.in_place
+        blobs = dict(old.blobs) if old else {}
+        while wanted := sorted(missing_blobs(signed.root, blobs)):
+            fetched = await self.fetch(wanted, source)
+            if not fetched:
+                return Failure(BundleError(MISSING_BLOB, f"{len(wanted)} blobs"))
+            blobs.update(fetched)
+        digest = root_digest(signed.root)
+        made = assemble(signed.root, digest, blobs, old.bundle if old else None)
+        if not isinstance(made, Success):
+            return Failure(made.failure())
+        bundle = made.unwrap()
+        needed = {signed.root.base, *signed.root.index, *bundle.leaves}
+        kept = {d: blobs[d] for d in needed}
+        self.in_place = InPlace(bundle, signed, data, kept, self.clock.now())
+        self.metrics.bundle_version.set({}, bundle.version)
+        self.journal.note(
+            JOURNAL_SUBJECT, "in force", version=bundle.version, source=str(source)
+        )
+        log.info("bundle in force", extra={"bundle": bundle.version})
+        self.bundles.on_next(bundle)
+        return Success(None)
+
+    async def fetch(
+        self, wanted: list[Digest], source: Address | None
+    ) -> dict[Digest, bytes]:
+        """Fetch some blobs from the peer that offered the bundle, or the service."""
+        some = wanted[:BLOBS_PER_FETCH]
+        if source is None:
+            found = await asyncio.gather(*[self.service.blob(d) for d in some])
+            blobs = [f.unwrap() for f in found if isinstance(f, Success)]
+        else:
+            answer = await self.peers.call(
+                source, FetchBlobs(tuple(some)), FETCH_TIMEOUT_S
+            )
+            reply = answer.value_or(None)
+            blobs = list(reply.blobs) if isinstance(reply, BlobsReply) else []
+        by_digest = {blob_digest(blob): blob for blob in blobs}
+        return {d: by_digest[d] for d in some if d in by_digest}
+
+    async def answer_root(self, _: FetchRoot) -> RootReply:
+        """Answer a peer that asks for the root in force."""
+        return RootReply(self.in_place.data if self.in_place else b"")
+
+    async def answer_blobs(self, message: FetchBlobs) -> BlobsReply:
+        """Answer a peer that asks for blobs of the bundle in force."""
+        blobs = self.in_place.blobs if self.in_place else {}
+        return BlobsReply(tuple(blobs[d] for d in message.digests if d in blobs))
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/roster_task.py
@@ -0,0 +1,111 @@
+"""The task that keeps the roster: from the platform, or from peers that read it."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+import reactivex
+from reactivex.subject import BehaviorSubject
+from returns.result import Success
+
+from sardinequay_core.names import Address
+from sardinequay_core.roster import EMPTY_ROSTER, Roster
+
+from .mailbox import Mailbox
+from .messages import FetchRoster, RosterReply
+from .metrics import Metrics
+from .peers import PeerCaller
+from .platform import HostList
+from .settings import TimingSettings
+
+RETRY_S = 0.5
+log = logging.getLogger(__name__)
+
+
+class RosterTask:
+    """Owns the latest roster and publishes each change.
+
+    Parameters
+    ----------
+    is_reader : callable
+        Whether this host watches the platform itself, as a few of a data centre do.
+    must_confirm : callable
+        Whether it must read the list now and then all the same, as a guard must.
+    """
+
+    def __init__(
+        self,
+        host_list: HostList,
+        peers: PeerCaller,
+        timing: TimingSettings,
+        metrics: Metrics,
+        is_reader: Callable[[], bool],
+        must_confirm: Callable[[], bool],
+    ) -> None:
+        self.host_list = host_list
+        self.peers = peers
+        self.timing = timing
+        self.metrics = metrics
+        self.is_reader = is_reader
+        self.must_confirm = must_confirm
+        self.roster = EMPTY_ROSTER
+        self.rosters: BehaviorSubject[Roster] = BehaviorSubject(EMPTY_ROSTER)
+        self.direct_reads: reactivex.subject.Subject[Roster] = (
+            reactivex.subject.Subject()
+        )
+        self.inbox = Mailbox()
+
+    async def run(self) -> None:
+        """Read the list, and take what peers offer, for good."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.watch())
+            group.create_task(self.take_offers())
+
+    async def watch(self) -> None:
+        """Watch the platform as a reader; else read it as often as a guard must."""
+        while True:
+            is_first = self.roster.number == 0
+            if is_first or self.is_reader():
+                await self.read(0 if is_first else self.timing.platform_wait_s)
+            else:
+                await asyncio.sleep(self.timing.list_confirm_s)
+                if self.must_confirm():
+                    await self.read(0)
+
+    async def read(self, wait_s: float) -> None:
+        """Read the platform's list once."""
+        found = await self.host_list.watch(self.roster.number, wait_s)
+        if not isinstance(found, Success):
+            log.warning("host list not read", extra={"error": str(found.failure())})
+            await asyncio.sleep(RETRY_S)
+            return
+        self.take(found.unwrap())
+        self.direct_reads.on_next(self.roster)
+        if self.roster.number == 0:
+            await asyncio.sleep(RETRY_S)
+
+    def take(self, roster: Roster) -> None:
+        """Publish a later state of the list; an earlier one is old news."""
+        if roster.number <= self.roster.number:
+            return
+        self.roster = roster
+        self.metrics.roster_number.set({}, roster.number)
+        self.rosters.on_next(roster)
+
+    async def take_offers(self) -> None:
+        """Fetch the roster from peers that say they have a later one."""
+        while True:
+            envelope = await self.inbox.queue.get()
+            number, address = envelope.message
+            if number > self.roster.number:
+                await self.fetch(address)
+
+    async def fetch(self, address: Address) -> None:
+        """Fetch the roster from a peer."""
+        found = await self.peers.call(address, FetchRoster())
+        if isinstance(found, Success) and isinstance(found.unwrap(), RosterReply):
+            self.take(found.unwrap().roster)
+
+    async def answer_fetch(self, _: FetchRoster) -> RosterReply:
+        """Answer a peer that asks for the roster."""
+        return RosterReply(self.roster)
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/tracing.py
@@ -0,0 +1,88 @@
+"""Traces: a span for each hop, with W3C context in and out."""
+
+import json
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+
+from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import (
+    BatchSpanProcessor,
+    SpanExporter,
+    SpanExportResult,
+)
+from opentelemetry.sdk.trace.sampling import ParentBasedTraceIdRatio
+from opentelemetry.trace import Span, SpanKind, Tracer, set_span_in_context
+from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
+
+from .settings import TraceSettings
+
+PROPAGATOR = TraceContextTextMapPropagator()
+
+
+class FileSpanExporter(SpanExporter):
+    """Writes each finished span as a line of JSON."""
+
+    def __init__(self, path: Path) -> None:
+        self.file = path.open("a", encoding="utf-8")
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        """Write finished spans."""
+        for span in spans:
+            print(json.dumps(json.loads(span.to_json())), file=self.file)
+        self.file.flush()
+        return SpanExportResult.SUCCESS
+
+    def shutdown(self) -> None:
+        """Close the file."""
+        self.file.close()
+
+
+class Tracing:
+    """Makes spans and carries their context over HTTP headers."""
+
+    def __init__(self, settings: TraceSettings, host_id: str) -> None:
+        resource = Resource({"service.name": "sardinequayd", "host.name": host_id})
+        sampler = ParentBasedTraceIdRatio(settings.sample)
+        self.provider = TracerProvider(
+            sampler=sampler, resource=resource, shutdown_on_exit=False
+        )
+        for exporter in exporters(settings):
+            self.provider.add_span_processor(BatchSpanProcessor(exporter))
+        self.tracer: Tracer = self.provider.get_tracer("sardinequay")
+
+    def server_span(self, name: str, headers: Mapping[str, str]) -> Span:
+        """Start the span of a request that came with these headers."""
+        context = PROPAGATOR.extract(headers)
+        return self.tracer.start_span(name, context, kind=SpanKind.SERVER)
+
+    def child_span(self, name: str, parent: Span) -> Span:
+        """Start the span of a hop that a request makes."""
+        context = set_span_in_context(parent)
+        return self.tracer.start_span(name, context, kind=SpanKind.CLIENT)
+
+    def headers(self, span: Span) -> dict[str, str]:
+        """Return the headers that carry a span's context on."""
+        carrier: dict[str, str] = {}
+        PROPAGATOR.inject(carrier, set_span_in_context(span))
+        return carrier
+
+    def shut_down(self) -> None:
+        """Export what is left."""
+        self.provider.shutdown()
+
+
+def exporters(settings: TraceSettings) -> list[SpanExporter]:
+    """Return where spans go."""
+    chosen: list[SpanExporter] = []
+    if settings.otlp:
+        chosen.append(OTLPSpanExporter(endpoint=settings.otlp))
+    if settings.file:
+        chosen.append(FileSpanExporter(Path(settings.file)))
+    return chosen
+
+
+def trace_id(span: Span) -> str:
+    """Return a span's trace id as logs and answers show it."""
+    return f"{span.get_span_context().trace_id:032x}"
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/wire.py
@@ -0,0 +1,95 @@
+"""Frames between entry hosts: msgpack arrays of kind, correlation, tag and body."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import Any
+
+import msgpack
+import msgspec
+
+from .errors import DaemonError
+from .messages import BY_TAG
+
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+"""Above the largest honest frame: a page of a handover, or the leaves of a bundle."""
+
+
+class Kind(IntEnum):
+    """What a frame is."""
+
+    REQUEST = 0
+    REPLY = 1
+    FAILURE = 2
+    ALIVE = 3
+
+
+@dataclass(frozen=True)
+class FrameError(DaemonError):
+    """Bytes that are no frame, or a message that is not known."""
+
+    detail: str
+
+    def __str__(self) -> str:
+        return self.detail
+
+
+@dataclass(frozen=True, slots=True)
+class Frame:
+    """One frame; `body` is the packed message."""
+
+    kind: Kind
+    correlation: int
+    tag: str = ""
+    body: bytes = b""
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Return a frame's bytes."""
+    packed = msgpack.packb((int(frame.kind), frame.correlation, frame.tag, frame.body))
+    return bytes(packed)
+
+
+def frame_of(kind: Kind, correlation: int, message: Any) -> Frame:
+    """Return the frame that carries a message."""
+    body = msgspec.msgpack.encode(message)
+    return Frame(kind, correlation, type(message).__name__, body)
+
+
+def message_of(frame: Frame) -> Any:
+    """Return the message that a frame carries, checked against its type."""
+    kind = BY_TAG.get(frame.tag)
+    if kind is None:
+        raise FrameError(f"unknown message {frame.tag!r}")
+    try:
+        return msgspec.msgpack.decode(frame.body, type=kind)
+    except msgspec.DecodeError as error:
+        raise FrameError(f"{frame.tag}: {error}") from error
+
+
+class FrameReader:
+    """Cuts a stream of bytes into frames."""
+
+    def __init__(self) -> None:
+        self.unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
+
+    def feed(self, data: bytes) -> Iterator[Frame]:
+        """Take bytes and yield the frames that they complete."""
+        try:
+            self.unpacker.feed(data)
+            for item in self.unpacker:
+                yield parse(item)
+        except (msgpack.exceptions.UnpackException, ValueError) as error:
+            raise FrameError(f"not a frame: {error}") from error
+
+
+def parse(item: Any) -> Frame:
+    """Check one unpacked item's shape."""
+    if not isinstance(item, list) or len(item) != 4:
+        raise FrameError("a frame has four parts")
+    kind, correlation, tag, body = item
+    if not (isinstance(correlation, int) and isinstance(tag, str)):
+        raise FrameError("wrong types in a frame")
+    if not isinstance(body, bytes):
+        raise FrameError("wrong type of a frame's body")
+    return Frame(Kind(kind), correlation, tag, body)
--- /dev/null
+++ b/packages/lab/src/sardinequay_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load, experiments and history checking."""
--- /dev/null
+++ b/packages/lab/src/sardinequay_lab/cut_relay.py
@@ -0,0 +1,138 @@
+"""A relay that tests put before hosts and targets, to cut and silence links.
+
+It tells who connects by the source's IP number, and looks up in a file which pairs of
+networks are cut: ``reset`` refuses and resets connections, ``silent`` goes on accepting
+them and passes nothing on, in either direction.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import ipaddress
+import json
+from dataclasses import dataclass
+from pathlib import Path
+
+POLL_S = 0.02
+READ_BYTES = 65_536
+RESET = "reset"
+SILENT = "silent"
+
+
+@dataclass(frozen=True, slots=True)
+class Cut:
+    """A cut of all links from one network to another."""
+
+    source: str
+    destination: str
+    mode: str
+
+    def covers(self, source: str, destination: str) -> bool:
+        """Return whether a link lies in this cut."""
+        return is_in(source, self.source) and is_in(destination, self.destination)
+
+
+def is_in(ip: str, network: str) -> bool:
+    """Return whether an IP number lies in a network."""
+    return ipaddress.ip_address(ip) in ipaddress.ip_network(network)
+
+
+class Cuts:
+    """The cuts in force, as a file names them."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self.cuts: list[Cut] = []
+
+    async def follow(self) -> None:
+        """Read the file again and again."""
+        while True:
+            with contextlib.suppress(OSError, ValueError):
+                self.cuts = [Cut(*item) for item in json.loads(self.path.read_text())]
+            await asyncio.sleep(POLL_S)
+
+    def mode(self, source: str, destination: str) -> str:
+        """Return how a link is cut; empty if it is not."""
+        modes = [c.mode for c in self.cuts if c.covers(source, destination)]
+        return modes[0] if modes else ""
+
+
+class Relay:
+    """Relays connections from one address to another unless they are cut."""
+
+    def __init__(self, cuts: Cuts, destination: str) -> None:
+        self.cuts = cuts
+        self.ip, _, port = destination.rpartition(":")
+        self.port = int(port)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Relay one connection."""
+        source = writer.get_extra_info("peername")[0]
+        if self.cuts.mode(source, self.ip) == RESET:
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(self.ip, self.port)
+        except OSError:
+            writer.transport.abort()
+            return
+        ends = (writer, far_writer)
+        await asyncio.gather(
+            self.copy(source, reader, far_writer, ends),
+            self.copy(source, far_reader, writer, ends),
+            self.watch(source, ends),
+            return_exceptions=True,
+        )
+
+    async def watch(
+        self, source: str, ends: tuple[asyncio.StreamWriter, asyncio.StreamWriter]
+    ) -> None:
+        """Reset the connection when its link is cut so."""
+        while not any(end.is_closing() for end in ends):
+            if self.cuts.mode(source, self.ip) == RESET:
+                for end in ends:
+                    end.transport.abort()
+            await asyncio.sleep(POLL_S)
+
+    async def copy(
+        self,
+        source: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        ends: tuple[asyncio.StreamWriter, asyncio.StreamWriter],
+    ) -> None:
+        """Copy one direction; what comes while the link is silent is held back."""
+        try:
+            while data := await reader.read(READ_BYTES):
+                while self.cuts.mode(source, self.ip) == SILENT:
+                    await asyncio.sleep(POLL_S)
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        for end in ends:
+            end.close()
+
+
+async def run(arguments: argparse.Namespace) -> None:
+    """Relay until cancelled."""
+    cuts = Cuts(arguments.cuts)
+    for pair in arguments.pairs:
+        listen, _, destination = pair.partition("/")
+        ip, _, port = listen.rpartition(":")
+        await asyncio.start_server(Relay(cuts, destination).serve, ip, int(port))
+    await cuts.follow()
+
+
+def main() -> None:
+    """Relay until SIGTERM."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--cuts", type=Path, required=True)
+    parser.add_argument("pairs", nargs="+", help="LISTEN_IP:PORT/DESTINATION_IP:PORT")
+    asyncio.run(run(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/lab/src/sardinequay_lab/standins/serving.py
@@ -0,0 +1,27 @@
+"""What all stand-ins share: their arguments and their listener."""
+
+import argparse
+from pathlib import Path
+
+from aiohttp import web
+
+
+def add_common_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments that every stand-in takes."""
+    parser.add_argument("--listen", required=True, help="ip:port")
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--history", type=Path)
+
+
+def serve(app: web.Application, listen: str) -> None:
+    """Serve an application until SIGTERM."""
+    ip, _, port = listen.rpartition(":")
+    web.run_app(
+        app,
+        host=ip,
+        port=int(port),
+        print=None,
+        access_log=None,
+        handler_cancellation=True,
+        shutdown_timeout=0.5,
+    )
