Do not take a renewal for the return of a lease

Ruled out: tokens and reports, both as they should be.

Before: test_renewal_without_requests_returns_no_lease failed. After: it passes; only a holder's own word (recalled or given back) returns a lease. A keeper also treats all adapters as leased until a lease after the engine took its token, and an engine's later report may end the wait for requests.

--- a/packages/core/src/sardinequay_core/joining.py
+++ b/packages/core/src/sardinequay_core/joining.py
@@ -219,13 +219,9 @@
             and all(self.is_anchored(g, now) for g in gatherings)
         )
 
-    def finish(self, now: Instant) -> None:
+    def finish(self) -> None:
         """Take all claims that were told, and vote in the target from now on."""
-        self.merge_all(now)
-        self.guard.enter(self.target)
-
-    def merge_all(self, now: Instant) -> None:
-        """Take the claims of every answer, aged since it was asked for."""
         for gathering in self.gatherings.values():
             for answer in gathering.answers.values():
                 self.guard.merge(answer.handover.records, answer.asked_at)
+        self.guard.enter(self.target)
--- a/packages/core/src/sardinequay_core/keeper.py
+++ b/packages/core/src/sardinequay_core/keeper.py
@@ -3,11 +3,12 @@
 One entry host keeps all engines of a pool in its data centre. It alone orders loads and
 evictions there, each with a fencing token above the highest that the engine reported.
 
-An adapter is evicted only when no use lease on it can still be used: each was returned,
-or ran out longer ago than the longest request. A keeper grants leases only while an
-engine's report, asked for less than a lease ago, showed no higher token than its own;
-so a keeper that was replaced stops granting, and its successor waits out what it may
-have granted before it evicts anything.
+An adapter is evicted only when no request under a use lease can be left: each lease was
+returned, or it ran out and then either the longest request has passed or a report that
+was asked for later than that shows the adapter idle. A keeper grants leases only while
+an engine's report, asked for less than a lease ago, showed no token above its own; so a
+keeper that was replaced stops granting, and its successor treats every adapter as leased
+until a lease after the engine took its token.
 """
 
 from collections.abc import Iterable
@@ -35,6 +36,9 @@
         The bound that hosts put on any request; an eviction outlasts it.
     report_lag : timedelta
         How old what an engine reports may be.
+    trusts_reports : bool
+        Whether an engine that reports an adapter idle ends the wait for requests whose
+        lease ran out; else only the longest request does.
     max_drains : int
         Evictions prepared at once.
     silent_after : timedelta
@@ -44,6 +48,7 @@
     lease: timedelta = timedelta(seconds=10)
     longest_request: timedelta = timedelta(seconds=120)
     report_lag: timedelta = timedelta(seconds=2)
+    trusts_reports: bool = True
     max_drains: int = 2
     silent_after: timedelta = timedelta(seconds=2)
     loads: LoadPolicy = field(default_factory=LoadPolicy)
@@ -120,8 +125,11 @@
         When the last report came.
     confirmed_at : timedelta or None
         When the last report was asked for that showed no higher token.
-    evict_from : timedelta
-        Before this nothing is evicted: an earlier keeper's leases may last until then.
+    asked_at : timedelta
+        When the last report was asked for.
+    foreign_until : timedelta
+        Until when leases of another keeper may last; unknown before the engine took
+        this keeper's token.
     ordered : dict
         What orders changed since, with the time: reports lag behind them.
     """
@@ -133,7 +141,8 @@
     confirmed_at: Instant | None = None
     reported_at: Instant = ZERO
     stepped_down_at: Instant | None = None
-    evict_from: Instant = ZERO
+    asked_at: Instant = ZERO
+    foreign_until: Instant = timedelta.max
     loading: AdapterRef | None = None
     draining: set[AdapterRef] = field(default_factory=set)
     unloading: set[AdapterRef] = field(default_factory=set)
@@ -215,8 +224,9 @@
         before = kept.report
         kept.report = report
         kept.reported_at = now
+        kept.asked_at = asked_at
         if before is None:
-            self.take_over(kept, now)
+            self.take_over(kept)
         elif before.incarnation != report.incarnation:
             self.restarted(kept)
         elif kept.token and report.highest_token > kept.token:
@@ -239,21 +249,19 @@
             kept.unloading.clear()
             self.step_down(kept, now)
 
-    def take_over(self, kept: KeptEngine, now: Instant) -> None:
-        """Become an engine's keeper: a higher token, and a wait for old leases."""
+    def take_over(self, kept: KeptEngine) -> None:
+        """Become an engine's keeper, with a higher token that it must take first."""
         assert kept.report is not None
         kept.token = kept.report.highest_token
-        kept.asserting = True
-        kept.confirmed_at = None
         kept.stepped_down_at = None
+        self.start_asserting(kept)
         kept.next_token(self.suffix)
-        if kept.report.resident:
-            kept.evict_from = now + self.wait_out()
 
-    def wait_out(self) -> timedelta:
-        """Return how long another keeper's last lease can still have work."""
-        policy = self.policy
-        return policy.lease + policy.longest_request + policy.report_lag
+    def start_asserting(self, kept: KeptEngine) -> None:
+        """Grant and evict nothing until the engine took this keeper's token."""
+        kept.asserting = True
+        kept.confirmed_at = None
+        kept.foreign_until = timedelta.max
 
     def restarted(self, kept: KeptEngine) -> None:
         """Take an engine that lost all it had.
@@ -262,8 +270,7 @@
         that is loaded again must not be evicted under such a request. It forgot its
         highest token too, so the token is asserted anew before anything is granted.
         """
-        kept.asserting = True
-        kept.confirmed_at = None
+        self.start_asserting(kept)
         kept.loading = None
         kept.draining.clear()
         kept.unloading.clear()
@@ -335,7 +342,11 @@
         sequence: int,
         now: Instant,
     ) -> list[tuple[Use, timedelta]]:
-        """Renew a holder's leases and return those renewed; the others are recalled."""
+        """Renew a holder's leases and return those renewed; the others are recalled.
+
+        A lease that is not renewed is not returned by that: the holder may have begun
+        a request since it asked, and says so itself when it has stopped.
+        """
         renewed = []
         for use, in_flight in uses:
             kept = self.engines.get(use.target)
@@ -349,8 +360,6 @@
                 # Recalled, but still running: the eviction waits for it.
                 until = now + self.policy.lease
                 self.leases.setdefault(use, {})[holder] = Grant(until, sequence)
-            else:
-                self.give_back(holder, use, sequence)
         return renewed
 
     def is_renewable(self, kept: KeptEngine, use: Use, now: Instant) -> bool:
@@ -404,7 +413,7 @@
         for kept in self.engines.values():
             at = kept.stepped_down_at
             if at is not None and now >= at + self.policy.lease:
-                self.take_over(kept, now)
+                self.take_over(kept)
 
     def assert_tokens(self) -> list[Command]:
         """Make taken-over engines know the new token by an order without effect."""
@@ -460,7 +469,7 @@
         candidates = [
             (self.queue.priority(resident, now), resident, kept.target.target_id)
             for kept in self.orderable()
-            if now >= kept.evict_from and not kept.asserting
+            if not kept.asserting and now >= kept.foreign_until
             for resident in kept.usable()
             if resident != kept.loading
         ]
@@ -488,11 +497,20 @@
         return commands
 
     def is_unused(self, kept: KeptEngine, use: Use, now: Instant) -> bool:
-        """Return whether no lease on a use can still have a request on it."""
-        grants = self.leases.get(use, {}).values()
-        over = all(now >= g.until + self.policy.longest_request for g in grants)
+        """Return whether no request under a lease on a use can be left."""
+        ends = [grant.until for grant in self.leases.get(use, {}).values()]
+        ends.append(kept.foreign_until)
         in_use = kept.report is not None and use.adapter in kept.report.in_use
-        return over and not in_use and now >= kept.evict_from
+        return not in_use and self.is_over(kept, max(ends), now)
+
+    def is_over(self, kept: KeptEngine, end: Instant, now: Instant) -> bool:
+        """Return whether requests under leases that ended at `end` are surely over."""
+        if now < end:
+            return False
+        lag = self.policy.report_lag
+        if self.policy.trusts_reports and kept.asked_at >= end + lag:
+            return True
+        return now >= end + self.policy.longest_request
 
     # What became of orders.
 
@@ -506,9 +524,8 @@
         kept.ordered[use.adapter] = (True, now)
         if kept.asserting:
             kept.asserting = False
-            # Leases of the keeper before end a lease after it saw our token.
-            if kept.evict_from > ZERO:
-                kept.evict_from = now + self.wait_out()
+            # Another keeper may be confirmed by a report from just before.
+            kept.foreign_until = now + self.policy.report_lag + self.policy.lease
         if kept.token:
             kept.confirmed_at = max(kept.confirmed_at or now - took, now - took)
         return self.queue.loaded(use.adapter, took)
--- /dev/null
+++ b/packages/core/tests/conftest.py
@@ -0,0 +1,72 @@
+"""Fixtures shared by the core's tests."""
+
+from datetime import timedelta
+
+import pytest
+
+from sardinequay_core.clock import seconds
+from sardinequay_core.keeper import EngineReport, Keeper, KeeperPolicy, OrderLoad
+from sardinequay_core.leases import HolderId, Use
+from sardinequay_core.load_queue import LoadPolicy
+from sardinequay_core.names import Address, AdapterRef, DataCentre, PoolName, TargetId
+from sardinequay_core.roster import Target, TargetKind
+
+START = seconds(1000)
+
+
+@pytest.fixture
+def policy() -> KeeperPolicy:
+    return KeeperPolicy(
+        lease=seconds(4),
+        longest_request=seconds(6),
+        report_lag=seconds(1),
+        silent_after=seconds(30),
+        loads=LoadPolicy(loads_per_s=10, burst=5, load_time=seconds(0.1)),
+    )
+
+
+@pytest.fixture
+def engine() -> Target:
+    return Target(
+        TargetId("engine"),
+        PoolName("pool"),
+        TargetKind.ENGINE,
+        DataCentre("home"),
+        Address("127.0.0.1", 1),
+    )
+
+
+@pytest.fixture
+def x_use(engine: Target) -> Use:
+    return Use(AdapterRef("x", "1"), engine.target_id)
+
+
+@pytest.fixture
+def holder() -> HolderId:
+    return HolderId("h1#1")
+
+
+@pytest.fixture
+def keeper(policy: KeeperPolicy, engine: Target, x_use: Use) -> Keeper:
+    """A keeper of one engine with two slots that holds x and is confirmed."""
+    made = Keeper(policy, 7, START)
+    made.set_targets([engine])
+    made.take_report(report(), START, START)
+    made.want(1, x_use.adapter, START + seconds(60), START)
+    (order,) = [c for c in made.tick(START) if isinstance(c, OrderLoad)]
+    made.load_done(order.use, timedelta(0), START)
+    return made
+
+
+def report(
+    *names: str, token: int = 0, incarnation: str = "1", in_use: tuple[str, ...] = ()
+) -> EngineReport:
+    """An engine's report that names its resident adapters."""
+    return EngineReport(
+        TargetId("engine"),
+        incarnation,
+        token,
+        2,
+        tuple(AdapterRef(name, "1") for name in names),
+        in_use=tuple(AdapterRef(name, "1") for name in in_use),
+    )
--- a/packages/daemon/src/sardinequay_daemon/guard_task.py
+++ b/packages/daemon/src/sardinequay_daemon/guard_task.py
@@ -9,7 +9,6 @@
 from sardinequay_core.claims import (
     ClaimPolicy,
     ClaimRequest,
-    ClaimVote,
     Guard,
     Handover,
     HandoverRequest,
@@ -18,7 +17,8 @@
     ViewQuery,
     ViewReply,
 )
-from sardinequay_core.clock import Clock, Instant
+from sardinequay_core.clock import Clock
+from sardinequay_core.guard_duty import GuardDuty
 from sardinequay_core.joining import Joining
 from sardinequay_core.names import DataCentre, HostId, parse_address
 from sardinequay_core.roster import EMPTY_ROSTER, Roster
@@ -69,21 +69,24 @@
         self.peers = peers
         self.clock = clock
         self.started_at = clock.monotonic()
-        is_founder = clock.now() <= settings.in_service_from
-        self.guards = {
-            name: self.make_guard(name, incarnation, is_founder)
-            for name in settings.founders
+        self.is_founder = clock.now() <= settings.in_service_from
+        self.duties = {
+            name: self.make_duty(name, incarnation) for name in settings.founders
         }
-        self.joining: dict[DataCentre, Joining] = {}
         self.roster = EMPTY_ROSTER
         self.inbox = Mailbox()
 
-    def make_guard(
-        self, data_centre: DataCentre, incarnation: int, is_founder: bool
-    ) -> Guard:
+    def make_duty(self, data_centre: DataCentre, incarnation: int) -> GuardDuty:
         """Return an empty memory, which is a full one if nothing came before."""
-        founding = founding_view(self.settings, data_centre) if is_founder else None
-        return Guard(self.me, incarnation, self.policy, self.started_at, founding)
+        founding = founding_view(self.settings, data_centre)
+        guard = Guard(
+            self.me,
+            incarnation,
+            self.policy,
+            self.started_at,
+            founding if self.is_founder else None,
+        )
+        return GuardDuty(guard, founding)
 
     async def run(self) -> None:
         """Answer and join for good."""
@@ -96,94 +99,66 @@
         """Answer one message from the state as it is now."""
         message, now = envelope.message, self.clock.monotonic()
         if isinstance(message, ClaimRequest):
-            envelope.answer(self.claim(message, now))
+            duty = self.duties[message.view.data_centre]
+            envelope.answer(duty.claim(message, now))
         elif isinstance(message, Settle):
-            self.guards[message.data_centre].settle(message)
+            self.duties[message.data_centre].settle(message)
             envelope.answer(Settled())
         elif isinstance(message, HandoverRequest):
-            guard = self.guards[message.view.data_centre]
-            envelope.answer(guard.hand_over(message, now))
+            duty = self.duties[message.view.data_centre]
+            envelope.answer(duty.hand_over(message, now))
         elif isinstance(message, ViewQuery):
-            envelope.answer(ViewReply(self.guards[message.data_centre].active))
-
-    def claim(self, message: ClaimRequest, now: Instant) -> ClaimVote:
-        """Vote, and start to join a view that the claim makes known."""
-        guard = self.guards[message.view.data_centre]
-        vote = guard.claim(message, now)
-        self.start_joining(message.view.data_centre)
-        return vote
+            guard = self.duties[message.data_centre].guard
+            envelope.answer(ViewReply(guard.active))
 
     def take_list(self, roster: Roster) -> None:
         """Take the list that was read from the platform just now."""
         self.roster = roster
         now = self.clock.monotonic()
-        for name, guard in self.guards.items():
-            guard.read_list(view_of(roster, name), now)
-            self.start_joining(name)
+        for name, duty in self.duties.items():
+            duty.read_list(view_of(roster, name), now)
 
     def hear_roster(self, roster: Roster) -> None:
         """Take a roster that a peer told: it may name a later view."""
         self.roster = max(self.roster, roster, key=lambda r: r.number)
-        for name, guard in self.guards.items():
-            guard.hear_view(view_of(roster, name))
-            self.start_joining(name)
-
-    def start_joining(self, data_centre: DataCentre) -> None:
-        """Head for the newest view heard of, if this host guards in it."""
-        guard = self.guards[data_centre]
-        newest = guard.newest_view()
-        if newest is None or newest == guard.active or not newest.has(self.me):
-            return
-        under_way = self.joining.get(data_centre)
-        if under_way is not None and under_way.target.number >= newest.number:
-            return
-        guard.follow_same_guards(newest)
-        if guard.active == newest:
-            return
-        start = founding_view(self.settings, data_centre)
-        ready = self.started_at + self.policy.window
-        is_new_here = guard.remembers
-        not_before = self.clock.monotonic() if is_new_here else ready
-        self.joining[data_centre] = Joining(guard, newest, start, not_before)
+        now = self.clock.monotonic()
+        for name, duty in self.duties.items():
+            duty.hear_view(view_of(roster, name), now)
 
     async def join_step(self) -> None:
         """Ask for what is still missing, and enter views that are complete."""
-        for data_centre, joining in list(self.joining.items()):
-            await self.gather(data_centre, joining)
-            now = self.clock.monotonic()
-            if self.joining.get(data_centre) is not joining:
+        for data_centre, duty in self.duties.items():
+            if duty.joining is None:
                 continue
-            if joining.is_done(now):
-                joining.finish(now)
-                del self.joining[data_centre]
-                self.log_entered(data_centre, joining)
-            elif joining.overtaken_by() is not None:
-                del self.joining[data_centre]
-                self.start_joining(data_centre)
-
-    def log_entered(self, data_centre: DataCentre, joining: Joining) -> None:
+            await self.gather(data_centre, duty, duty.joining)
+            entered = duty.step(self.clock.monotonic())
+            if entered is not None:
+                self.log_entered(duty, entered)
+
+    def log_entered(self, duty: GuardDuty, view: View) -> None:
         """Log that this host votes in a view from now on."""
-        guard = self.guards[data_centre]
-        log.info(
-            "guard entered a view",
-            extra={
-                "view": joining.target.number,
-                "guards": [g.host_id for g in joining.target.guards],
-                "of": data_centre,
-                "claims": len(guard.claims),
-            },
-        )
+        details = {
+            "view": view.number,
+            "guards": [g.host_id for g in view.guards],
+            "of": view.data_centre,
+            "claims": len(duty.guard.claims),
+        }
+        log.info("guard entered a view", extra=details)
 
-    async def gather(self, data_centre: DataCentre, joining: Joining) -> None:
+    async def gather(
+        self, data_centre: DataCentre, duty: GuardDuty, joining: Joining
+    ) -> None:
         """Ask once for everything that is missing."""
-        if not self.guards[data_centre].remembers:
-            await self.find_start(data_centre, joining)
+        if not duty.guard.remembers:
+            await self.find_start(data_centre, duty, joining)
         wanted = joining.requests(self.clock.monotonic())
         await asyncio.gather(
             *[self.ask(joining, guard, request) for guard, request in wanted]
         )
 
-    async def find_start(self, data_centre: DataCentre, joining: Joining) -> None:
+    async def find_start(
+        self, data_centre: DataCentre, duty: GuardDuty, joining: Joining
+    ) -> None:
         """Ask the hosts of the data centre in which view they vote."""
         hosts = {h.peer_address for h in self.roster.hosts_in(data_centre)}
         hosts |= {g.address for g in joining.target.guards if g.host_id != self.me}
@@ -194,8 +169,7 @@
         for answer in answers:
             reply = answer.value_or(None)
             if isinstance(reply, ViewReply) and reply.view is not None:
-                joining.add(reply.view)
-                self.guards[data_centre].hear_view(reply.view)
+                duty.take_start(reply.view)
 
     async def ask(
         self, joining: Joining, guard: GuardAddress, request: HandoverRequest
@@ -224,19 +198,19 @@
 
     def expire(self) -> None:
         """Forget claims whose life is over."""
-        for guard in self.guards.values():
-            guard.expire(self.clock.monotonic())
+        for duty in self.duties.values():
+            duty.guard.expire(self.clock.monotonic())
 
     def is_guard(self) -> bool:
         """Return whether this host guards any data centre in the latest list."""
-        names = self.guards
-        return any(view_of(self.roster, name).has(self.me) for name in names)
+        views = (view_of(self.roster, name) for name in self.duties)
+        return any(view.has(self.me) for view in views)
 
     def views(self) -> dict[str, int | None]:
         """Return the view in which this host votes, for each data centre."""
         return {
-            str(name): guard.active.number if guard.active else None
-            for name, guard in self.guards.items()
+            str(name): duty.guard.active.number if duty.guard.active else None
+            for name, duty in self.duties.items()
         }
 
 
--- a/packages/daemon/src/sardinequay_daemon/lease_task.py
+++ b/packages/daemon/src/sardinequay_daemon/lease_task.py
@@ -285,8 +285,8 @@
         self.take_granted(answer, asked_at, sequence)
         renewed = {grant.use for grant in answer.uses}
         for use, _ in uses:
-            if use not in renewed:
-                self.table.recall(use)
+            if use not in renewed and not self.table.recall(use):
+                self.give_back(use)
 
     async def answer_recall(self, message: Recall) -> Recalled:
         """Stop using an adapter on an engine because its keeper asks."""
