Prove the core: directed tests, exploration of claims, bundles and evictions

Cause of the changes in joining: the directed test of a skipped view showed that a blank guard waited for its own target's majority for ever, and that a view of which all guards had vanished could be waited out from the wrong moment (since the process started, not since the list names these guards).

Expected waits now count adapters of equal priority, so that Retry-After is not too early.

--- a/packages/core/src/sardinequay_core/claims.py
+++ b/packages/core/src/sardinequay_core/claims.py
@@ -197,7 +197,8 @@
         self.me = me
         self.started_at = started_at
         self.listed_at = started_at
-        self.left_at: dict[tuple[GuardAddress, ...], Instant] = {}
+        self.listed: tuple[GuardAddress, ...] = ()
+        self.listed_from = started_at
         self.incarnation = incarnation
         self.policy = policy
         self.remembers = founding is not None and founding.has(me)
@@ -222,13 +223,15 @@
         """Take the view that the platform's list, read just now, defines."""
         self.hear_view(view)
         self.follow_same_guards(view)
-        self.left_at.pop(view.guards, None)
-        for other in (self.active, *self.heard.values()):
-            if other is not None and other.guards != view.guards:
-                self.left_at.setdefault(other.guards, now)
+        if self.listed != view.guards:
+            self.listed, self.listed_from = view.guards, now
         if self.active is not None and self.active.guards == view.guards:
             self.listed_at = now
 
+    def listed_since(self, guards: tuple[GuardAddress, ...]) -> Instant | None:
+        """Return since when the list, as read here, names just these guards."""
+        return self.listed_from if self.listed == guards else None
+
     def claim(self, request: ClaimRequest, now: Instant) -> ClaimVote:
         """Vote on a claim."""
         self.hear_view(request.view)
--- a/packages/core/src/sardinequay_core/joining.py
+++ b/packages/core/src/sardinequay_core/joining.py
@@ -5,11 +5,13 @@
 answers name: the base a guard last voted in, and later views it heard of.
 
 A guard that restarted starts blank. It waits a window, so that no attempt counts a vote
-of its earlier self any more, then gathers from majorities of the others. If a majority
-of a view has provably forgotten (each said so twice around one instant), no attempt can
-win in that view any more, and the claims it may hold are waited out instead. So they
-are, after a much longer time, if a view's guards are silent and the platform lists
-others: a guard stops voting when it has not seen itself listed for `ClaimPolicy.lapse`.
+of its earlier self any more, then gathers from majorities of the others; if its earlier
+self may have voted in the very view it enters, from a majority of that one, too.
+
+If a majority of a view has provably forgotten (each said so twice around one instant),
+no attempt can win in that view any more, and the claims it may hold are waited out. So
+they are, after a much longer time, when nobody can be found who remembers: a guard
+stops voting when it has not seen itself listed for `ClaimPolicy.lapse`.
 """
 
 from dataclasses import dataclass, field
@@ -88,6 +90,7 @@
         self.target = target
         self.not_before = not_before
         self.gatherings: dict[int, Gathering] = {}
+        self.own_past: set[int] = set()
         self.add(guard.base or start)
         for view in list(guard.heard.values()):
             self.add(view)
@@ -98,17 +101,18 @@
         return self.guard.policy
 
     def add(self, view: View) -> None:
-        """Gather from one more view, if it lies before the target."""
-        is_own_past = not self.guard.remembers and view.number == self.target.number
-        if view.number < self.target.number or is_own_past:
+        """Gather from one more view, if it lies before the target.
+
+        A blank guard may gather from the target itself, where others vote already.
+        """
+        is_target = view.number == self.target.number and not self.guard.remembers
+        if view.number < self.target.number or is_target:
             self.gatherings.setdefault(view.number, Gathering(view))
 
     def requests(self, now: Instant) -> list[tuple[GuardAddress, HandoverRequest]]:
         """Return what to ask now, and whom."""
         wanted = []
         for gathering in self.gatherings.values():
-            if self.standing(gathering, now) is not Standing.GATHERING:
-                continue
             for guard in gathering.view.guards:
                 is_fresh = self.is_fresh(gathering.answers.get(guard.host_id), now)
                 if guard.host_id != self.guard.me and not is_fresh:
@@ -158,6 +162,7 @@
         for view in (*bases, *handover.later_views, *handover.asked_before):
             self.add(view)
             self.guard.hear_view(view)
+        self.own_past.update(view.number for view in handover.asked_before)
 
     def overtaken_by(self) -> View | None:
         """Return a later view than the target, if one was heard of."""
@@ -178,13 +183,17 @@
 
     def is_over(self, gathering: Gathering, now: Instant) -> bool:
         """Return whether no attempt can win in a view, and all claims in it are old."""
-        policy = self.policy
         forgotten = gathering.forgotten_at(self.guard, now)
-        if forgotten is not None and now > forgotten + policy.life:
+        if forgotten is not None and now > forgotten + self.policy.life:
             return True
-        left = self.guard.left_at.get(gathering.view.guards, self.guard.started_at)
-        is_left = gathering.view.guards != self.target.guards
-        return is_left and now > left + policy.list_lag + policy.lapse + policy.life
+        return gathering.view.guards != self.target.guards and self.is_long_listed(now)
+
+    def is_long_listed(self, now: Instant) -> bool:
+        """Return whether guards of any other view have stopped voting long ago."""
+        policy = self.policy
+        since = self.guard.listed_since(self.target.guards)
+        wait = policy.list_lag + policy.lapse + policy.life
+        return since is not None and now > since + wait
 
     def fresh_answers(self, gathering: Gathering, now: Instant) -> list[Handover]:
         """Return the answers that count."""
@@ -192,32 +201,41 @@
         return [a.handover for a in answers if self.is_fresh(a, now)]
 
     def is_anchored(self, gathering: Gathering, now: Instant) -> bool:
-        """Return whether claims from before a gathered view are surely among it.
+        """Return whether claims from before a view are surely told with its own.
 
-        They are if one who answered voted in that view or a later one, having gathered
-        all before it; or if an earlier view that someone voted in is gathered too.
+        They are if one who answered has voted in it or in a later one, since it had
+        gathered all before it.
         """
-        number = gathering.view.number
-        if self.standing(gathering, now) is Standing.WAITED_OUT or number == 0:
-            return True
         bases = [h.base for h in self.fresh_answers(gathering, now)]
-        if self.guard.remembers and gathering.view.has(self.guard.me):
+        if self.guard.remembers:
             bases.append(self.guard.base)
-        if any(base is not None and base.number >= number for base in bases):
-            return True
-        earlier = [base.number for base in bases if base is not None]
-        return any(n in self.gatherings and n < number for n in earlier)
+        number = gathering.view.number
+        return any(base is not None and base.number >= number for base in bases)
+
+    def is_complete_from(self, start: Gathering, now: Instant) -> bool:
+        """Return whether all claims are told by the views from `start` on."""
+        later = [
+            g
+            for n, g in self.gatherings.items()
+            if n >= start.view.number and (n < self.target.number or n in self.own_past)
+        ]
+        is_all_there = all(
+            self.standing(g, now) is not Standing.GATHERING for g in later
+        )
+        return is_all_there and self.is_anchored(start, now)
 
     def is_done(self, now: Instant) -> bool:
         """Return whether the guard may vote in the target now."""
         if now < self.not_before or self.overtaken_by() is not None:
             return False
-        gatherings = self.gatherings.values()
-        return (
-            bool(gatherings)
-            and all(self.standing(g, now) is not Standing.GATHERING for g in gatherings)
-            and all(self.is_anchored(g, now) for g in gatherings)
-        )
+        if not self.guard.remembers and self.is_long_listed(now):
+            return True
+        starts = [
+            gathering
+            for gathering in self.gatherings.values()
+            if self.standing(gathering, now) is not Standing.GATHERING
+        ]
+        return any(self.is_complete_from(start, now) for start in starts)
 
     def finish(self) -> None:
         """Take all claims that were told, and vote in the target from now on."""
--- a/packages/core/src/sardinequay_core/keeper.py
+++ b/packages/core/src/sardinequay_core/keeper.py
@@ -7,8 +7,8 @@
 returned, or it ran out and then either the longest request has passed or a report that
 was asked for later than that shows the adapter idle. A keeper grants leases only while
 an engine's report, asked for less than a lease ago, showed no token above its own; so a
-keeper that was replaced stops granting, and its successor treats every adapter as leased
-until a lease after the engine took its token.
+replaced keeper stops granting, and its successor treats every adapter as leased until a
+lease after the engine took its token.
 """
 
 from collections.abc import Iterable
--- a/packages/core/src/sardinequay_core/load_queue.py
+++ b/packages/core/src/sardinequay_core/load_queue.py
@@ -122,7 +122,7 @@
         ahead = sum(
             1
             for other in self.waiting
-            if other != adapter and self.priority(other, now) > mine
+            if other != adapter and self.priority(other, now) >= mine
         )
         return self.wait_at(ahead, self.waiting.get(adapter), now)
 
--- a/packages/core/tests/conftest.py
+++ b/packages/core/tests/conftest.py
@@ -3,16 +3,20 @@
 from datetime import timedelta
 
 import pytest
+from hypothesis import settings
 
 from sardinequay_core.clock import seconds
 from sardinequay_core.keeper import EngineReport, Keeper, KeeperPolicy, OrderLoad
 from sardinequay_core.leases import HolderId, Use
 from sardinequay_core.load_queue import LoadPolicy
-from sardinequay_core.names import Address, AdapterRef, DataCentre, PoolName, TargetId
+from sardinequay_core.names import AdapterRef, Address, DataCentre, PoolName, TargetId
 from sardinequay_core.roster import Target, TargetKind
 
 START = seconds(1000)
 
+settings.register_profile("fixed", derandomize=True, deadline=None, database=None)
+settings.load_profile("fixed")
+
 
 @pytest.fixture
 def policy() -> KeeperPolicy:
--- /dev/null
+++ b/packages/core/tests/test_limits.py
@@ -0,0 +1,116 @@
+"""Admission, retries, the load queue, demand, and what refusals say."""
+
+from datetime import timedelta
+
+import pytest
+
+from sardinequay_core.admission import (
+    Admission,
+    AdmissionPolicy,
+    RetryBudget,
+    RetryPolicy,
+)
+from sardinequay_core.clock import seconds
+from sardinequay_core.demand import DemandTable
+from sardinequay_core.load_queue import LoadPolicy, LoadQueue
+from sardinequay_core.names import AdapterRef
+from sardinequay_core.outcome import SENT_REASONS, Outcome, Reason, not_run
+from sardinequay_core.rendezvous import rank, rank_weighted
+
+NOW = seconds(100)
+X, Y, Z = (AdapterRef(name, "1") for name in "xyz")
+
+
+def test_high_priority_reaches_places_that_low_does_not() -> None:
+    admission = Admission(AdmissionPolicy(max_in_flight=8, reserved_share=0.25))
+    assert all(admission.enter(0) for _ in range(6))
+    assert not admission.enter(0)
+    assert admission.enter(9)
+    assert admission.enter(9)
+    assert not admission.enter(9)
+
+
+def test_retries_stay_a_share_of_first_attempts() -> None:
+    budget = RetryBudget(RetryPolicy(ratio=0.125, max_saved=2))
+    assert [budget.spend(1) for _ in range(3)] == [True, True, False]
+    for _ in range(8):
+        budget.first_attempt()
+    assert budget.spend(1)
+    assert not budget.spend(1)
+
+
+def test_attempts_for_one_request_are_bounded() -> None:
+    assert not RetryBudget(RetryPolicy(max_attempts=3)).spend(3)
+
+
+def test_most_wanted_adapter_is_loaded_first() -> None:
+    queue = LoadQueue(LoadPolicy(loads_per_s=1), NOW)
+    for ticket, adapter in enumerate((X, Y, Y, Z)):
+        queue.add(ticket, adapter, NOW + seconds(60), NOW)
+    assert queue.order(NOW)[0] == Y
+
+
+def test_request_that_would_wait_past_its_deadline_is_given_up_at_once() -> None:
+    queue = LoadQueue(LoadPolicy(loads_per_s=1, burst=1), NOW)
+    for ticket in range(5):
+        queue.add(ticket, AdapterRef(f"a{ticket}", "1"), NOW + seconds(60), NOW)
+    given_up = queue.add(9, X, NOW + seconds(3), NOW)
+    assert given_up.retry_after > seconds(3)
+
+
+def test_queue_of_adapters_is_bounded() -> None:
+    queue = LoadQueue(LoadPolicy(loads_per_s=1000, max_adapters=1), NOW)
+    assert queue.add(1, X, NOW + seconds(60), NOW) is None
+    assert queue.add(2, Y, NOW + seconds(60), NOW) is not None
+
+
+def test_failed_loads_are_held_back_longer_each_time() -> None:
+    queue = LoadQueue(LoadPolicy(loads_per_s=1, backoff=seconds(1)), NOW)
+    queue.add(1, X, NOW + seconds(600), NOW)
+    queue.failed(X, NOW)
+    assert queue.waiting[X].not_before == NOW + seconds(1)
+    queue.failed(X, NOW)
+    assert queue.waiting[X].not_before == NOW + seconds(2)
+    assert queue.order(NOW) == []
+
+
+def test_cancelled_request_is_not_loaded_for() -> None:
+    queue = LoadQueue(LoadPolicy(loads_per_s=1), NOW)
+    queue.add(1, X, NOW + seconds(60), NOW)
+    queue.cancel(1, X)
+    assert queue.order(NOW) == []
+
+
+def test_demand_halves_and_is_forgotten() -> None:
+    demand = DemandTable(half_life=seconds(10))
+    demand.add(X, NOW, 8)
+    assert demand.value(X, NOW + seconds(20)) == pytest.approx(2)
+    demand.forget_idle(NOW + seconds(200))
+    assert demand.counts == {}
+
+
+def test_rank_is_alike_everywhere_and_moves_little() -> None:
+    members = [f"m{n}" for n in range(10)]
+    keys = [f"k{n}" for n in range(1000)]
+    before = {k: rank(k, members)[0] for k in keys}
+    after = {k: rank(k, reversed(members[1:]))[0] for k in keys}
+    moved = [k for k in keys if before[k] != after[k]]
+    assert all(before[k] == "m0" for k in moved)
+
+
+def test_weighted_rank_follows_the_weights() -> None:
+    weights = {"a": 3.0, "b": 1.0, "c": 0.0}
+    firsts = [rank_weighted(f"k{n}", weights)[0] for n in range(4000)]
+    assert 2800 < firsts.count("a") < 3200
+    assert "c" not in firsts
+
+
+@pytest.mark.parametrize("reason", list(Reason))
+def test_only_reasons_from_before_dispatch_say_not_run(reason: Reason) -> None:
+    if reason in SENT_REASONS:
+        with pytest.raises(ValueError, match="does not prove"):
+            not_run(reason, "")
+    else:
+        refusal = not_run(reason, "", timedelta(seconds=1))
+        assert refusal.outcome is Outcome.NOT_RUN
+        assert 400 <= refusal.status < 600
--- /dev/null
+++ b/packages/core/tests/test_membership.py
@@ -0,0 +1,87 @@
+"""Membership: suspicion, refutation, death and news."""
+
+from random import Random
+
+import pytest
+
+from sardinequay_core.clock import seconds
+from sardinequay_core.membership import (
+    NEWS_REPEATS,
+    Health,
+    Member,
+    Membership,
+    MembershipPolicy,
+)
+from sardinequay_core.names import Address, HostId
+
+NOW = seconds(100)
+POLICY = MembershipPolicy(suspect_for=seconds(2), forget_after=seconds(60))
+
+
+def member(name: str, incarnation: int = 1, health: Health = Health.ALIVE) -> Member:
+    return Member(HostId(name), Address("127.0.0.1", 1), incarnation, health)
+
+
+@pytest.fixture
+def membership() -> Membership:
+    made = Membership(member("me"), POLICY, Random(1))
+    made.seed([member("a"), member("b"), member("me")], NOW)
+    return made
+
+
+def names(membership: Membership) -> list[str]:
+    return [m.host_id for m in membership.live()]
+
+
+def test_seeded_hosts_count_until_they_are_dead(membership: Membership) -> None:
+    assert names(membership) == ["a", "b", "me"]
+    membership.unanswered(HostId("a"), NOW)
+    membership.tick(NOW + seconds(1))
+    assert "a" in names(membership)
+    membership.tick(NOW + seconds(2))
+    assert names(membership) == ["b", "me"]
+
+
+def test_answer_clears_suspicion(membership: Membership) -> None:
+    membership.unanswered(HostId("a"), NOW)
+    membership.answered(HostId("a"), NOW)
+    membership.tick(NOW + seconds(2))
+    assert "a" in names(membership)
+
+
+def test_suspected_host_refutes_with_a_higher_incarnation(
+    membership: Membership,
+) -> None:
+    membership.hear([member("me", 1, Health.SUSPECT)], NOW)
+    assert membership.me.incarnation == 2
+    membership.hear([member("a", 1, Health.DEAD)], NOW)
+    membership.hear([member("a", 2)], NOW)
+    assert "a" in names(membership)
+
+
+@pytest.mark.parametrize("health", [Health.SUSPECT, Health.LEAVING, Health.DEAD])
+def test_old_news_revives_nobody(membership: Membership, health: Health) -> None:
+    membership.hear([member("a", 3, health)], NOW)
+    membership.hear([member("a", 2)], NOW)
+    assert membership.known[HostId("a")].member.health is health
+
+
+def test_news_is_told_a_bounded_number_of_times(membership: Membership) -> None:
+    told = [m for _ in range(NEWS_REPEATS + 3) for m in membership.news()[1:]]
+    assert sum(m.host_id == "a" for m in told) == NEWS_REPEATS
+
+
+def test_pings_reach_every_member_in_each_round(membership: Membership) -> None:
+    pinged = {membership.next_ping().host_id for _ in range(2)}
+    assert pinged == {"a", "b"}
+
+
+def test_leaving_host_does_not_count(membership: Membership) -> None:
+    membership.leave()
+    assert names(membership) == ["a", "b"]
+
+
+def test_dead_are_forgotten_in_the_end(membership: Membership) -> None:
+    membership.hear([member("a", 1, Health.DEAD)], NOW)
+    membership.tick(NOW + seconds(61))
+    assert HostId("a") not in membership.known
--- a/packages/daemon/src/sardinequay_daemon/host.py
+++ b/packages/daemon/src/sardinequay_daemon/host.py
@@ -16,6 +16,7 @@
 from sardinequay_core.leases import HolderId
 from sardinequay_core.membership import Member
 from sardinequay_core.names import Address, parse_address
+from sardinequay_core.rollout import Offered
 from sardinequay_core.roster import Roster
 
 from .callers import CallerServer
@@ -284,9 +285,9 @@
     def hear(self, event: PeerInForce) -> None:
         """Pass on what a peer has in force to those who may want it."""
         said = event.in_force
-        offer = PeerOffer(said.bundle_version, said.bundle_digest, event.address)
-        if self.rollout.is_worth_asking(offer):
-            self.rollout.inbox.tell(offer)
+        offered = Offered(said.bundle_version, said.bundle_digest)
+        if self.rollout.rollout.is_worth_asking(offered):
+            self.rollout.inbox.tell(PeerOffer(offered, event.address))
         if said.roster_number > self.roster.roster.number:
             self.roster.inbox.tell((said.roster_number, event.address))
 
@@ -297,8 +298,8 @@
 
     def is_ready(self) -> bool:
         """Return whether this host takes requests."""
-        has_all = self.bundle() is not None and self.roster.roster.number > 0
-        return has_all and bool(self.rollout.confirmed_by) and not self.is_stopping
+        has_all = self.rollout.rollout.may_serve() and self.roster.roster.number > 0
+        return has_all and not self.is_stopping
 
     def status(self) -> HostStatus:
         """Return what is in force on this host."""
@@ -311,8 +312,8 @@
             bundle_version=in_place.bundle.version if in_place else 0,
             bundle_digest=in_place.bundle.digest if in_place else "",
             bundle_since=in_place.since.isoformat() if in_place else "",
-            confirmed_by=self.rollout.confirmed_by,
-            bundles_refused=sorted(f"{r} {d}" for r, d in self.rollout.refused),
+            confirmed_by=self.rollout.rollout.heard.value,
+            bundles_refused=sorted(f"{r} {d}" for r, d in self.rollout.rollout.refused),
             roster_number=self.roster.roster.number,
             in_flight=self.callers.admission.in_flight,
             members=self.membership.health_of(),
--- a/packages/daemon/src/sardinequay_daemon/rollout_task.py
+++ b/packages/daemon/src/sardinequay_daemon/rollout_task.py
@@ -14,19 +14,13 @@
 from reactivex.subject import BehaviorSubject
 from returns.result import Failure, Result, Success
 
-from sardinequay_core.approval import (
-    SignedRoot,
-    Trust,
-    Verdict,
-    compare,
-    root_digest,
-    verify,
-)
+from sardinequay_core.approval import SignedRoot, Trust, parse_signed, root_digest
 from sardinequay_core.bundle import MISSING_BLOB, Bundle, assemble, missing_blobs
 from sardinequay_core.bundle import digest_of as blob_digest
 from sardinequay_core.clock import Clock
 from sardinequay_core.errors import BundleError
 from sardinequay_core.names import Address, Digest
+from sardinequay_core.rollout import Heard, Offered, Rollout
 
 from .journal import Journal
 from .mailbox import Mailbox
@@ -39,6 +33,7 @@
 RETRY_S = 0.5
 FETCH_TIMEOUT_S = 10.0
 BLOBS_PER_FETCH = 64
+JOIN_PAUSE_S = 0.1
 JOURNAL_SUBJECT = "bundle"
 log = logging.getLogger(__name__)
 
@@ -47,8 +42,7 @@
 class PeerOffer:
     """Event: a peer says what bundle it has in force."""
 
-    version: int
-    digest: str
+    offered: Offered
     address: Address
 
 
@@ -57,7 +51,6 @@
     """The bundle in force and what it was made from."""
 
     bundle: Bundle
-    signed: SignedRoot
     data: bytes
     blobs: dict[Digest, bytes]
     since: datetime
@@ -77,7 +70,7 @@
         clock: Clock,
         is_reader: Callable[[], bool],
     ) -> None:
-        self.trust = trust
+        self.rollout = Rollout(trust)
         self.service = service
         self.peers = peers
         self.timing = timing
@@ -87,8 +80,6 @@
         self.is_reader = is_reader
         self.in_place: InPlace | None = None
         self.bundles: BehaviorSubject[Bundle | None] = BehaviorSubject(None)
-        self.refused: set[tuple[str, str]] = set()
-        self.confirmed_by = ""
         self.revision = 0
         self.inbox = Mailbox()
         self.changing = asyncio.Lock()
@@ -112,30 +103,27 @@
 
         After the bound a host that hears no peer goes on alone, and says so.
         """
-        bound = self.timing.join_wait_s
+        bound_s = self.timing.join_wait_s
         try:
-            async with asyncio.timeout(bound):
-                while not self.confirmed_by:
+            async with asyncio.timeout(bound_s):
+                while self.rollout.heard is Heard.NOBODY_YET:
                     await self.hear_peers(list(first_peers()))
-                    if not self.confirmed_by:
-                        await asyncio.sleep(self.timing.gossip_s)
+                    await asyncio.sleep(JOIN_PAUSE_S)
         except TimeoutError:
-            self.confirmed_by = "nobody"
-            log.warning("no peer heard before serving", extra={"bound_s": bound})
+            self.rollout.heard = Heard.TIMEOUT
+            log.warning("no peer heard before serving", extra={"bound_s": bound_s})
 
     async def hear_peers(self, addresses: list[Address]) -> None:
         """Ask several peers at once for the root that they have in force."""
         calls = [self.peers.call(address, FetchRoot()) for address in addresses]
         answers = await asyncio.gather(*calls)
         for address, answer in zip(addresses, answers, strict=True):
-            if not isinstance(answer, Success):
+            reply = answer.value_or(None)
+            if not isinstance(reply, RootReply):
                 continue
-            reply = answer.unwrap()
-            if isinstance(reply, RootReply) and reply.data:
+            if reply.data:
                 await self.consider(reply.data, address)
-                self.confirmed_by = str(address)
-            elif isinstance(reply, RootReply) and len(addresses) > 0:
-                self.confirmed_by = self.confirmed_by or str(address)
+            self.rollout.heard = Heard.PEERS
 
     async def watch(self) -> None:
         """Watch the service as a reader, or while nothing is in force."""
@@ -161,21 +149,12 @@
         """Fetch newer bundles from the peers that offer them."""
         while True:
             offer: PeerOffer = (await self.inbox.queue.get()).message
-            if not self.is_worth_asking(offer):
+            if not self.rollout.is_worth_asking(offer.offered):
                 continue
             found = await self.peers.call(offer.address, FetchRoot())
             if isinstance(found, Success) and isinstance(found.unwrap(), RootReply):
                 await self.consider(found.unwrap().data, offer.address)
 
-    def is_worth_asking(self, offer: PeerOffer) -> bool:
-        """Return whether an offer is newer, or another bundle of the same version."""
-        if self.in_place is None:
-            return offer.version > 0
-        bundle = self.in_place.bundle
-        is_conflict = offer.version == bundle.version and offer.digest != bundle.digest
-        is_known = ("conflict", offer.digest) in self.refused
-        return offer.version > bundle.version or (is_conflict and not is_known)
-
     async def consider(self, data: bytes, source: Address | None) -> bool:
         """Judge a signed root, and put it in force if it is newer and whole.
 
@@ -185,36 +164,25 @@
             False if it is worth another try, because parts of it were not to be had.
         """
         async with self.changing:
-            verified = verify(data, self.trust)
-            if not isinstance(verified, Success):
-                self.refuse(verified.failure(), str(blob_digest(data)))
+            judged = self.rollout.judge(data)
+            if not isinstance(judged, Success):
+                self.refuse(judged.failure(), data)
                 return True
-            signed = verified.unwrap()
-            if self.judge(signed) is not Verdict.NEWER:
+            signed = judged.unwrap()
+            if signed is None:
                 return True
             done = await self.put_in_force(signed, data, source)
             if isinstance(done, Success):
                 return True
-            self.refuse(done.failure(), str(root_digest(signed.root)))
+            self.refuse(done.failure(), data)
             return done.failure().reason != MISSING_BLOB
 
-    def judge(self, signed: SignedRoot) -> Verdict:
-        """Compare a verified root with the one in force, and tell of refusals."""
-        in_force = self.in_place.signed.root if self.in_place else None
-        verdict = compare(signed.root, in_force)
-        if verdict in (Verdict.OLDER, Verdict.CONFLICT):
-            assert in_force is not None
-            detail = f"version {signed.root.version} beside {in_force.version} in force"
-            error = BundleError(verdict.value, detail)
-            self.refuse(error, str(root_digest(signed.root)))
-        return verdict
-
-    def refuse(self, error: BundleError, digest: str) -> None:
+    def refuse(self, error: BundleError, data: bytes) -> None:
         """Tell of a refused bundle: count each time, log each once."""
         self.metrics.bundle_refusals.inc({"reason": error.reason})
-        if (error.reason, digest) in self.refused:
+        digest = digest_of_signed(data)
+        if not self.rollout.refuse(error, digest):
             return
-        self.refused.add((error.reason, digest))
         details = {"reason": error.reason, "detail": error.detail, "digest": digest}
         self.journal.note(JOURNAL_SUBJECT, "refused", **details)
         log.error("bundle refused", extra=details)
@@ -237,7 +205,8 @@
         bundle = made.unwrap()
         needed = {signed.root.base, *signed.root.index, *bundle.leaves}
         kept = {d: blobs[d] for d in needed}
-        self.in_place = InPlace(bundle, signed, data, kept, self.clock.now())
+        self.rollout.put_in_force(signed)
+        self.in_place = InPlace(bundle, data, kept, self.clock.now())
         self.metrics.bundle_version.set({}, bundle.version)
         self.journal.note(
             JOURNAL_SUBJECT, "in force", version=bundle.version, source=str(source)
@@ -271,3 +240,11 @@
         """Answer a peer that asks for blobs of the bundle in force."""
         blobs = self.in_place.blobs if self.in_place else {}
         return BlobsReply(tuple(blobs[d] for d in message.digests if d in blobs))
+
+
+def digest_of_signed(data: bytes) -> Digest:
+    """Return the digest of a root's content, or of the bytes if they are none."""
+    parsed = parse_signed(data)
+    if isinstance(parsed, Success):
+        return root_digest(parsed.unwrap().root)
+    return blob_digest(data)
--- a/packages/lab/src/sardinequay_lab/claim_model.py
+++ b/packages/lab/src/sardinequay_lab/claim_model.py
@@ -6,19 +6,16 @@
 """
 
 from collections.abc import Hashable
-from dataclasses import fields, is_dataclass
-from datetime import timedelta
 from random import Random
 from typing import Any
 
 from sardinequay_core.claimant import ClaimRound, Standing
-from sardinequay_core.claims import ClaimPolicy, ViewQuery
+from sardinequay_core.claims import ViewQuery
 from sardinequay_core.clock import seconds
 from sardinequay_core.names import AttemptId, HostId
-from sardinequay_core.views import View
 
-from .claim_world import POLICY, ClaimWorld, Packet, view
-from .exploration import Action
+from .claim_world import POLICY, ClaimWorld, Node, Packet, view
+from .exploration import Action, freeze
 
 KEY = "k1"
 CLAIMANTS = ("a", "b")
@@ -47,12 +44,7 @@
             return actions
         actions += [("claim", name) for name in CLAIMANTS if name not in self.begun]
         for name, node in self.nodes.items():
-            for attempt, round_ in node.rounds.items():
-                if round_.standing(self.now) is not Standing.OPEN:
-                    actions.append(("decide", name, attempt))
-                for guard in round_.view.guards:
-                    if (attempt, guard.host_id) not in self.asked:
-                        actions.append(("ask", name, attempt, guard.host_id))
+            actions += self.claimant_actions(name, node)
             if node.view.number < len(self.lists) - 1:
                 actions.append(("read list", name))
             if node.duty.joining is not None:
@@ -65,6 +57,17 @@
             actions.append(("change list",))
         return actions
 
+    def claimant_actions(self, name: str, node: Node) -> list[Action]:
+        """Return what a claimant may do with the attempts that it has open."""
+        actions: list[Action] = []
+        for attempt, round_ in node.rounds.items():
+            if round_.standing(self.now) is not Standing.OPEN:
+                actions.append(("decide", name, attempt))
+            for guard in round_.view.guards:
+                if (attempt, guard.host_id) not in self.asked:
+                    actions.append(("ask", name, attempt, guard.host_id))
+        return actions
+
     def is_decided(self) -> bool:
         """Return whether some attempt has lost, so that no two can win any more."""
         ran = {attempt for runs in self.dispatched.values() for attempt in runs}
@@ -143,22 +146,3 @@
             self.changes,
         )
         return freeze(parts)
-
-
-def freeze(value: Any) -> Hashable:
-    """Return a hashable picture of nested state."""
-    if isinstance(value, View):
-        return value.number
-    if isinstance(value, str | int | bool | timedelta | ClaimPolicy | None):
-        return value
-    if isinstance(value, dict):
-        return tuple(sorted((str(k), freeze(v)) for k, v in value.items()))
-    if isinstance(value, list | tuple):
-        return tuple(freeze(v) for v in value)
-    if isinstance(value, set | frozenset):
-        return tuple(sorted(str(v) for v in value))
-    if is_dataclass(value) and not isinstance(value, type):
-        return tuple(freeze(getattr(value, f.name)) for f in fields(value))
-    if hasattr(value, "__dict__") and not isinstance(value, type):
-        return freeze(vars(value))
-    return str(value)
--- a/packages/lab/src/sardinequay_lab/exploration.py
+++ b/packages/lab/src/sardinequay_lab/exploration.py
@@ -9,9 +9,9 @@
 from collections import Counter, deque
 from collections.abc import Callable, Hashable, Sequence
 from contextlib import AbstractContextManager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields, is_dataclass
 from random import Random
-from typing import Protocol
+from typing import Any, Protocol
 
 Action = tuple[Hashable, ...]
 """The kind of an action, then what it acts on."""
@@ -105,8 +105,27 @@
         """Return what two states share exactly if they are alike."""
 
 
-def search(make: Callable[[], ModelWorld], max_states: int) -> Explored:
-    """Visit all states of a small model, breadth first, up to a bound."""
+def freeze(value: Any) -> Hashable:
+    """Return a hashable picture of nested state."""
+    if isinstance(value, dict):
+        return tuple(sorted((str(k), freeze(v)) for k, v in value.items()))
+    if isinstance(value, list | tuple):
+        return tuple(freeze(v) for v in value)
+    if isinstance(value, set | frozenset):
+        return tuple(sorted(str(v) for v in value))
+    if is_dataclass(value) and not isinstance(value, type):
+        return tuple(freeze(getattr(value, f.name)) for f in fields(value))
+    return freeze(vars(value)) if hasattr(value, "__dict__") else str(value)
+
+
+def search(
+    make: Callable[[], ModelWorld], max_states: int, max_depth: int = 1_000
+) -> Explored:
+    """Visit all states of a small model, breadth first, up to a bound.
+
+    A search that reaches the bound on states is not complete; one that is cut at the
+    depth is complete up to it.
+    """
     first = make()
     explored = Explored(histories=1)
     seen = {first.fingerprint()}
@@ -114,6 +133,8 @@
     while queue:
         world, history = queue.popleft()
         explored.states += 1
+        if len(history) >= max_depth:
+            continue
         packed = pickle.dumps(world, pickle.HIGHEST_PROTOCOL)
         for action in world.actions():
             following = pickle.loads(packed)
--- a/packages/lab/src/sardinequay_lab/lease_world.py
+++ b/packages/lab/src/sardinequay_lab/lease_world.py
@@ -99,6 +99,7 @@
     """The engine as it really is."""
 
     checks_fencing: bool
+    slots: int = SLOTS
     incarnation: int = 1
     highest_token: int = 0
     resident: set[AdapterRef] = field(default_factory=set)
@@ -119,7 +120,7 @@
         resident = tuple(sorted(self.resident))
         in_use = tuple(sorted({r.use.adapter for r in self.running}))
         return EngineReport(
-            ENGINE, str(self.incarnation), token, SLOTS, resident, in_use=in_use
+            ENGINE, str(self.incarnation), token, self.slots, resident, in_use=in_use
         )
 
 
@@ -347,7 +348,7 @@
             self.reply("refused", packet, packet.message)
             return
         is_there = use.adapter in self.engine.resident
-        if not is_there and len(self.engine.resident) >= SLOTS:
+        if not is_there and len(self.engine.resident) >= self.engine.slots:
             self.lost(packet)
             return
         self.engine.resident.add(use.adapter)
