--- a/packages/core/tests/test_claims.py
+++ b/packages/core/tests/test_claims.py
@@ -1,5 +1,7 @@
 """Claims, views and joining: the directed cases; exploration covers the rest."""
 
+from unittest.mock import patch
+
 import pytest
 
 from sardinequay_core.claimant import ClaimRound, Standing
@@ -14,6 +16,7 @@
 )
 from sardinequay_core.clock import Instant, seconds
 from sardinequay_core.guard_duty import GuardDuty
+from sardinequay_core.joining import Joining
 from sardinequay_core.names import Address, AttemptId, DataCentre, HostId
 from sardinequay_core.outcome import Outcome
 from sardinequay_core.views import GuardAddress, View
@@ -121,27 +124,49 @@
     assert b.claim(claim("two", later), NOW).vote is Vote.HELD
 
 
-def test_guard_that_skipped_a_view_gathers_from_it_too() -> None:
-    # View 1 had claims of its own; f never heard of it before it asked the founders.
+@pytest.fixture
+def skipped_view() -> tuple[dict[str, GuardDuty], Instant]:
+    """The guards of views 0 and 1; in view 1 a key was granted."""
     founders = {name: duty(name) for name in "abc"}
-    first, second = view(1, "cde"), view(2, "cfg")
-    middle = {"c": founders["c"], "d": duty("d", False), "e": duty("e", False)}
+    guards = {**founders, "d": duty("d", False), "e": duty("e", False)}
+    first = view(1, "cde")
     now = NOW + POLICY.window
     for name in "cde":
-        middle[name].read_list(first, now)
-        hand_over_to(middle[name], founders, now)
-        assert middle[name].step(now) == first
+        guards[name].read_list(first, now)
+        hand_over_to(guards[name], founders, now)
+        assert guards[name].step(now) == first
     for name in "de":
-        assert middle[name].claim(claim("one", first), now).vote is Vote.GRANTED
+        assert guards[name].claim(claim("one", first), now).vote is Vote.GRANTED
+    return guards, now
+
+
+def test_guard_that_skipped_a_view_gathers_from_it_too(
+    skipped_view: tuple[dict[str, GuardDuty], Instant],
+) -> None:
+    # View 1 had claims of its own; f never heard of it before it asked the founders.
+    guards, now = skipped_view
+    second = view(2, "cfg")
     joiner = duty("f", founder=False)
     joiner.read_list(second, now)
-    hand_over_to(joiner, founders, now)
+    hand_over_to(joiner, {name: guards[name] for name in "abc"}, now)
     assert joiner.step(now) is None
-    hand_over_to(joiner, {**founders, **middle}, now)
+    hand_over_to(joiner, guards, now)
     assert joiner.step(now) == second
     assert joiner.claim(claim("two", second), now).vote is Vote.HELD
 
 
+def test_without_following_views_the_skipped_claim_would_be_lost(
+    skipped_view: tuple[dict[str, GuardDuty], Instant],
+) -> None:
+    guards, now = skipped_view
+    joiner = duty("f", founder=False)
+    joiner.read_list(view(2, "fgh"), now)
+    with patch.object(Joining, "follow", lambda *_: None):
+        hand_over_to(joiner, {name: guards[name] for name in "ab"}, now)
+        joiner.step(now)
+    assert joiner.claim(claim("two", view(2, "fgh")), now).vote is Vote.GRANTED
+
+
 def test_restarted_guard_abstains_until_a_window_has_passed() -> None:
     b, c = duty("b"), duty("c")
     b.claim(claim("one"), NOW)
--- a/packages/daemon/src/sardinequay_daemon/callers.py
+++ b/packages/daemon/src/sardinequay_daemon/callers.py
@@ -37,7 +37,7 @@
 from .dispatch import ModelDispatcher
 from .journal import Journal
 from .metrics import Metrics
-from .progress import Progress, Refused
+from .progress import Progress, Refused, too_late
 from .services import ServiceForwarder, ServiceRequest, pass_through
 from .settings import LimitSettings
 from .tracing import Tracing, trace_id
@@ -170,10 +170,7 @@
             async with asyncio.timeout(remaining.total_seconds()):
                 return await self.route(exchange, envelope)
         except TimeoutError as error:
-            text = "the deadline passed"
-            outcome = exchange.progress.outcome
-            refusal = Refusal(Reason.DEADLINE_EXPIRED, outcome, text)
-            raise Refused(refusal) from error
+            raise Refused(too_late(exchange.progress)) from error
 
     async def route(self, exchange: Exchange, envelope: Envelope) -> web.StreamResponse:
         """Run one request by what its path means."""
--- a/packages/daemon/src/sardinequay_daemon/dispatch.py
+++ b/packages/daemon/src/sardinequay_daemon/dispatch.py
@@ -26,7 +26,7 @@
 from .journal import Journal
 from .lease_task import LeaseTask
 from .metrics import Metrics
-from .progress import Progress, Refused
+from .progress import Progress, Refused, too_late
 from .server_sent_events import Events
 from .tracing import Tracing
 
@@ -136,6 +136,9 @@
         budget.first_attempt()
         while True:
             use = await self.obtain(request, span)
+            # A process that was frozen must not act on a claim that may have expired.
+            if self.leases.clock.monotonic() >= request.envelope.deadline:
+                raise Refused(too_late(progress))
             if not self.leases.begin(use):
                 continue
             progress.attempts += 1
--- a/packages/daemon/src/sardinequay_daemon/progress.py
+++ b/packages/daemon/src/sardinequay_daemon/progress.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from sardinequay_core.outcome import Outcome, Refusal
+from sardinequay_core.outcome import Outcome, Reason, Refusal
 
 from .errors import DaemonError
 
@@ -37,3 +37,9 @@
         if self.last_event:
             return Outcome.RAN
         return Outcome.UNKNOWN if self.may_have_run else Outcome.NOT_RUN
+
+
+def too_late(progress: Progress) -> Refusal:
+    """Return the refusal of a request whose deadline has passed."""
+    text = "the deadline passed"
+    return Refusal(Reason.DEADLINE_EXPIRED, progress.outcome, text)
--- a/packages/daemon/src/sardinequay_daemon/services.py
+++ b/packages/daemon/src/sardinequay_daemon/services.py
@@ -24,7 +24,7 @@
 from .errors import TargetError, TargetFault
 from .journal import Journal
 from .metrics import Metrics
-from .progress import Progress, Refused
+from .progress import Progress, Refused, too_late
 from .tracing import Tracing
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
@@ -120,6 +120,9 @@
         budget.first_attempt()
         while True:
             target = self.choose(request)
+            # A process that was frozen must not act on a claim that may have expired.
+            if self.clock.monotonic() >= request.envelope.deadline:
+                raise Refused(too_late(progress))
             progress.attempts += 1
             progress.may_have_run = True
             try:
--- a/packages/daemon/src/sardinequay_daemon/settings_check.py
+++ b/packages/daemon/src/sardinequay_daemon/settings_check.py
@@ -162,6 +162,10 @@
     if claims.in_service_from.tzinfo is None:
         value = show(claims.in_service_from)
         yield SettingsError("claims.in_service_from", value, "a time with its zone")
+    least_s = settings.limits.longest_request_s + claims.window_s
+    if claims.life_s <= least_s:
+        allowed = f"above limits.longest_request_s and claims.window_s, {least_s}"
+        yield SettingsError("claims.life_s", show(claims.life_s), allowed)
     for name in settings.data_centres:
         if not claims.founders.get(name):
             allowed = "at least one founding guard for each of data_centres"
--- /dev/null
+++ b/packages/daemon/tests/conftest.py
@@ -0,0 +1,78 @@
+"""Fixtures shared by the daemon's tests: settings, metrics, and a clock to turn."""
+
+import json
+from datetime import UTC, datetime, timedelta
+from typing import Any
+
+import pytest
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+
+from sardinequay_core.clock import Instant
+from sardinequay_daemon.metrics import Metrics
+from sardinequay_daemon.settings import TimingSettings
+
+PUBLIC = [
+    Ed25519PrivateKey.from_private_bytes(bytes([n]) * 32)
+    .public_key()
+    .public_bytes_raw()
+    .hex()
+    for n in (1, 2, 3)
+]
+
+
+class TurnedClock:
+    """A clock that stands still until it is turned."""
+
+    def __init__(self) -> None:
+        self.since_boot = timedelta(seconds=1000)
+
+    def now(self) -> datetime:
+        return datetime(2026, 1, 1, tzinfo=UTC) + self.since_boot
+
+    def monotonic(self) -> Instant:
+        return self.since_boot
+
+    def turn(self, seconds: float) -> None:
+        self.since_boot += timedelta(seconds=seconds)
+
+
+@pytest.fixture
+def clock() -> TurnedClock:
+    return TurnedClock()
+
+
+@pytest.fixture
+def metrics() -> Metrics:
+    return Metrics("host", "home")
+
+
+@pytest.fixture
+def timing() -> TimingSettings:
+    return TimingSettings(call_timeout_s=1, silence_s=0.4, connect_timeout_s=1)
+
+
+@pytest.fixture
+def raw_settings() -> dict[str, Any]:
+    """Good settings, to be spoiled field by field."""
+    return {
+        "host_id": "tukwila-0",
+        "data_centre": "tukwila",
+        "data_centres": ["tukwila", "hillsboro"],
+        "caller_listener": "127.0.0.1:8000",
+        "peer_listener": "127.0.0.1:8001",
+        "operator_listener": "127.0.0.1:8002",
+        "configuration_service": "http://127.0.0.1:9000",
+        "host_list": "http://127.0.0.1:9001",
+        "trust": {"keys": dict(zip("abc", PUBLIC, strict=True)), "threshold": 2},
+        "claims": {
+            "in_service_from": "2026-01-01T00:00:00Z",
+            "founders": {
+                "tukwila": [{"host_id": "tukwila-0", "address": "127.0.0.1:8001"}],
+                "hillsboro": [{"host_id": "hillsboro-0", "address": "127.0.1.1:8001"}],
+            },
+        },
+    }
+
+
+def as_text(raw: dict[str, Any]) -> str:
+    return json.dumps(raw)
--- /dev/null
+++ b/packages/daemon/tests/test_peers.py
@@ -0,0 +1,115 @@
+"""Calls between hosts: answered, refused, silent, and closed."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+from returns.result import Failure, Success
+
+from sardinequay_core.names import Address
+from sardinequay_daemon.messages import FetchRoot, FetchRoster, RootReply
+from sardinequay_daemon.metrics import Metrics
+from sardinequay_daemon.peers import PeerCaller, PeerServer
+from sardinequay_daemon.settings import TimingSettings
+
+IP = "127.0.0.1"
+
+
+@pytest.fixture
+async def server(metrics: Metrics) -> AsyncIterator[tuple[PeerServer, Address]]:
+    made = PeerServer(metrics)
+    listener = await made.start(Address(IP, 0))
+    port = listener.sockets[0].getsockname()[1]
+    yield made, Address(IP, port)
+    listener.close()
+    made.close()
+
+
+@pytest.fixture
+async def caller(metrics: Metrics, timing: TimingSettings) -> AsyncIterator[PeerCaller]:
+    made = PeerCaller(timing, metrics, IP)
+    yield made
+    made.close()
+
+
+async def test_call_is_answered(server, caller: PeerCaller) -> None:
+    made, address = server
+
+    async def answer(_: FetchRoot) -> RootReply:
+        return RootReply(b"root")
+
+    made.register(FetchRoot, answer)
+    assert await caller.call(address, FetchRoot()) == Success(RootReply(b"root"))
+
+
+async def test_late_answers_go_to_their_own_calls(server, caller: PeerCaller) -> None:
+    made, address = server
+    delays = iter((0.2, 0.1, 0.0))
+
+    async def answer(_: FetchRoot) -> RootReply:
+        delay = next(delays)
+        await asyncio.sleep(delay)
+        return RootReply(str(delay).encode())
+
+    made.register(FetchRoot, answer)
+    calls = [caller.call(address, FetchRoot()) for _ in range(3)]
+    answers = [a.unwrap().data for a in await asyncio.gather(*calls)]
+    assert answers == [b"0.2", b"0.1", b"0.0"]
+
+
+async def test_request_without_handler_is_refused(server, caller: PeerCaller) -> None:
+    _, address = server
+    answer = await caller.call(address, FetchRoster())
+    assert "no request" in str(answer.failure())
+
+
+async def test_unreachable_host_is_an_error(caller: PeerCaller) -> None:
+    answer = await caller.call(Address(IP, 1), FetchRoot())
+    assert isinstance(answer, Failure)
+
+
+async def test_long_call_to_a_live_host_is_not_taken_for_silence(
+    server, caller: PeerCaller, timing: TimingSettings
+) -> None:
+    made, address = server
+
+    async def answer(_: FetchRoot) -> RootReply:
+        await asyncio.sleep(timing.silence_s * 3)
+        return RootReply(b"late")
+
+    made.register(FetchRoot, answer)
+    assert isinstance(await caller.call(address, FetchRoot(), 30), Success)
+
+
+async def test_silent_link_fails_its_calls_and_is_replaced(
+    caller: PeerCaller, metrics: Metrics
+) -> None:
+    connections = 0
+
+    async def swallow(reader: asyncio.StreamReader, _: asyncio.StreamWriter) -> None:
+        nonlocal connections
+        connections += 1
+        await reader.read()
+
+    listener = await asyncio.start_server(swallow, IP, 0)
+    address = Address(IP, listener.sockets[0].getsockname()[1])
+    answer = await caller.call(address, FetchRoot(), 30)
+    assert "silent" in str(answer.failure())
+    await caller.call(address, FetchRoot(), 30)
+    assert connections == 2
+    listener.close()
+
+
+async def test_garbage_closes_only_its_own_connection(
+    server, caller: PeerCaller
+) -> None:
+    made, address = server
+
+    async def answer(_: FetchRoot) -> RootReply:
+        return RootReply(b"root")
+
+    made.register(FetchRoot, answer)
+    reader, writer = await asyncio.open_connection(address.ip, address.port)
+    writer.write(b"GET / HTTP/1.1\r\n\r\n")
+    assert await reader.read() == b""
+    assert isinstance(await caller.call(address, FetchRoot()), Success)
--- /dev/null
+++ b/packages/daemon/tests/test_wire.py
@@ -0,0 +1,70 @@
+"""Frames and messages between hosts."""
+
+from contextlib import suppress
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sardinequay_core.claims import ClaimRecord, Handover
+from sardinequay_core.clock import seconds
+from sardinequay_core.membership import Health, Member
+from sardinequay_core.names import Address, AttemptId, DataCentre, HostId
+from sardinequay_core.outcome import Outcome
+from sardinequay_core.views import GuardAddress, View
+from sardinequay_daemon.messages import InForce, Ping
+from sardinequay_daemon.wire import (
+    Frame,
+    FrameError,
+    FrameReader,
+    Kind,
+    encode_frame,
+    frame_of,
+    message_of,
+)
+
+ADDRESS = Address("127.0.0.1", 1)
+VIEW = View(DataCentre("home"), 3, (GuardAddress(HostId("a"), ADDRESS),))
+MESSAGES = [
+    Ping((Member(HostId("a"), ADDRESS, 7, Health.SUSPECT),), InForce(1, "d", 2)),
+    Handover(
+        remembers=True,
+        incarnation=1,
+        base=VIEW,
+        later_views=(VIEW,),
+        records=(ClaimRecord("k", AttemptId("x"), seconds(1.5), Outcome.RAN),),
+    ),
+]
+
+
+@pytest.mark.parametrize("message", MESSAGES)
+def test_message_comes_back_as_it_was(message: object) -> None:
+    frame = frame_of(Kind.REQUEST, 5, message)
+    (read,) = FrameReader().feed(encode_frame(frame))
+    assert message_of(read) == message
+
+
+@given(st.integers(1, 60))
+def test_frames_are_cut_wherever_the_bytes_are(size: int) -> None:
+    data = b"".join(
+        encode_frame(frame_of(Kind.REPLY, n, MESSAGES[0])) for n in range(3)
+    )
+    reader = FrameReader()
+    pieces = [data[i : i + size] for i in range(0, len(data), size)]
+    frames = [frame for piece in pieces for frame in reader.feed(piece)]
+    assert [frame.correlation for frame in frames] == [0, 1, 2]
+
+
+@given(st.binary(max_size=300))
+def test_any_bytes_give_frames_or_a_frame_error(data: bytes) -> None:
+    try:
+        for frame in FrameReader().feed(data):
+            message_of(frame)
+    except FrameError:
+        pass
+
+
+@given(st.binary(max_size=100), st.sampled_from(["Ping", "Handover", "Want", "x"]))
+def test_any_body_gives_a_message_or_a_frame_error(body: bytes, tag: str) -> None:
+    with suppress(FrameError):
+        message_of(Frame(Kind.REQUEST, 1, tag, body))
--- a/packages/lab/src/sardinequay_lab/claim_world.py
+++ b/packages/lab/src/sardinequay_lab/claim_world.py
@@ -13,7 +13,6 @@
 from typing import Any
 from unittest.mock import patch
 
-from sardinequay_core import joining
 from sardinequay_core.claimant import ClaimRound, Standing
 from sardinequay_core.claims import (
     ClaimPolicy,
@@ -312,14 +311,6 @@
         yield
 
 
-@contextmanager
-def without_vote_window() -> Iterator[None]:
-    """Count votes however old they are."""
-    policy = ClaimPolicy(life=POLICY.life, window=seconds(10_000))
-    with patch.object(ClaimRound, "policy", policy, create=True):
-        yield
-
-
 @contextmanager
 def without_overlap() -> Iterator[None]:
     """Let less than a majority decide."""
@@ -334,17 +325,9 @@
         yield
 
 
-@contextmanager
-def without_chain() -> Iterator[None]:
-    """Do not follow the views that answers name."""
-    with patch.object(joining.Joining, "follow", lambda *_: None):
-        yield
-
-
 MUTATIONS: Mutations = {
     "sealing": without_sealing,
     "memory check": without_memory_check,
     "overlap": without_overlap,
     "handover": without_handover,
-    "chain": without_chain,
 }
--- a/packages/lab/src/sardinequay_lab/cluster.py
+++ b/packages/lab/src/sardinequay_lab/cluster.py
@@ -19,6 +19,7 @@
 from .trial_files import THRESHOLD, Operator, contents
 
 FIRST_NETWORK = 10
+FIRST_SPARE = 100
 SERVICE_MARGIN = timedelta(seconds=30)
 """How long after writing the settings the founding guards may still start."""
 START_TIMEOUT_S = 30.0
@@ -78,6 +79,7 @@
     unlisted: set[str] = field(default_factory=set)
     roster_number: int = 0
     version: int = 0
+    replacements: int = 0
 
     def __post_init__(self) -> None:
         self.operator = Operator(self.directory)
@@ -250,10 +252,7 @@
         self.start_configuration()
         file = str(self.directory / "roster.json")
         self.standin("host-list", "published", self.host_list, "--file", file)
-        rate = str(self.plan.loads_per_s)
-        self.standin(
-            "weight-store", "weight_store", self.weight_store, "--loads-per-s", rate
-        )
+        self.start_weight_store()
         pairs = [f"{h.callers}/{h.operators}" for h in self.hosts.values()]
         self.standin("balancer", "balancer", self.balancer, *pairs)
         if self.plan.relayed:
@@ -265,6 +264,11 @@
         words = ("--directory", directory)
         self.standin("configuration", "published", self.configuration, *words)
 
+    def start_weight_store(self) -> None:
+        """Start the weight store."""
+        words = ("--loads-per-s", str(self.plan.loads_per_s))
+        self.standin("weight-store", "weight_store", self.weight_store, *words)
+
     def start_relay(self) -> None:
         """Start the relay before all hosts and targets."""
         self.cut()
@@ -302,6 +306,21 @@
         for name in self.hosts:
             self.start_host(name)
 
+    def replace_host(self, name: str) -> None:
+        """Kill a host and start another in its place, under a new name and address."""
+        old = self.hosts.pop(name)
+        self.kill(name)
+        self.replacements += 1
+        number = self.plan.data_centres.index(old.data_centre)
+        ip = f"127.0.{FIRST_NETWORK + number}.{FIRST_SPARE + self.replacements}"
+        new = f"{old.data_centre}-new-{self.replacements}"
+        self.place_host(new, old.data_centre, ip)
+        if self.plan.relayed:
+            raise ValueError("the relay does not know of replaced hosts")
+        self.write_host_settings(self.hosts[new])
+        self.publish_roster()
+        self.start_host(new)
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one process."""
         self.processes[name].send_signal(number)
