Let errors carry their traceback, and answer bugs with a typed failure

Cause: trials with a host frozen and with loads failing showed answers without a typed outcome. Errors were frozen data classes; contextlib sets an error's traceback on its way out, which they refused, so another error replaced them. Ruled out: the refusals themselves, which were right.

Before: test_errors failed for all six kinds. A bug now ends a request with a typed, logged failure.

--- a/packages/cli/src/sardinequay_cli/errors.py
+++ b/packages/cli/src/sardinequay_cli/errors.py
@@ -9,7 +9,7 @@
 EXIT_UNREACHABLE = 4
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class CommandError(Exception):
     """A verb that did not do what it was asked."""
 
--- a/packages/core/src/sardinequay_core/errors.py
+++ b/packages/core/src/sardinequay_core/errors.py
@@ -1,14 +1,18 @@
-"""Errors of the core: values returned where failure is an ordinary outcome."""
+"""Errors of the core: values returned where failure is an ordinary outcome.
+
+Errors are no frozen data classes: the interpreter sets the traceback of an error on its
+way out. Nothing else may change them.
+"""
 
 from dataclasses import dataclass
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class CoreError(Exception):
     """Base of all errors that the core returns or raises."""
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class InvalidNameError(CoreError):
     """A name or address that does not have the form it needs."""
 
@@ -20,7 +24,7 @@
         return f"{self.field} is {self.value!r}; allowed: {self.allowed}"
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class BundleError(CoreError):
     """A bundle or a part of it that is refused, with the reason."""
 
--- a/packages/core/src/sardinequay_core/outcome.py
+++ b/packages/core/src/sardinequay_core/outcome.py
@@ -39,6 +39,7 @@
     TARGET_FAILED = "target_failed"
     ANSWER_LOST = "answer_lost"
     WRONG_ADAPTER = "wrong_adapter"
+    INTERNAL = "internal"
 
 
 HTTP_STATUS = {
@@ -52,6 +53,7 @@
     Reason.KEY_SETTLED: 409,
     Reason.TOO_LARGE: 413,
     Reason.OVERLOADED: 429,
+    Reason.INTERNAL: 500,
     Reason.TARGET_FAILED: 502,
     Reason.ANSWER_LOST: 502,
     Reason.WRONG_ADAPTER: 502,
@@ -66,6 +68,7 @@
         Reason.WRONG_ADAPTER,
         Reason.KEY_HELD,
         Reason.KEY_SETTLED,
+        Reason.INTERNAL,
     }
 )
 """Reasons given after bytes may have left for a target; all others precede that."""
--- a/packages/core/tests/conftest.py
+++ b/packages/core/tests/conftest.py
@@ -1,5 +1,6 @@
 """Fixtures shared by the core's tests."""
 
+from collections.abc import Callable
 from datetime import timedelta
 
 import pytest
@@ -55,14 +56,14 @@
     """A keeper of one engine with two slots that holds x and is confirmed."""
     made = Keeper(policy, 7, START)
     made.set_targets([engine])
-    made.take_report(report(), START, START)
+    made.take_report(make_report(), START, START)
     made.want(1, x_use.adapter, START + seconds(60), START)
     (order,) = [c for c in made.tick(START) if isinstance(c, OrderLoad)]
     made.load_done(order.use, timedelta(0), START)
     return made
 
 
-def report(
+def make_report(
     *names: str, token: int = 0, incarnation: str = "1", in_use: tuple[str, ...] = ()
 ) -> EngineReport:
     """An engine's report that names its resident adapters."""
@@ -74,3 +75,8 @@
         tuple(AdapterRef(name, "1") for name in names),
         in_use=tuple(AdapterRef(name, "1") for name in in_use),
     )
+
+
+@pytest.fixture
+def report() -> Callable[..., EngineReport]:
+    return make_report
--- a/packages/core/tests/test_keeper.py
+++ b/packages/core/tests/test_keeper.py
@@ -1,11 +1,13 @@
 """The keeper: loads, evictions, leases, and what it does about other keepers."""
 
+from collections.abc import Callable
 from datetime import timedelta
 
 import pytest
 
 from sardinequay_core.clock import Instant, seconds
 from sardinequay_core.keeper import (
+    EngineReport,
     Keeper,
     KeeperPolicy,
     OrderLoad,
@@ -17,8 +19,9 @@
 from sardinequay_core.names import AdapterRef, TargetId
 from sardinequay_core.roster import Presence, Target
 
-from .conftest import START, report
-
+START = seconds(1000)
+Report = Callable[..., EngineReport]
+Confirm = Callable[..., None]
 Y, Z = AdapterRef("y", "1"), AdapterRef("z", "1")
 LATER = START + seconds(20)
 
@@ -27,25 +30,30 @@
     return [command for command in keeper.tick(now) if isinstance(command, kind)]
 
 
-def confirm(keeper: Keeper, now: Instant, *names: str, in_use: tuple[str, ...] = ()):
-    token = keeper.engines[TargetId("engine")].token
-    keeper.take_report(report(*names, token=token, in_use=in_use), now, now)
+@pytest.fixture
+def confirm(keeper: Keeper, report: Report) -> Callable[..., None]:
+    """Have the engine report to the keeper at a time."""
+
+    def take(now: Instant, *names: str, in_use: tuple[str, ...] = ()) -> None:
+        token = keeper.engines[TargetId("engine")].token
+        keeper.take_report(report(*names, token=token, in_use=in_use), now, now)
+
+    return take
 
 
-def fill_and_drain(keeper: Keeper, now: Instant) -> None:
-    """Have y loaded beside x, then z wanted so much that x must go."""
-    confirm(keeper, now, "x", "y")
+def want_z(keeper: Keeper, now: Instant) -> None:
+    """Have z wanted so much that x must go, while y is in demand."""
     for ticket in range(5):
         keeper.want(100 + ticket, Z, now + seconds(60), now)
         keeper.queue.demand.add(Y, now, 10)
 
 
 def test_renewal_without_requests_returns_no_lease(
-    keeper: Keeper, x_use: Use, holder: HolderId
+    keeper: Keeper, x_use: Use, holder: HolderId, confirm: Confirm
 ) -> None:
     # The holder may begin a request after it sent the renewal: only its own word
     # returns a lease. Found by exploring evictions, seed 32.
-    confirm(keeper, LATER, "x")
+    confirm(LATER, "x")
     keeper.acquire(holder, x_use.adapter, 1, LATER)
     keeper.engines[x_use.target].draining.add(x_use.adapter)
     keeper.renew(holder, [(x_use, 0)], 2, LATER)
@@ -53,11 +61,12 @@
 
 
 def test_idle_adapter_is_evicted_at_once_when_returned(
-    keeper: Keeper, x_use: Use, holder: HolderId
+    keeper: Keeper, x_use: Use, holder: HolderId, confirm: Confirm
 ) -> None:
-    confirm(keeper, LATER, "x")
+    confirm(LATER, "x")
     keeper.acquire(holder, x_use.adapter, 1, LATER)
-    fill_and_drain(keeper, LATER)
+    confirm(LATER, "x", "y")
+    want_z(keeper, LATER)
     assert orders(keeper, LATER, OrderRecall) == [OrderRecall(holder, x_use)]
     assert not orders(keeper, LATER, OrderUnload)
     keeper.give_back(holder, x_use, 2)
@@ -82,6 +91,7 @@
     trusts_reports: bool,
     after: float,
     evicted: bool,
+    confirm: Confirm,
 ) -> None:
     keeper.policy = KeeperPolicy(
         lease=policy.lease,
@@ -91,22 +101,24 @@
         trusts_reports=trusts_reports,
         loads=policy.loads,
     )
-    confirm(keeper, LATER, "x")
+    confirm(LATER, "x")
     keeper.acquire(holder, x_use.adapter, 1, LATER)
     keeper.engines[x_use.target].draining.add(x_use.adapter)
     now = LATER + seconds(after)
-    confirm(keeper, now, "x")
+    confirm(now, "x")
     assert bool(orders(keeper, now, OrderUnload)) is evicted
 
 
-def test_adapter_reported_in_use_is_not_evicted(keeper: Keeper, x_use: Use) -> None:
+def test_adapter_reported_in_use_is_not_evicted(
+    keeper: Keeper, x_use: Use, confirm: Confirm
+) -> None:
     keeper.engines[x_use.target].draining.add(x_use.adapter)
-    confirm(keeper, LATER, "x", in_use=("x",))
+    confirm(LATER, "x", in_use=("x",))
     assert not orders(keeper, LATER, OrderUnload)
 
 
 def test_new_keeper_grants_nothing_before_the_engine_took_its_token(
-    policy: KeeperPolicy, engine: Target, x_use: Use, holder: HolderId
+    policy: KeeperPolicy, engine: Target, x_use: Use, holder: HolderId, report: Report
 ) -> None:
     keeper = Keeper(policy, 9, START)
     keeper.set_targets([engine])
@@ -122,7 +134,7 @@
 
 
 def test_new_keeper_waits_out_leases_of_the_one_before(
-    policy: KeeperPolicy, engine: Target, x_use: Use
+    policy: KeeperPolicy, engine: Target, x_use: Use, report: Report
 ) -> None:
     keeper = Keeper(policy, 9, START)
     keeper.set_targets([engine])
@@ -130,14 +142,15 @@
     (order,) = orders(keeper, START, OrderLoad)
     keeper.load_done(order.use, timedelta(0), START)
     keeper.engines[x_use.target].draining.add(x_use.adapter)
-    confirm(keeper, START + seconds(5.5), "x")
-    assert not orders(keeper, START + seconds(5.5), OrderUnload)
-    confirm(keeper, START + seconds(6), "x")
-    assert orders(keeper, START + seconds(6), OrderUnload)
+    token = keeper.engines[x_use.target].token
+    for after, evicted in ((5.5, False), (6, True)):
+        now = START + seconds(after)
+        keeper.take_report(report("x", token=token), now, now)
+        assert bool(orders(keeper, now, OrderUnload)) is evicted
 
 
 def test_keeper_with_an_old_token_steps_down(
-    keeper: Keeper, x_use: Use, holder: HolderId
+    keeper: Keeper, x_use: Use, holder: HolderId, report: Report
 ) -> None:
     keeper.take_report(report("x", token=99 << 40), LATER, LATER)
     assert keeper.acquire(holder, x_use.adapter, 1, LATER) == []
@@ -145,18 +158,18 @@
 
 
 def test_lease_ends_with_the_keepers_own_authority(
-    keeper: Keeper, x_use: Use, holder: HolderId
+    keeper: Keeper, x_use: Use, holder: HolderId, confirm: Confirm
 ) -> None:
-    confirm(keeper, LATER, "x")
+    confirm(LATER, "x")
     ((_, lasts),) = keeper.acquire(holder, x_use.adapter, 1, LATER + seconds(3))
     assert lasts == seconds(1)
     assert keeper.acquire(holder, x_use.adapter, 2, LATER + seconds(4)) == []
 
 
 def test_restarted_engine_is_cold_and_its_old_leases_still_count(
-    keeper: Keeper, x_use: Use, holder: HolderId
+    keeper: Keeper, x_use: Use, holder: HolderId, confirm: Confirm, report: Report
 ) -> None:
-    confirm(keeper, LATER, "x")
+    confirm(LATER, "x")
     keeper.acquire(holder, x_use.adapter, 1, LATER)
     keeper.take_report(report(incarnation="2"), LATER, LATER)
     assert keeper.acquire(HolderId("h2"), x_use.adapter, 1, LATER) == []
@@ -164,18 +177,18 @@
 
 
 def test_return_that_was_overtaken_by_a_new_lease_is_void(
-    keeper: Keeper, x_use: Use, holder: HolderId
+    keeper: Keeper, x_use: Use, holder: HolderId, confirm: Confirm
 ) -> None:
-    confirm(keeper, LATER, "x")
+    confirm(LATER, "x")
     keeper.acquire(holder, x_use.adapter, 5, LATER)
     keeper.give_back(holder, x_use, 4)
     assert keeper.explain(x_use) == (holder,)
 
 
 def test_leaving_engine_gets_no_lease_and_no_load(
-    keeper: Keeper, engine: Target, x_use: Use, holder: HolderId
+    keeper: Keeper, engine: Target, x_use: Use, holder: HolderId, confirm: Confirm
 ) -> None:
-    confirm(keeper, LATER, "x")
+    confirm(LATER, "x")
     leaving = Target(
         engine.target_id,
         engine.pool,
@@ -191,18 +204,18 @@
 
 
 def test_silent_engine_gets_no_new_work(
-    keeper: Keeper, x_use: Use, holder: HolderId
+    keeper: Keeper, x_use: Use, holder: HolderId, confirm: Confirm
 ) -> None:
-    confirm(keeper, LATER, "x")
+    confirm(LATER, "x")
     now = LATER + keeper.policy.silent_after + seconds(1)
     keeper.engines[x_use.target].confirmed_at = now
     assert keeper.acquire(holder, x_use.adapter, 1, now) == []
 
 
 def test_failed_load_is_held_back_and_hopeless_requests_are_told_at_once(
-    keeper: Keeper,
+    keeper: Keeper, confirm: Confirm
 ) -> None:
-    confirm(keeper, LATER, "x")
+    confirm(LATER, "x")
     keeper.want(2, Y, LATER + seconds(0.5), LATER)
     (order,) = orders(keeper, LATER, OrderLoad)
     keeper.load_failed(order.use, LATER)
@@ -210,14 +223,14 @@
 
 
 def test_late_report_does_not_undo_a_finished_load(
-    keeper: Keeper, x_use: Use, holder: HolderId
+    keeper: Keeper, x_use: Use, holder: HolderId, report: Report
 ) -> None:
     keeper.take_report(report(token=0), START, START + seconds(0.5))
     assert keeper.acquire(holder, x_use.adapter, 1, START + seconds(0.5))
 
 
 def test_order_refused_for_its_token_ends_the_keepership_for_a_lease(
-    keeper: Keeper, x_use: Use
+    keeper: Keeper, x_use: Use, report: Report
 ) -> None:
     keeper.superseded(x_use.target, LATER)
     assert not orders(keeper, LATER, OrderLoad)
@@ -228,7 +241,7 @@
 
 
 def test_orders_of_an_old_term_never_rise_above_a_newer_one(
-    policy: KeeperPolicy, engine: Target, x_use: Use
+    policy: KeeperPolicy, engine: Target, x_use: Use, report: Report
 ) -> None:
     # Found by exploring evictions, seed 100: each order took a new term, so a keeper
     # that was replaced overtook its successor without noticing.
--- a/packages/daemon/src/sardinequay_daemon/callers.py
+++ b/packages/daemon/src/sardinequay_daemon/callers.py
@@ -121,6 +121,12 @@
             if isinstance(error, asyncio.CancelledError):
                 raise
             return exchange.response or web.Response(status=499)
+        except Exception:
+            # A bug: loud in the log, and still a typed answer to the caller.
+            log.exception("request failed", extra={"request": request_id})
+            outcome = exchange.progress.outcome
+            refusal = Refusal(Reason.INTERNAL, outcome, "this host has a fault")
+            return await self.refuse(exchange, refusal)
         finally:
             took = self.clock.monotonic() - began
             self.journal.note(request_id, "ended", took_s=took.total_seconds())
--- a/packages/daemon/src/sardinequay_daemon/errors.py
+++ b/packages/daemon/src/sardinequay_daemon/errors.py
@@ -1,15 +1,19 @@
-"""Errors of the daemon's layers; each turns those of the layer below."""
+"""Errors of the daemon's layers; each turns those of the layer below.
+
+Errors are no frozen data classes: the interpreter sets the traceback of an error on its
+way out. Nothing else may change them.
+"""
 
 from dataclasses import dataclass
 from enum import Enum
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class DaemonError(Exception):
     """Base of all errors of the daemon."""
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class SettingsError(DaemonError):
     """A field of the settings that is not as it must be."""
 
@@ -21,7 +25,7 @@
         return f"{self.field} is {self.value}; allowed: {self.allowed}"
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class PeerError(DaemonError):
     """A call to another entry host that got no answer."""
 
@@ -32,7 +36,7 @@
         return f"peer {self.address}: {self.detail}"
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class PlatformError(DaemonError):
     """A read of the platform's services that got no usable answer."""
 
@@ -53,7 +57,7 @@
     BROKEN = "broken"
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class TargetError(DaemonError):
     """A call to a target that did not end well."""
 
@@ -69,7 +73,7 @@
         return self.fault is not TargetFault.BROKEN
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class StartError(DaemonError):
     """A reason why the daemon cannot start, with its exit code."""
 
--- a/packages/daemon/src/sardinequay_daemon/progress.py
+++ b/packages/daemon/src/sardinequay_daemon/progress.py
@@ -7,7 +7,7 @@
 from .errors import DaemonError
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class Refused(DaemonError):
     """A request's final failure."""
 
--- a/packages/daemon/src/sardinequay_daemon/wire.py
+++ b/packages/daemon/src/sardinequay_daemon/wire.py
@@ -24,7 +24,7 @@
     ALIVE = 3
 
 
-@dataclass(frozen=True)
+@dataclass(unsafe_hash=True)
 class FrameError(DaemonError):
     """Bytes that are no frame, or a message that is not known."""
 
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -1,6 +1,5 @@
 """Fixtures shared by the daemon's tests: settings, metrics, and a clock to turn."""
 
-import json
 from datetime import UTC, datetime, timedelta
 from typing import Any
 
@@ -72,7 +71,3 @@
             },
         },
     }
-
-
-def as_text(raw: dict[str, Any]) -> str:
-    return json.dumps(raw)
--- /dev/null
+++ b/packages/daemon/tests/test_errors.py
@@ -0,0 +1,35 @@
+"""Errors pass through every context manager on their way out."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from sardinequay_core.errors import BundleError
+from sardinequay_core.outcome import Reason, not_run
+from sardinequay_daemon.errors import PeerError, StartError, TargetError, TargetFault
+from sardinequay_daemon.progress import Refused
+from sardinequay_daemon.wire import FrameError
+
+
+@pytest.mark.parametrize(
+    "error",
+    [
+        BundleError("reason", "detail"),
+        FrameError("detail"),
+        PeerError("address", "detail"),
+        Refused(not_run(Reason.OVERLOADED, "full")),
+        StartError("message", 3),
+        TargetError(TargetFault.BROKEN, "detail"),
+    ],
+)
+async def test_error_passes_through_context_managers(error: Exception) -> None:
+    # Found in trials: the interpreter sets an error's traceback, which an error that is
+    # a frozen data class refuses, so that the request ended with another error.
+    @asynccontextmanager
+    async def nothing() -> AsyncIterator[None]:
+        yield
+
+    with pytest.raises(type(error)):
+        async with nothing(), nothing():
+            raise error
--- a/packages/daemon/tests/test_settings.py
+++ b/packages/daemon/tests/test_settings.py
@@ -1,5 +1,6 @@
 """Settings: an error names the field, its value and what is allowed."""
 
+import json
 from typing import Any
 
 import pytest
@@ -7,8 +8,6 @@
 
 from sardinequay_daemon.settings_check import parse_settings
 
-from .conftest import as_text
-
 
 def spoil(raw: dict[str, Any], path: str, value: Any) -> dict[str, Any]:
     *parents, last = path.split(".")
@@ -23,7 +22,7 @@
 
 
 def test_good_settings_are_taken(raw_settings: dict[str, Any]) -> None:
-    assert isinstance(parse_settings(as_text(raw_settings)), Success)
+    assert isinstance(parse_settings(json.dumps(raw_settings)), Success)
 
 
 @pytest.mark.parametrize(
@@ -56,7 +55,7 @@
 def test_bad_settings_are_refused(
     raw_settings: dict[str, Any], path: str, value: Any, snapshot: Any
 ) -> None:
-    error = parse_settings(as_text(spoil(raw_settings, path, value))).failure()
+    error = parse_settings(json.dumps(spoil(raw_settings, path, value))).failure()
     assert str(error) == snapshot
 
 
--- a/packages/lab/src/sardinequay_lab/trial.py
+++ b/packages/lab/src/sardinequay_lab/trial.py
@@ -36,11 +36,14 @@
         Answers by kind.
     recovered_s : float
         How long after the last fault requests of every kind were answered again.
+    logged_errors : list of str
+        Lines of hosts' logs that tell of a bug.
     """
 
     breaches: list[Breach]
     outcomes: Counter[str]
     recovered_s: float
+    logged_errors: list[str]
 
 
 @dataclass(slots=True)
@@ -104,7 +107,18 @@
     finally:
         await asyncio.to_thread(cluster.stop)
     breaches = judge(read_history(cluster.history))
-    return Verdict(breaches, trial.callers.outcomes, recovered_s)
+    errors = logged_errors(cluster)
+    return Verdict(breaches, trial.callers.outcomes, recovered_s, errors)
+
+
+def logged_errors(cluster: Cluster) -> list[str]:
+    """Return the lines of hosts' logs that carry a traceback."""
+    found = []
+    for log in sorted((cluster.directory / "logs").glob("*.log")):
+        text = log.read_text(errors="replace")
+        lines = text.splitlines()
+        found += [f"{log.stem}: {x}" for x in lines if "Traceback" in x]
+    return found
 
 
 async def settle(trial: Trial) -> float:
