Decide all loads of a tick in one pass

Cause: for each adapter waited for, a tick looked at all engines and ranked all resident adapters again. Ruled out: the load queue itself, whose cost does not grow with engines.

--- a/packages/core/src/sardinequay_core/keeper.py
+++ b/packages/core/src/sardinequay_core/keeper.py
@@ -186,6 +186,15 @@
     return (term << SUFFIX_BITS | suffix) << ORDER_BITS
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class Victim:
+    """An adapter that may be evicted, by its worth."""
+
+    worth: float
+    adapter: AdapterRef
+    target: TargetId
+
+
 class Keeper:
     """The state of one keepership; every method is a transition without any wait.
 
@@ -410,9 +419,7 @@
         commands: list[Command] = [*self.queue.give_up_hopeless(now, self.loading())]
         commands += self.assert_tokens()
         commands += self.unload_drained(now)
-        for adapter in self.queue.order(now):
-            commands += self.advance_load(adapter, now)
-        return commands
+        return commands + self.advance_loads(now)
 
     def retake(self, now: Instant) -> None:
         """Take an engine again that another keeper had, if it is still ours to keep."""
@@ -440,48 +447,59 @@
             if kept.is_ordered_by_us() and kept.target.presence is Presence.LIVE
         ]
 
-    def advance_load(self, adapter: AdapterRef, now: Instant) -> list[Command]:
-        """Order a load where a slot is free, else make room for it."""
-        if adapter in self.loading():
-            return []
-        kept = self.engine_with_room(adapter, now)
-        if kept is None:
-            return self.make_room(adapter, now)
-        if self.queue.permits < 1:
-            return []
+    def advance_loads(self, now: Instant) -> list[Command]:
+        """Order loads where slots are free, else make room, the most wanted first."""
+        commands: list[Command] = []
+        loading = self.loading()
+        room = self.engines_with_room(now)
+        victims: list[Victim] | None = None
+        drains = sum(len(kept.draining) for kept in self.engines.values())
+        for adapter in self.queue.order(now):
+            if adapter in loading:
+                continue
+            kept = next((k for k in room if adapter not in k.resident), None)
+            if kept is not None:
+                if self.queue.permits < 1:
+                    break
+                room.remove(kept)
+                commands.append(self.load_on(kept, adapter))
+                continue
+            if drains >= self.policy.max_drains:
+                break
+            victims = self.victims(now) if victims is None else victims
+            if not victims or victims[0].worth >= self.queue.priority(adapter, now):
+                break
+            victim = victims.pop(0)
+            drains += 1
+            commands += self.drain(self.engines[victim.target], victim.adapter)
+        return commands
+
+    def load_on(self, kept: KeptEngine, adapter: AdapterRef) -> OrderLoad:
+        """Spend a permit on a load."""
         self.queue.permits -= 1
         kept.loading = adapter
-        return [OrderLoad(Use(adapter, kept.target.target_id), kept.next_token())]
+        return OrderLoad(Use(adapter, kept.target.target_id), kept.next_token())
 
-    def engine_with_room(self, adapter: AdapterRef, now: Instant) -> KeptEngine | None:
-        """Return the least busy engine that can load an adapter now."""
+    def engines_with_room(self, now: Instant) -> list[KeptEngine]:
+        """Return the engines that can load now, the least busy first."""
         free = [
             kept
             for kept in self.orderable()
             if kept.free_slots() > 0
             and kept.loading is None
-            and adapter not in kept.resident
             and self.is_responsive(kept, now)
         ]
-        return min(free, key=lambda k: (k.load(), k.target.target_id), default=None)
+        return sorted(free, key=lambda kept: (kept.load(), kept.target.target_id))
 
-    def make_room(self, adapter: AdapterRef, now: Instant) -> list[Command]:
-        """Start draining the least wanted adapter, if `adapter` is worth its place."""
-        drains = sum(len(kept.draining) for kept in self.engines.values())
-        if drains >= self.policy.max_drains:
-            return []
-        candidates = [
-            (self.queue.priority(resident, now), resident, kept.target.target_id)
+    def victims(self, now: Instant) -> list[Victim]:
+        """Return the adapters that may be evicted, the least wanted first."""
+        return sorted(
+            Victim(self.queue.priority(resident, now), resident, kept.target.target_id)
             for kept in self.orderable()
             if not kept.asserting and now >= kept.foreign_until
             for resident in kept.usable()
             if resident != kept.loading
-        ]
-        worth = self.queue.priority(adapter, now)
-        if not candidates or min(candidates)[0] >= worth:
-            return []
-        _, victim, target = min(candidates)
-        return self.drain(self.engines[target], victim)
+        )
 
     def drain(self, kept: KeptEngine, victim: AdapterRef) -> list[Command]:
         """Stop granting an adapter and recall what was granted."""
