--- a/dev.py
+++ b/dev.py
@@ -55,9 +55,9 @@
     return run(PYTHON, "-m", "pytest", check=False)
 
 
-def demo() -> int:
+def demo(*words: str) -> int:
     """Run the whole system on loopback with real requests and show what happened."""
-    return run(PYTHON, "-m", "sardinequay_lab.demo", check=False)
+    return run(PYTHON, "-m", "sardinequay_lab.demo", *words, check=False)
 
 
 def main() -> int:
@@ -65,8 +65,11 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     verbs = {"setup": lambda: 0, "demo": demo, "test": test}
     parser.add_argument("verb", choices=sorted(verbs))
+    parser.add_argument("--stay", action="store_true", help="keep the demo running")
     arguments = parser.parse_args()
     set_up()
+    if arguments.verb == "demo" and arguments.stay:
+        return demo("--stay")
     return verbs[arguments.verb]()
 
 
--- a/packages/lab/src/sardinequay_lab/demo.py
+++ b/packages/lab/src/sardinequay_lab/demo.py
@@ -1,5 +1,6 @@
 """The main job of the README: a whole system, real requests, and what happened."""
 
+import argparse
 import asyncio
 import json
 import shutil
@@ -143,14 +144,30 @@
         return False
 
 
+async def stay(cluster: Cluster) -> None:
+    """Keep the system running, and say how to reach it, until interrupted."""
+    hosts = " ".join(host.operators for host in cluster.hosts.values())
+    say(f"callers: http://{cluster.balancer}  token: {TOKENS[CALLER]}")
+    say(f"operators: sardinequay fleet status --hosts {hosts}")
+    say("stop with Ctrl-C")
+    await asyncio.Event().wait()
+
+
 def main() -> int:
     """Run the demonstration in a directory of its own and clean up."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--stay", action="store_true", help="keep the system running")
+    arguments = parser.parse_args()
     directory = Path(tempfile.mkdtemp(prefix="sardinequay-"))
     cluster = Cluster(directory, PLAN)
     try:
         say("starting the platform, targets and entry hosts, each its own process")
         cluster.start()
         asyncio.run(show(cluster))
+        if arguments.stay:
+            asyncio.run(stay(cluster))
+    except KeyboardInterrupt:
+        say("stopping")
     finally:
         cluster.stop()
         say("a trace, with a span for each hop:")
