Hand the core its generator by an interface

Cause: the import contract found the random module in the core's membership, for the type alone. The contract is kept as it is; the core now names what it needs.

--- a/packages/core/src/sardinequay_core/membership.py
+++ b/packages/core/src/sardinequay_core/membership.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from enum import IntEnum
-from random import Random
+from typing import Any, Protocol
 
 from .clock import Instant
 from .names import Address, HostId
@@ -25,6 +25,13 @@
 """How often one piece of news is told; about log2 of the hosts in a data centre."""
 
 
+class Shuffler(Protocol):
+    """Where randomness comes from: the core is handed a generator."""
+
+    def shuffle(self, x: list[Any], /) -> None:
+        """Shuffle a list in place."""
+
+
 class Health(IntEnum):
     """How a member is seen; of one incarnation the higher value is believed."""
 
@@ -82,7 +89,7 @@
 
     me: Member
     policy: MembershipPolicy
-    random: Random
+    random: Shuffler
     known: dict[HostId, Known] = field(default_factory=dict)
     turn: list[HostId] = field(default_factory=list)
 
