Read a configuration service anew whose revisions start again

The service had been killed and restarted; it counted its revisions from the start, hosts watched for a revision above the old count, and took nothing until it caught up. Ruled out: peers' offers and verification; the hosts never read the new root.

Before: test_service_whose_revisions_start_again_is_read_again failed by its bound. After: it passes.

--- a/packages/daemon/src/sardinequay_daemon/rollout_task.py
+++ b/packages/daemon/src/sardinequay_daemon/rollout_task.py
@@ -139,6 +139,10 @@
                 await asyncio.sleep(RETRY_S)
                 continue
             value = found.unwrap()
+            if value.revision < self.revision:
+                # The service was replaced and counts from the start: read it anew.
+                self.revision = 0
+                continue
             is_settled = value.data is None or await self.consider(value.data, None)
             if is_settled:
                 self.revision = value.revision
--- a/packages/daemon/src/sardinequay_daemon/settings.py
+++ b/packages/daemon/src/sardinequay_daemon/settings.py
@@ -74,7 +74,7 @@
     call_timeout_s: float = ranged(1, 0.05, 60)
     silence_s: float = ranged(3, 0.2, 600)
     connect_timeout_s: float = ranged(1, 0.05, 60)
-    platform_wait_s: float = ranged(30, 0.1, 600)
+    platform_wait_s: float = ranged(10, 0.1, 600)
     list_confirm_s: float = ranged(60, 0.1, 3600)
     join_wait_s: float = ranged(5, 0, 600)
     shutdown_s: float = ranged(130, 0, 3600)
--- /dev/null
+++ b/packages/daemon/tests/test_rollout_task.py
@@ -0,0 +1,119 @@
+"""The rollout task: what it reads, believes, refuses and tells."""
+
+import asyncio
+from collections.abc import Mapping
+
+import pytest
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+from returns.result import Failure, Result, Success
+
+from sardinequay_core.approval import SignedRoot, Trust, approve, encode_signed
+from sardinequay_core.bundle import Contents, build
+from sardinequay_core.names import Digest
+from sardinequay_core.rollout import Heard
+from sardinequay_daemon.errors import PlatformError
+from sardinequay_daemon.journal import Journal
+from sardinequay_daemon.metrics import Metrics
+from sardinequay_daemon.peers import PeerCaller
+from sardinequay_daemon.platform import Value
+from sardinequay_daemon.rollout_task import RolloutTask
+from sardinequay_daemon.settings import TimingSettings
+
+KEY = Ed25519PrivateKey.from_private_bytes(b"k" * 32)
+TRUST = Trust({"ana": KEY.public_key().public_bytes_raw().hex()}, 1)
+
+
+def published(version: int) -> tuple[bytes, Mapping[Digest, bytes]]:
+    built = build(Contents(), version)
+    return encode_signed(approve(SignedRoot(built.root), "ana", KEY)), built.blobs
+
+
+class FakeService:
+    """A configuration service whose state a test sets."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.data = b""
+        self.blobs: dict[Digest, bytes] = {}
+
+    def publish(self, version: int, revision: int) -> None:
+        self.data, blobs = published(version)
+        self.blobs.update(blobs)
+        self.revision = revision
+
+    async def watch_root(
+        self, after: int, wait_s: float
+    ) -> Result[Value, PlatformError]:
+        if self.revision <= after:
+            await asyncio.sleep(0.01)
+        is_later = self.revision > after
+        return Success(Value(self.revision, self.data if is_later else None))
+
+    async def blob(self, digest: Digest) -> Result[bytes, PlatformError]:
+        if digest in self.blobs:
+            return Success(self.blobs[digest])
+        return Failure(PlatformError("configuration", "404"))
+
+
+@pytest.fixture
+def service() -> FakeService:
+    return FakeService()
+
+
+@pytest.fixture
+def task(
+    service: FakeService, timing: TimingSettings, metrics: Metrics, clock
+) -> RolloutTask:
+    peers = PeerCaller(timing, metrics, "127.0.0.1")
+    made = RolloutTask(
+        TRUST, service, peers, timing, metrics, Journal(clock), clock, lambda: True
+    )
+    made.rollout.heard = Heard.PEERS
+    return made
+
+
+async def in_force(task: RolloutTask, version: int) -> None:
+    async with asyncio.timeout(10):
+        while task.rollout.version() != version:
+            await asyncio.sleep(0.01)
+
+
+async def test_service_whose_revisions_start_again_is_read_again(
+    task: RolloutTask, service: FakeService
+) -> None:
+    # Found by soaking: after the service had been replaced its revisions were lower
+    # than the last one read, and nothing new was taken until they caught up.
+    service.publish(1, revision=5)
+    watch = asyncio.create_task(task.watch())
+    await in_force(task, 1)
+    service.publish(2, revision=1)
+    await in_force(task, 2)
+    watch.cancel()
+
+
+async def test_blob_that_is_not_there_yet_is_asked_for_again(
+    task: RolloutTask, service: FakeService
+) -> None:
+    service.publish(1, revision=1)
+    hidden, service.blobs = service.blobs, {}
+    watch = asyncio.create_task(task.watch())
+    await asyncio.sleep(0.1)
+    assert task.rollout.version() == 0
+    service.blobs = hidden
+    await in_force(task, 1)
+    watch.cancel()
+
+
+async def test_older_bundle_is_refused_once_in_the_log_and_shown(
+    task: RolloutTask, service: FakeService, caplog: pytest.LogCaptureFixture
+) -> None:
+    service.publish(2, revision=1)
+    watch = asyncio.create_task(task.watch())
+    await in_force(task, 2)
+    old, _ = published(1)
+    await task.consider(old, None)
+    await task.consider(old, None)
+    watch.cancel()
+    assert task.rollout.version() == 2
+    assert [r.message for r in caplog.records].count("bundle refused") == 1
+    assert [reason for reason, _ in task.rollout.refused] == ["older"]
--- a/packages/lab/src/sardinequay_lab/standins/published.py
+++ b/packages/lab/src/sardinequay_lab/standins/published.py
@@ -6,6 +6,7 @@
 
 import argparse
 import asyncio
+import json
 import time
 from dataclasses import dataclass
 from pathlib import Path
@@ -19,13 +20,23 @@
 POLL_S = 0.02
 WINDOW_S = 1.0
 MAX_WAIT_S = 60.0
+UNREADABLE = 1 << 30
+
+
+def number_of_list(data: bytes) -> int:
+    """Return the number that a published list of hosts carries."""
+    try:
+        return int(json.loads(data)["number"])
+    except (ValueError, KeyError, TypeError):
+        return UNREADABLE
 
 
 @dataclass(slots=True)
 class PublishedFile:
-    """One file and its revision, which rises whenever the bytes change."""
+    """One file and its revision: the list's own number, or a count of changes."""
 
     path: Path
+    is_list: bool = False
     revision: int = 0
     data: bytes = b""
 
@@ -34,7 +45,7 @@
         data = self.path.read_bytes() if self.path.exists() else b""
         if data != self.data:
             self.data = data
-            self.revision += 1
+            self.revision = number_of_list(data) if self.is_list else self.revision + 1
 
 
 class RateLimit:
@@ -63,13 +74,15 @@
         self.files: dict[Path, PublishedFile] = {}
         self.calls = 0
 
-    async def answer(self, request: web.Request, path: Path) -> web.Response:
+    async def answer(
+        self, request: web.Request, path: Path, is_list: bool = False
+    ) -> web.Response:
         """Answer a read at once, and a watch when there is a later revision."""
         self.calls += 1
         if not self.rate.allows():
             self.history.write("limited", path=path.name)
             return web.Response(status=429)
-        published = self.files.setdefault(path, PublishedFile(path))
+        published = self.files.setdefault(path, PublishedFile(path, is_list))
         after = int(request.query.get("after", "-1"))
         wait_s = min(float(request.query.get("wait_s", "0")), MAX_WAIT_S)
         end = time.monotonic() + wait_s
@@ -105,7 +118,7 @@
     app = web.Application()
 
     async def hosts(request: web.Request) -> web.Response:
-        return await publisher.answer(request, file)
+        return await publisher.answer(request, file, is_list=True)
 
     app.router.add_get("/v1/hosts", hosts)
     return app
