Find the removed guard of recall order where the walk now finds it

Before: test_removed_guard_is_found_out[recall order] failed in the run of dev.py test, all others before it passed. After: 14 passed.

--- a/packages/lab/tests/test_exploration.py
+++ b/packages/lab/tests/test_exploration.py
@@ -43,11 +43,14 @@
         ("evictions", "authority", 740),
         ("evictions", "leases", 1),
         ("evictions", "longest request", 1),
-        ("evictions", "recall order", 20),
+        ("evictions", "recall order", 520),
         ("evictions", "wait-out", 1),
     ],
 )
 def test_removed_guard_is_found_out(name: str, guard: str, seed: int) -> None:
+    # The seeds are near those at which the walk finds it: to search from the first one
+    # on takes minutes. A change of the core moves them; `explore --mutations` finds
+    # them anew, and a guard that it does not find in 10,000 histories is a fault.
     subject = SUBJECTS[name]
     with subject.mutations[guard]():
         explored = explore(subject.make, seed, MAX_SEED_SPAN, subject.steps)
