Split long modules by what they are for

What a newcomer meets in one place now: the keeper's vocabulary (kept_engine), the events of its task (keeper_events), the guards that exploration removes from evictions (lease_mutations), gossip on a virtual clock (gossip_run). Trials share their shorter periods; worlds share how an action is performed.

Behaviour is unchanged; the tests of core, daemon, command, ports, checker and whole path pass.

--- a/packages/core/tests/conftest.py
+++ b/packages/core/tests/conftest.py
@@ -7,7 +7,8 @@
 from hypothesis import settings
 
 from sardinequay_core.clock import seconds
-from sardinequay_core.keeper import EngineReport, Keeper, KeeperPolicy, OrderLoad
+from sardinequay_core.keeper import Keeper
+from sardinequay_core.kept_engine import EngineReport, KeeperPolicy, OrderLoad
 from sardinequay_core.leases import HolderId, Use
 from sardinequay_core.load_queue import LoadPolicy
 from sardinequay_core.names import AdapterRef, Address, DataCentre, PoolName, TargetId
--- a/packages/core/tests/test_keeper.py
+++ b/packages/core/tests/test_keeper.py
@@ -6,9 +6,9 @@
 import pytest
 
 from sardinequay_core.clock import Instant, seconds
-from sardinequay_core.keeper import (
+from sardinequay_core.keeper import Keeper
+from sardinequay_core.kept_engine import (
     EngineReport,
-    Keeper,
     KeeperPolicy,
     OrderLoad,
     OrderRecall,
--- a/packages/daemon/src/sardinequay_daemon/engines.py
+++ b/packages/daemon/src/sardinequay_daemon/engines.py
@@ -13,7 +13,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from sardinequay_core.keeper import EngineReport
+from sardinequay_core.kept_engine import EngineReport
 from sardinequay_core.leases import Use
 from sardinequay_core.names import AdapterRef, Address, TargetId
 from sardinequay_core.roster import Target
--- a/packages/daemon/src/sardinequay_daemon/keeper_task.py
+++ b/packages/daemon/src/sardinequay_daemon/keeper_task.py
@@ -15,11 +15,9 @@
 
 from sardinequay_core.bundle import Bundle, Pool
 from sardinequay_core.clock import Clock, Instant
-from sardinequay_core.keeper import (
-    SUFFIX_BITS,
+from sardinequay_core.keeper import SUFFIX_BITS, Keeper
+from sardinequay_core.kept_engine import (
     Command,
-    EngineReport,
-    Keeper,
     KeeperPolicy,
     OrderLoad,
     OrderRecall,
@@ -43,6 +41,13 @@
 from .engines import Engines
 from .errors import TargetError, TargetFault
 from .journal import Journal
+from .keeper_events import (
+    LoadEnded,
+    Reassigned,
+    RecallEnded,
+    ReportArrived,
+    UnloadEnded,
+)
 from .mailbox import Envelope, Mailbox, every
 from .messages import (
     Acquire,
@@ -67,52 +72,6 @@
 log = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class ReportArrived:
-    """Event: an engine answered what it was asked at `asked_at`."""
-
-    pool: PoolName
-    report: EngineReport
-    asked_at: Instant
-
-
-@dataclass(frozen=True, slots=True)
-class LoadEnded:
-    """Event: an order to load came to its end."""
-
-    pool: PoolName
-    order: OrderLoad
-    took: timedelta
-    error: TargetError | None
-
-
-@dataclass(frozen=True, slots=True)
-class UnloadEnded:
-    """Event: an order to evict came to its end."""
-
-    pool: PoolName
-    order: OrderUnload
-    error: TargetError | None
-
-
-@dataclass(frozen=True, slots=True)
-class RecallEnded:
-    """Event: a holder answered a recall."""
-
-    pool: PoolName
-    order: OrderRecall
-    answer: Recalled
-
-
-@dataclass(frozen=True, slots=True)
-class Reassigned:
-    """Event: what there is to keep, or who is alive, has changed."""
-
-    bundle: Bundle
-    roster: Roster
-    members: tuple[Member, ...]
-
-
 @dataclass(slots=True)
 class Kept:
     """One keepership of this host, and who waits in it."""
--- a/packages/lab/src/sardinequay_lab/bundle_world.py
+++ b/packages/lab/src/sardinequay_lab/bundle_world.py
@@ -33,7 +33,7 @@
 from sardinequay_core.names import Digest
 from sardinequay_core.rollout import Heard, Offered, Rollout
 
-from .exploration import Action, Mutations, Violation
+from .exploration import Action, Mutations, Violation, perform
 
 HOSTS = ("a", "b", "c", "d")
 APPROVERS = ("ana", "bruno", "carla")
@@ -144,8 +144,7 @@
 
     def apply(self, action: Action) -> None:
         """Let one action happen, then judge every host."""
-        kind, *rest = action
-        getattr(self, "do_" + str(kind).replace(" ", "_").replace("-", "_"))(*rest)
+        perform(self, action)
         for name, node in self.nodes.items():
             self.check(name, node)
 
--- a/packages/lab/src/sardinequay_lab/claim_world.py
+++ b/packages/lab/src/sardinequay_lab/claim_world.py
@@ -30,7 +30,7 @@
 from sardinequay_core.names import Address, AttemptId, DataCentre, HostId
 from sardinequay_core.views import GuardAddress, View
 
-from .exploration import Action, Mutations, Violation
+from .exploration import Action, Mutations, Violation, perform
 
 HOME = DataCentre("home")
 KEYS = ("k1",)
@@ -144,8 +144,7 @@
 
     def apply(self, action: Action) -> None:
         """Let one action happen."""
-        kind, *rest = action
-        getattr(self, "do_" + str(kind).replace(" ", "_"))(*rest)
+        perform(self, action)
 
     def do_wait(self, duration: float) -> None:
         """Let time pass."""
--- a/packages/lab/src/sardinequay_lab/exploration.py
+++ b/packages/lab/src/sardinequay_lab/exploration.py
@@ -37,6 +37,13 @@
         """Return how often the situations came up that make a history worth it."""
 
 
+def perform(world: World, action: Action) -> None:
+    """Call the method of a world that is named for an action."""
+    kind, *rest = action
+    name = str(kind).replace(" ", "_").replace("-", "_")
+    getattr(world, f"do_{name}")(*rest)
+
+
 @dataclass(frozen=True, slots=True)
 class Found:
     """A violation and the history that led to it."""
--- a/packages/lab/src/sardinequay_lab/lease_world.py
+++ b/packages/lab/src/sardinequay_lab/lease_world.py
@@ -5,19 +5,15 @@
 """
 
 from collections import Counter
-from collections.abc import Iterator
-from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from random import Random
 from typing import Any
-from unittest.mock import patch
 
 from sardinequay_core.clock import Instant, seconds
-from sardinequay_core.keeper import (
-    SUFFIX_BITS,
+from sardinequay_core.keeper import SUFFIX_BITS, Keeper
+from sardinequay_core.kept_engine import (
     EngineReport,
-    Keeper,
     KeeperPolicy,
     OrderLoad,
     OrderRecall,
@@ -34,7 +30,7 @@
 )
 from sardinequay_core.roster import Target, TargetKind
 
-from .exploration import Action, Mutations, Violation
+from .exploration import Action, Violation, perform
 
 ENGINE = TargetId("engine")
 ADAPTERS = tuple(AdapterRef(name, "1") for name in ("x", "y", "z"))
@@ -186,8 +182,7 @@
 
     def apply(self, action: Action) -> None:
         """Let one action happen."""
-        kind, *rest = action
-        getattr(self, "do_" + str(kind).replace(" ", "_"))(*rest)
+        perform(self, action)
 
     def do_wait(self, duration: float) -> None:
         """Let time pass; no request outlasts its bound."""
@@ -428,79 +423,3 @@
         """Let a keeper take a lease back."""
         holder = HolderId(packet.holder)
         packet.keeper.give_back(holder, packet.message, packet.sequence)
-
-
-# Each guard of the promise, and what the core does without it.
-
-
-@contextmanager
-def without_longest_request() -> Iterator[None]:
-    """Evict as soon as leases have run out."""
-
-    def is_over(keeper: Keeper, kept: Any, end: Instant, now: Instant) -> bool:
-        return now >= end
-
-    with patch.object(Keeper, "is_over", is_over):
-        yield
-
-
-@contextmanager
-def without_wait_out() -> Iterator[None]:
-    """Let a new keeper evict as if nobody had granted anything before."""
-    load_done = Keeper.load_done
-
-    def hasty(keeper: Keeper, use: Use, took: timedelta, now: Instant) -> Any:
-        tickets = load_done(keeper, use, took, now)
-        keeper.engines[use.target].foreign_until = timedelta(0)
-        return tickets
-
-    with patch.object(Keeper, "load_done", hasty):
-        yield
-
-
-@contextmanager
-def without_authority() -> Iterator[None]:
-    """Let a keeper grant however long ago it was confirmed."""
-
-    def grant(
-        keeper: Keeper, kept: Any, use: Use, holder: HolderId, sequence: int
-    ) -> None:
-        kept.confirmed_at = max(kept.confirmed_at or timedelta(0), kept.reported_at)
-        original(keeper, kept, use, holder, sequence)
-
-    original = Keeper.grant
-    with (
-        patch.object(Keeper, "grant", grant),
-        patch.object(Keeper, "may_grant", lambda *_: True),
-        patch.object(Keeper, "remaining", lambda *_: POLICY.lease),
-    ):
-        yield
-
-
-@contextmanager
-def without_recall_order() -> Iterator[None]:
-    """Take grants that answer messages older than a return."""
-    drop = LeaseTable.drop
-
-    def forgetful(table: LeaseTable, use: Use) -> None:
-        drop(table, use)
-        table.returned.clear()
-
-    with patch.object(LeaseTable, "drop", forgetful):
-        yield
-
-
-@contextmanager
-def without_leases() -> Iterator[None]:
-    """Evict without asking who holds a lease."""
-    with patch.object(Keeper, "is_unused", lambda *_: True):
-        yield
-
-
-MUTATIONS: Mutations = {
-    "longest request": without_longest_request,
-    "wait-out": without_wait_out,
-    "authority": without_authority,
-    "recall order": without_recall_order,
-    "leases": without_leases,
-}
--- a/packages/lab/src/sardinequay_lab/placement_policies.py
+++ b/packages/lab/src/sardinequay_lab/placement_policies.py
@@ -5,9 +5,9 @@
 from itertools import cycle
 
 from sardinequay_core.clock import Instant, seconds
-from sardinequay_core.keeper import (
+from sardinequay_core.keeper import Keeper
+from sardinequay_core.kept_engine import (
     EngineReport,
-    Keeper,
     KeeperPolicy,
     OrderLoad,
     OrderRecall,
--- a/packages/lab/src/sardinequay_lab/plan.py
+++ b/packages/lab/src/sardinequay_lab/plan.py
@@ -36,6 +36,20 @@
     limits: dict[str, float] = field(default_factory=dict)
 
 
+FAST_TIMING: dict[str, float] = {
+    "lease_s": 3,
+    "report_s": 0.2,
+    "report_lag_s": 0.3,
+    "gossip_s": 0.2,
+    "suspect_s": 0.6,
+    "silence_s": 1,
+    "join_wait_s": 3,
+    "list_confirm_s": 1,
+}
+"""Shorter periods, so that trials need not wait for the usual ones."""
+FAST_CLAIMS: dict[str, float] = {"window_s": 1, "life_s": 60}
+SHORT_REQUESTS: dict[str, float] = {"longest_request_s": 10, "default_deadline_s": 8}
+
 ENGINE_POOL = "kiosk-lm"
 SERVICE_POOL = "order-desk"
 SERVICE_PREFIX = "/orders"
--- a/packages/lab/src/sardinequay_lab/slopes.py
+++ b/packages/lab/src/sardinequay_lab/slopes.py
@@ -18,7 +18,6 @@
 from dataclasses import replace
 from datetime import timedelta
 from pathlib import Path
-from random import Random
 
 import aiohttp
 import msgspec
@@ -28,15 +27,10 @@
 from sardinequay_core.bundle_lint import lint
 from sardinequay_core.claims import ClaimPolicy, ClaimRequest, Guard
 from sardinequay_core.clock import seconds
-from sardinequay_core.keeper import EngineReport, Keeper, KeeperPolicy, OrderLoad
+from sardinequay_core.keeper import Keeper
+from sardinequay_core.kept_engine import EngineReport, KeeperPolicy, OrderLoad
 from sardinequay_core.leases import HolderId, LeaseTable, Use
 from sardinequay_core.load_queue import LoadPolicy
-from sardinequay_core.membership import (
-    Health,
-    Member,
-    Membership,
-    MembershipPolicy,
-)
 from sardinequay_core.names import (
     AdapterRef,
     Address,
@@ -48,12 +42,13 @@
 )
 from sardinequay_core.roster import Target, TargetKind
 from sardinequay_core.views import GuardAddress, View
-from sardinequay_daemon.messages import InForce, Ping, Pong, Renew
 from sardinequay_daemon.messages import Keepership as KeepershipId
+from sardinequay_daemon.messages import Renew
 from sardinequay_daemon.wire import Kind, encode_frame, frame_of
 
 from .bench_path import cpu_s
 from .cluster import Cluster
+from .gossip_run import gossip
 from .plan import Plan
 from .trial_files import contents
 
@@ -62,7 +57,6 @@
 ADDRESS = Address("127.0.0.1", 1)
 R0, W7 = AdapterRef("r0", "1"), AdapterRef("w7", "1")
 IDLE_S = 10.0
-SETTLE_STEPS = 40
 
 
 def slope(points: list[Point]) -> float:
@@ -333,93 +327,6 @@
     tell("one renewal by leases held, bytes", "bytes", "lease", points)
 
 
-class GossipRun:
-    """Membership of many hosts in one process, on a virtual clock."""
-
-    def __init__(self, hosts: int) -> None:
-        self.policy = MembershipPolicy()
-        self.in_force = InForce(1, "0" * 64, 1)
-        self.now = NOW
-        self.sent = 0
-        self.silent: set[HostId] = set()
-        self.views: dict[HostId, Membership] = {}
-        members = [
-            Member(HostId(f"h{n}"), Address("127.0.0.1", n + 1), 1)
-            for n in range(hosts)
-        ]
-        for member in members:
-            self.join(member, members)
-
-    def join(self, member: Member, listed: list[Member]) -> None:
-        """Have a host join that knows the platform's list."""
-        random = Random(len(self.views))
-        made = Membership(member, self.policy, random)
-        made.seed(listed, self.now)
-        self.views[member.host_id] = made
-
-    def step(self) -> None:
-        """Let one period pass: every host that lives pings one other."""
-        self.now += self.policy.period
-        for name, view in self.views.items():
-            if name not in self.silent:
-                view.tick(self.now)
-                self.ping(view)
-
-    def ping(self, view: Membership) -> None:
-        """Have a host ping the next member."""
-        other = view.next_ping()
-        if other is None:
-            return
-        ping = Ping(view.news(), self.in_force)
-        self.sent += len(encode_frame(frame_of(Kind.REQUEST, 1, ping)))
-        if other.host_id in self.silent:
-            view.unanswered(other.host_id, self.now)
-            return
-        far = self.views[other.host_id]
-        far.hear(ping.news, self.now)
-        pong = Pong(far.news(), self.in_force)
-        self.sent += len(encode_frame(frame_of(Kind.REPLY, 1, pong)))
-        view.hear(pong.news, self.now)
-        view.answered(other.host_id, self.now)
-
-    def steps_until(self, is_so: Callable[[Membership], bool]) -> float:
-        """Step until something holds for every living host; return the seconds."""
-        began = self.now
-        while not all(is_so(v) for n, v in self.views.items() if n not in self.silent):
-            self.step()
-        return (self.now - began).total_seconds()
-
-
-def gossip(hosts: int) -> tuple[float, float, float]:
-    """Run membership of many hosts.
-
-    Returns
-    -------
-    tuple of float
-        Bytes a second that a host sends, seconds until all hosts hold a killed one for
-        dead, and seconds until all know a new one.
-    """
-    run = GossipRun(hosts)
-    for _ in range(SETTLE_STEPS):
-        run.step()
-    run.sent = 0
-    for _ in range(SETTLE_STEPS):
-        run.step()
-    lasted_s = SETTLE_STEPS * run.policy.period.total_seconds()
-    bytes_per_s = run.sent / hosts / lasted_s
-    dead = HostId("h0")
-    run.silent.add(dead)
-    detected = run.steps_until(
-        lambda view: view.known[dead].member.health is Health.DEAD
-    )
-    new = Member(HostId("new"), Address("127.0.0.1", 9999), 1)
-    run.join(new, [view.me for view in run.views.values()])
-    joined = run.steps_until(
-        lambda view: new.host_id in view.known or view.me.host_id == new.host_id
-    )
-    return bytes_per_s, detected, joined
-
-
 def membership() -> None:
     """Measure membership by the hosts of a data centre, and for 360 in one group."""
     found = {size: gossip(size) for size in (4, 8, 36, 360)}
--- a/packages/lab/src/sardinequay_lab/soak.py
+++ b/packages/lab/src/sardinequay_lab/soak.py
@@ -11,19 +11,9 @@
 
 from . import faults
 from .load import LoadPlan
-from .plan import Plan
+from .plan import FAST_CLAIMS, FAST_TIMING, SHORT_REQUESTS, Plan
 from .trial import Trial, make_trial, run_trial, settle
 
-TIMING: dict[str, float] = {
-    "lease_s": 3,
-    "report_s": 0.2,
-    "report_lag_s": 0.3,
-    "gossip_s": 0.2,
-    "suspect_s": 0.6,
-    "silence_s": 1,
-    "join_wait_s": 3,
-    "list_confirm_s": 1,
-}
 FAULTS = (
     faults.kill_host,
     faults.freeze_host,
@@ -49,9 +39,9 @@
         adapters=60,
         loads_per_s=6.0,
         relayed=True,
-        timing=TIMING,
-        claims={"window_s": 1, "life_s": 60},
-        limits={"longest_request_s": 10, "default_deadline_s": 8},
+        timing=FAST_TIMING,
+        claims=FAST_CLAIMS,
+        limits=SHORT_REQUESTS,
     )
 
 
--- a/packages/lab/src/sardinequay_lab/subjects.py
+++ b/packages/lab/src/sardinequay_lab/subjects.py
@@ -5,7 +5,7 @@
 from .claim_world import MUTATIONS as CLAIM_MUTATIONS
 from .claim_world import ClaimWorld
 from .exploration import Subject
-from .lease_world import MUTATIONS as LEASE_MUTATIONS
+from .lease_mutations import MUTATIONS as LEASE_MUTATIONS
 from .lease_world import LeaseWorld
 
 SUBJECTS = {
--- a/packages/lab/tests/test_faults.py
+++ b/packages/lab/tests/test_faults.py
@@ -1,13 +1,15 @@
 """Fault cases over real processes: load, a fault, recovery, and a verdict."""
 
 import asyncio
+from dataclasses import replace
 from pathlib import Path
 
+import aiohttp
 import pytest
 
 from sardinequay_lab import faults
 from sardinequay_lab.load import LoadPlan
-from sardinequay_lab.plan import Plan
+from sardinequay_lab.plan import FAST_CLAIMS, FAST_TIMING, SHORT_REQUESTS, Plan
 from sardinequay_lab.trial import Fault, make_trial, run_trial
 
 SEED = 1
@@ -19,18 +21,9 @@
     services=1,
     adapters=20,
     loads_per_s=8.0,
-    timing={
-        "lease_s": 3,
-        "report_s": 0.2,
-        "report_lag_s": 0.3,
-        "gossip_s": 0.2,
-        "suspect_s": 0.6,
-        "silence_s": 1,
-        "join_wait_s": 3,
-        "list_confirm_s": 1,
-    },
-    claims={"window_s": 1, "life_s": 60},
-    limits={"longest_request_s": 10, "default_deadline_s": 8},
+    timing=FAST_TIMING,
+    claims=FAST_CLAIMS,
+    limits=SHORT_REQUESTS,
 )
 
 DIRECT = [
@@ -56,14 +49,11 @@
 ]
 
 
-def relayed() -> Plan:
-    """The same system with links that can be cut."""
-    changed = {name: getattr(SMALL, name) for name in SMALL.__slots__}
-    return Plan(**{**changed, "relayed": True})
-
-
 CASES = [pytest.param(SMALL, fault, id=fault.__name__) for fault in DIRECT]
-CASES += [pytest.param(relayed(), fault, id=fault.__name__) for fault in RELAYED]
+CASES += [
+    pytest.param(replace(SMALL, relayed=True), fault, id=fault.__name__)
+    for fault in RELAYED
+]
 
 
 @pytest.mark.parametrize(("plan", "fault"), CASES)
@@ -93,8 +83,6 @@
         first, *others = trial.cluster.hosts.values()
         for host in others:
             trial.cluster.kill(host.host_id)
-        import aiohttp
-
         async with aiohttp.ClientSession() as http:
             return await trial.callers.place(http, f"http://{first.callers}", "key")
 
