Let the demonstration end with its processes on SIGTERM

Cause: ended from outside, dev.py left its child, and the child its system, running.

After: the demonstration takes dev.py's place and stops all it started on SIGTERM; one run, no process left.

--- a/dev.py
+++ b/dev.py
@@ -56,8 +56,12 @@
 
 
 def demo(*words: str) -> int:
-    """Run the whole system on loopback with real requests and show what happened."""
-    return run(PYTHON, "-m", "sardinequay_lab.demo", *words, check=False)
+    """Run the whole system on loopback with real requests and show what happened.
+
+    The demonstration takes this process's place, so that signals reach it.
+    """
+    os.chdir(ROOT)
+    os.execv(PYTHON, [str(PYTHON), "-m", "sardinequay_lab.demo", *words])
 
 
 def main() -> int:
--- a/packages/lab/src/sardinequay_lab/demo.py
+++ b/packages/lab/src/sardinequay_lab/demo.py
@@ -4,6 +4,7 @@
 import asyncio
 import json
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -158,6 +159,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--stay", action="store_true", help="keep the system running")
     arguments = parser.parse_args()
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     directory = Path(tempfile.mkdtemp(prefix="sardinequay-"))
     cluster = Cluster(directory, PLAN)
     try:
