Forget idle demand, old returns and closed links

Cause (reading): a keeper remembered demand for every adapter ever asked for, a holder every return, and each closed link kept a task that woke for ever.

Before: test_demand_for_idle_adapters_is_forgotten_in_time failed.

--- a/packages/core/src/sardinequay_core/demand.py
+++ b/packages/core/src/sardinequay_core/demand.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from .clock import Instant
+from .clock import ZERO, Instant
 from .names import AdapterRef
 
 HALF_LIFE = timedelta(seconds=60)
@@ -19,6 +19,7 @@
 
     half_life: timedelta = HALF_LIFE
     counts: dict[AdapterRef, tuple[float, Instant]] = field(default_factory=dict)
+    looked_at: Instant = ZERO
 
     def value(self, adapter: AdapterRef, now: Instant) -> float:
         """Return the decayed count of requests for an adapter."""
@@ -33,7 +34,10 @@
         self.counts[adapter] = (self.value(adapter, now) + count, now)
 
     def forget_idle(self, now: Instant) -> None:
-        """Drop adapters that nobody has asked for in a long time."""
+        """Drop adapters that nobody has asked for in a long time, now and then."""
+        if now - self.looked_at < self.half_life:
+            return
+        self.looked_at = now
         idle = [a for a in self.counts if self.value(a, now) < FORGET_BELOW]
         for adapter in idle:
             del self.counts[adapter]
--- a/packages/core/src/sardinequay_core/keeper.py
+++ b/packages/core/src/sardinequay_core/keeper.py
@@ -275,6 +275,7 @@
     def tick(self, now: Instant) -> list[Command]:
         """Decide what to order now."""
         self.queue.refill(now)
+        self.queue.demand.forget_idle(now)
         self.retake(now)
         commands: list[Command] = [*self.queue.give_up_hopeless(now, self.loading())]
         commands += self.assert_tokens()
--- a/packages/core/src/sardinequay_core/leases.py
+++ b/packages/core/src/sardinequay_core/leases.py
@@ -16,6 +16,9 @@
 HolderId = NewType("HolderId", str)
 """A host and its incarnation: a restarted host is another holder."""
 
+RETURNS_KEPT = 10_000
+"""Messages for which a return is remembered; calls end long before so many more."""
+
 
 @dataclass(frozen=True, slots=True, order=True)
 class Use:
@@ -111,6 +114,8 @@
         gone = [u for u, h in self.leases.items() if now >= h.until and not h.in_flight]
         for use in gone:
             self.drop(use)
+        oldest = self.sequence - RETURNS_KEPT
+        self.returned = {u: n for u, n in self.returned.items() if n >= oldest}
         return gone
 
     def held(self) -> list[tuple[Use, int]]:
--- a/packages/core/tests/test_keeper.py
+++ b/packages/core/tests/test_keeper.py
@@ -253,3 +253,9 @@
     new.take_report(report(token=old.engines[x_use.target].token), START, START)
     newer = new.engines[x_use.target].token
     assert all(old.engines[x_use.target].next_token() < newer for _ in range(100))
+
+
+def test_demand_for_idle_adapters_is_forgotten_in_time(keeper: Keeper) -> None:
+    keeper.queue.demand.add(Y, START)
+    keeper.tick(START + seconds(3600))
+    assert Y not in keeper.queue.demand.counts
--- a/packages/core/tests/test_leases.py
+++ b/packages/core/tests/test_leases.py
@@ -3,7 +3,7 @@
 import pytest
 
 from sardinequay_core.clock import seconds
-from sardinequay_core.leases import LeaseTable, Use
+from sardinequay_core.leases import RETURNS_KEPT, LeaseTable, Use
 
 NOW = seconds(100)
 UNTIL = NOW + seconds(10)
@@ -59,3 +59,14 @@
     assert table.expire(UNTIL) == []
     table.end(x_use)
     assert table.expire(UNTIL) == [x_use]
+
+
+def test_returns_are_forgotten_when_no_answer_can_be_that_late(
+    table: LeaseTable, x_use: Use
+) -> None:
+    table.recall(x_use)
+    table.expire(NOW)
+    assert x_use in table.returned
+    table.sequence += RETURNS_KEPT + 1
+    table.expire(NOW)
+    assert table.returned == {}
--- a/packages/daemon/src/sardinequay_daemon/peers.py
+++ b/packages/daemon/src/sardinequay_daemon/peers.py
@@ -119,7 +119,7 @@
 
     async def watch_silence(self) -> None:
         """Ask for signs of life while calls wait; fail them when none come."""
-        while True:
+        while self.is_open:
             await asyncio.sleep(self.silence_s / ALIVE_PER_SILENCE)
             if not self.waiting:
                 continue
