Name each run on an engine by an id of its own

Cause (reading): an engine knew a run by the caller's request id and the attempt. Callers choose request ids; two of one id met on an engine as one run, and a stream that resumed could have been another's.

Before: test_callers_who_choose_one_request_id_get_their_own_answers did not end within 50 s, since one run replaced the other. After: it passes, with 18 others of the whole path.

--- a/packages/daemon/src/sardinequay_daemon/dispatch.py
+++ b/packages/daemon/src/sardinequay_daemon/dispatch.py
@@ -10,6 +10,7 @@
 from contextlib import aclosing
 from dataclasses import dataclass
 from datetime import timedelta
+from random import getrandbits
 
 from opentelemetry.trace import Span
 from returns.result import Success
@@ -173,7 +174,7 @@
     ) -> AsyncGenerator[Events, None]:
         """Yield events from one engine; have it stop if they are not all wanted."""
         address = self.leases.targets[use.target].address
-        request_id = f"{request.envelope.request_id}.{progress.attempts}"
+        request_id = run_id(request, progress)
         finished = False
         with self.tracing.child_span("engine", parent) as span:
             span.set_attribute("engine", use.target)
@@ -252,6 +253,15 @@
         raise Refused(refusal_of(error, progress))
 
 
+def run_id(request: ModelRequest, progress: Progress) -> str:
+    """Return the id of one run on an engine.
+
+    It is unlike any other's, since callers may choose one request id twice.
+    """
+    nonce = f"{getrandbits(64):016x}"
+    return f"{request.envelope.request_id}.{progress.attempts}-{nonce}"
+
+
 def check_order(part: Events, last: int) -> None:
     """Refuse events that leave a gap or repeat what was passed on."""
     if part.first_id and part.first_id != last + 1:
