Let no later attempt undo that an earlier one may have run

The first attempt ran on the engine that was killed and was rightly tried again, for the requests may be repeated; the second was refused as not loaded, which proves something of that attempt only, but cleared the whole request. Ruled out: the engine's history and the claims (neither request had a key).

--- a/packages/daemon/src/sardinequay_daemon/callers.py
+++ b/packages/daemon/src/sardinequay_daemon/callers.py
@@ -37,7 +37,7 @@
 from .dispatch import ModelDispatcher
 from .journal import Journal
 from .metrics import Metrics
-from .progress import Progress, Refused, too_late
+from .progress import Progress, Refused, too_late, truthful
 from .services import ServiceForwarder, ServiceRequest, pass_through
 from .settings import LimitSettings
 from .tracing import Tracing, trace_id
@@ -116,7 +116,8 @@
             self.metrics.requests.inc({"outcome": "answered"})
             return response
         except Refused as error:
-            return await self.refuse(exchange, error.refusal)
+            refusal = truthful(error.refusal, exchange.progress)
+            return await self.refuse(exchange, refusal)
         except (CallerGoneError, asyncio.CancelledError) as error:
             self.metrics.requests.inc({"outcome": "caller_gone"})
             self.journal.note(request_id, "caller gone")
--- a/packages/daemon/src/sardinequay_daemon/dispatch.py
+++ b/packages/daemon/src/sardinequay_daemon/dispatch.py
@@ -142,8 +142,7 @@
                 raise Refused(too_late(progress))
             if not self.leases.begin(use):
                 continue
-            progress.attempts += 1
-            progress.may_have_run = True
+            progress.begin_attempt()
             try:
                 async with aclosing(self.run_on(use, request, progress, span)) as parts:
                     async for part in parts:
@@ -236,8 +235,7 @@
         self.journal.note(
             request.envelope.request_id, "failed", engine=use.target, error=str(error)
         )
-        if error.proves_not_run:
-            progress.may_have_run = False
+        progress.end_attempt(error.proves_not_run)
         if error.fault is TargetFault.NOT_LOADED:
             self.leases.table.drop(use)
             progress.not_loaded += 1
--- a/packages/daemon/src/sardinequay_daemon/progress.py
+++ b/packages/daemon/src/sardinequay_daemon/progress.py
@@ -1,6 +1,6 @@
 """How far one request came, and how it finally failed."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from sardinequay_core.outcome import Outcome, Reason, Refusal
 
@@ -20,17 +20,36 @@
 
     Parameters
     ----------
-    may_have_run : bool
-        Whether bytes left for a target that has not proved "not run" since.
+    under_way : bool
+        Whether an attempt is at a target now.
+    is_uncertain : bool
+        Whether some attempt ended without a proof that it had not run. No later attempt
+        undoes that.
     last_event : int
         Number of the last event passed on; 0 before the first.
     """
 
     attempts: int = 0
     not_loaded: int = 0
-    may_have_run: bool = False
+    under_way: bool = False
+    is_uncertain: bool = False
     last_event: int = 0
 
+    def begin_attempt(self) -> None:
+        """Note that bytes may leave for a target from now on."""
+        self.attempts += 1
+        self.under_way = True
+
+    def end_attempt(self, proves_not_run: bool) -> None:
+        """Note that an attempt failed, and what that proves."""
+        self.under_way = False
+        self.is_uncertain = self.is_uncertain or not proves_not_run
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether any attempt may have run."""
+        return self.under_way or self.is_uncertain
+
     @property
     def outcome(self) -> Outcome:
         """Return what a failure now has to say."""
@@ -39,6 +58,13 @@
         return Outcome.UNKNOWN if self.may_have_run else Outcome.NOT_RUN
 
 
+def truthful(refusal: Refusal, progress: Progress) -> Refusal:
+    """Return a refusal that does not say "not run" after an attempt that may have."""
+    if refusal.outcome is Outcome.NOT_RUN and progress.outcome is not Outcome.NOT_RUN:
+        return replace(refusal, outcome=progress.outcome)
+    return refusal
+
+
 def too_late(progress: Progress) -> Refusal:
     """Return the refusal of a request whose deadline has passed."""
     text = "the deadline passed"
--- a/packages/daemon/src/sardinequay_daemon/services.py
+++ b/packages/daemon/src/sardinequay_daemon/services.py
@@ -143,9 +143,8 @@
             target=target.target_id,
             error=str(error),
         )
-        if error.proves_not_run:
-            progress.may_have_run = False
-        elif not request.is_repeatable:
+        progress.end_attempt(error.proves_not_run)
+        if not error.proves_not_run and not request.is_repeatable:
             raise Refused(refusal_of(error, progress)) from error
 
     async def send(
@@ -242,8 +241,7 @@
             # A process that was frozen must not act on a claim that may have expired.
             if forwarder.clock.monotonic() >= request.envelope.deadline:
                 raise Refused(too_late(progress))
-            progress.attempts += 1
-            progress.may_have_run = True
+            progress.begin_attempt()
             forwarder.count(target, 1)
             try:
                 with forwarder.tracing.child_span("service", self.span) as span:
