Take no failure to open a stream again for a proof of not having run

Cause: a trial that restarts an engine ran a keyed request twice. Its stream broke when the engine was killed; opening it again met a closed port, which is NOT_SENT and proves that a request has not run, but says so of the resumption and not of the request. The request was sent again.

--- a/packages/daemon/src/sardinequay_daemon/engines.py
+++ b/packages/daemon/src/sardinequay_daemon/engines.py
@@ -157,17 +157,23 @@
     async def resume(
         self, address: Address, request_id: str, after: int
     ) -> AsyncIterator[aiohttp.ClientResponse]:
-        """Open a running request's stream again, after an event."""
+        """Open a running request's stream again, after an event.
+
+        Whatever fails here proves nothing of the request, which may have run long ago.
+        """
         url = f"http://{address}/v1/requests/{request_id}/events"
-        with TurnedErrors():
-            call = self.fresh_session.get(
-                url, params={"after": str(after)}, timeout=self.stream_timeout()
-            )
-            async with call as answer:
-                if answer.status != 200:
-                    detail = f"resume: {answer.status}"
-                    raise TargetError(TargetFault.BROKEN, detail)
-                yield answer
+        try:
+            with TurnedErrors():
+                call = self.fresh_session.get(
+                    url, params={"after": str(after)}, timeout=self.stream_timeout()
+                )
+                async with call as answer:
+                    if answer.status != 200:
+                        detail = f"resume: {answer.status}"
+                        raise TargetError(TargetFault.BROKEN, detail)
+                    yield answer
+        except TargetError as error:
+            raise TargetError(TargetFault.BROKEN, error.detail) from error
 
     def stream_timeout(self) -> aiohttp.ClientTimeout:
         """Return the bound on silence; engines tell that they live between tokens."""
--- a/packages/lab/tests/test_ports.py
+++ b/packages/lab/tests/test_ports.py
@@ -202,6 +202,17 @@
     assert caught.value.fault is TargetFault.NOT_SENT
 
 
+async def test_unreachable_engine_proves_nothing_of_a_run_that_began(
+    engines: HttpEngines,
+) -> None:
+    # Found in a trial with a restarted engine: the engine was down when a stream was to
+    # be opened again, which was taken for a proof that the request had not run.
+    with pytest.raises(TargetError) as caught:
+        async with engines.resume(Address("127.0.0.1", 1), "r1", 0):
+            pass
+    assert not caught.value.proves_not_run
+
+
 async def test_engine_that_closes_without_answer_proves_nothing(
     engines: HttpEngines,
 ) -> None:
