Drop two functions that nobody calls

Cause (reading the whole change): as_duration in the settings and run_for in the load lost their last callers when the tasks and trials took other forms. Behaviour is unchanged.

--- a/packages/daemon/src/sardinequay_daemon/settings.py
+++ b/packages/daemon/src/sardinequay_daemon/settings.py
@@ -1,7 +1,7 @@
 """The daemon's settings: JSON, checked field by field."""
 
 from dataclasses import dataclass, field
-from datetime import datetime, timedelta
+from datetime import datetime
 from typing import Any
 
 from sardinequay_core.names import DataCentre, HostId
@@ -148,8 +148,3 @@
     traces: TraceSettings = field(default_factory=TraceSettings)
     caller_tls: TlsSettings | None = None
     peer_tls: TlsSettings | None = None
-
-
-def as_duration(value_s: float) -> timedelta:
-    """Return a setting in seconds as a duration."""
-    return timedelta(seconds=value_s)
--- a/packages/lab/src/sardinequay_lab/load.py
+++ b/packages/lab/src/sardinequay_lab/load.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import time
 import uuid
 from collections import Counter
 from dataclasses import dataclass, field
@@ -190,13 +189,3 @@
             return "".join(texts), False, body["error"]
         texts += [c["text"] for c in body.get("choices", ())]
     return "".join(texts), False, {}
-
-
-async def run_for(callers: Callers, duration_s: float) -> None:
-    """Run callers for a time."""
-    task = asyncio.create_task(callers.run())
-    end = time.monotonic() + duration_s
-    while time.monotonic() < end and not task.done():
-        await asyncio.sleep(0.05)
-    callers.stopping = True
-    await task
