--- /dev/null
+++ b/packages/core/src/sardinequay_core/after_attempt.py
@@ -0,0 +1,75 @@
+"""What may follow an attempt that did not give a whole answer.
+
+At most one run for requests that must not be repeated: after bytes have left for a
+target, only its own statement, or the failure to connect, permits another attempt.
+"""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+
+from .clock import ZERO
+from .serving import Repetition
+
+
+class AttemptEnd(Enum):
+    """How an attempt ended, as far as running is concerned."""
+
+    NOT_SENT = "not_sent"
+    REJECTED = "rejected"
+    MISDIRECTED = "misdirected"
+    MAY_HAVE_RUN = "may_have_run"
+    BROKEN_OFF = "broken_off"
+
+
+class Next(Enum):
+    """What comes after a failed attempt."""
+
+    AGAIN = "again"
+    GIVE_UP_NOT_RUN = "give_up_not_run"
+    GIVE_UP_MAY_HAVE_RUN = "give_up_may_have_run"
+
+
+MAX_REJECTIONS = 4
+"""Attempts that targets may reject before a request is given up: beyond that the pool
+is full, and each further arrival makes it fuller."""
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptsSoFar:
+    """A request's history.
+
+    Parameters
+    ----------
+    runs : int
+        Attempts that ran or may have run.
+    rejections : int
+        Attempts that certainly did not.
+    """
+
+    runs: int = 0
+    rejections: int = 0
+
+    def after(self, end: AttemptEnd) -> "AttemptsSoFar":
+        """Return the history with one more attempt."""
+        if end in (AttemptEnd.MAY_HAVE_RUN, AttemptEnd.BROKEN_OFF):
+            return AttemptsSoFar(self.runs + 1, self.rejections)
+        return AttemptsSoFar(self.runs, self.rejections + 1)
+
+
+def next_step(
+    repetition: Repetition,
+    max_runs: int,
+    so_far: AttemptsSoFar,
+    left: timedelta,
+    within_budget: bool,
+) -> Next:
+    """Return what follows, with the failed attempt already in `so_far`."""
+    give_up = Next.GIVE_UP_MAY_HAVE_RUN if so_far.runs else Next.GIVE_UP_NOT_RUN
+    if so_far.runs and not repetition.may_run_again:
+        return give_up
+    if so_far.runs >= max_runs or so_far.rejections >= MAX_REJECTIONS:
+        return give_up
+    if left <= ZERO or not within_budget:
+        return give_up
+    return Next.AGAIN
--- /dev/null
+++ b/packages/core/src/sardinequay_core/catalogue.py
@@ -0,0 +1,207 @@
+"""What the metadata store publishes, as one immutable state with its revision.
+
+The store's tasks fold changes into it; everyone else reads it. A version of what is
+served never goes back, whichever reader or peer brings it.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+from functools import singledispatch
+from typing import TypeVar
+
+from .clock import Instant
+from .names import AdapterRef, PoolName, TargetId
+from .roster import Presence, Target
+from .serving import ServingConfig
+
+K = TypeVar("K")
+V = TypeVar("V")
+
+
+@dataclass(frozen=True, slots=True)
+class PublishedTarget:
+    """A target as the store lists it.
+
+    Parameters
+    ----------
+    adapters : frozenset of AdapterRef
+        Adapters that it reported to hold; changes of adapters alone are not reported.
+    models : frozenset of str
+        Base models that it holds.
+    leaves_in_s : float or None
+        Time left until it is taken away, where that was announced.
+    """
+
+    target: Target
+    slots: int
+    revision: int
+    models: frozenset[str] = frozenset()
+    adapters: frozenset[AdapterRef] = frozenset()
+    leaves_in_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigPublished:
+    """A configuration was published."""
+
+    config: ServingConfig
+
+
+@dataclass(frozen=True, slots=True)
+class TargetPublished:
+    """A target registered itself or changed its entry."""
+
+    published: PublishedTarget
+
+
+@dataclass(frozen=True, slots=True)
+class TargetRemoved:
+    """A target's entry is gone."""
+
+    target_id: TargetId
+
+
+@dataclass(frozen=True, slots=True)
+class VersionPublished:
+    """A newer version of an adapter exists; `name` is ``model/adapter``."""
+
+    name: str
+    version: str
+
+
+Change = ConfigPublished | TargetPublished | TargetRemoved | VersionPublished
+
+
+@dataclass(frozen=True, slots=True)
+class Catalogue:
+    """Everything that is known from the store.
+
+    Parameters
+    ----------
+    revision : int
+        The store's revision up to which changes are folded in.
+    targets : mapping
+        Every listed target, leaving ones included.
+    unconfirmed : mapping
+        Targets whose entries vanished while the store was in trouble, and until when
+        they are still used: the entry of a target that lives comes back.
+    newest : mapping
+        Newest version of each adapter that ever got one, by ``model/adapter``.
+    """
+
+    revision: int = 0
+    config: ServingConfig | None = None
+    targets: Mapping[TargetId, PublishedTarget] = field(default_factory=dict)
+    unconfirmed: Mapping[TargetId, Instant] = field(default_factory=dict)
+    newest: Mapping[str, str] = field(default_factory=dict)
+
+    def live(self, pool: PoolName) -> tuple[PublishedTarget, ...]:
+        """Return the targets of a pool that take new work."""
+        return tuple(
+            t
+            for t in self.targets.values()
+            if t.target.pool == pool and t.target.presence is Presence.LIVE
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Absence:
+    """How an entry's removal is taken.
+
+    Parameters
+    ----------
+    keep_until : timedelta or None
+        The instant until which a removed target is still used, if the store was in
+        trouble lately; None to drop it at once.
+    """
+
+    keep_until: Instant | None = None
+
+
+@singledispatch
+def fold(change: Change, catalogue: Catalogue, absence: Absence) -> Catalogue:
+    """Return the catalogue with one change folded in."""
+    raise TypeError(f"no change of the catalogue: {change!r}")
+
+
+@fold.register
+def _(change: ConfigPublished, catalogue: Catalogue, absence: Absence) -> Catalogue:
+    current = catalogue.config
+    if current is not None and change.config.version <= current.version:
+        return catalogue
+    return replace(catalogue, config=change.config)
+
+
+@fold.register
+def _(change: TargetPublished, catalogue: Catalogue, absence: Absence) -> Catalogue:
+    published = change.published
+    target_id = published.target.target_id
+    known = catalogue.targets.get(target_id)
+    if known is not None and known.revision > published.revision:
+        return catalogue
+    return replace(
+        catalogue,
+        targets={**catalogue.targets, target_id: published},
+        unconfirmed=without(catalogue.unconfirmed, target_id),
+    )
+
+
+@fold.register
+def _(change: TargetRemoved, catalogue: Catalogue, absence: Absence) -> Catalogue:
+    target_id = change.target_id
+    known = catalogue.targets.get(target_id)
+    if known is None:
+        return catalogue
+    is_live = known.target.presence is Presence.LIVE
+    if absence.keep_until is not None and is_live:
+        if target_id in catalogue.unconfirmed:
+            return catalogue
+        kept = {**catalogue.unconfirmed, target_id: absence.keep_until}
+        return replace(catalogue, unconfirmed=kept)
+    return replace(
+        catalogue,
+        targets=without(catalogue.targets, target_id),
+        unconfirmed=without(catalogue.unconfirmed, target_id),
+    )
+
+
+@fold.register
+def _(change: VersionPublished, catalogue: Catalogue, absence: Absence) -> Catalogue:
+    known = catalogue.newest.get(change.name)
+    if known is not None and int(known) >= int(change.version):
+        return catalogue
+    newest = {**catalogue.newest, change.name: change.version}
+    return replace(catalogue, newest=newest)
+
+
+def without(mapping: Mapping[K, V], key: K) -> Mapping[K, V]:
+    """Return a mapping without one key."""
+    if key not in mapping:
+        return mapping
+    return {k: v for k, v in mapping.items() if k != key}
+
+
+def expire(catalogue: Catalogue, now: Instant) -> Catalogue:
+    """Drop targets whose entries did not come back in time."""
+    gone = [t for t, until in catalogue.unconfirmed.items() if now >= until]
+    for target_id in gone:
+        catalogue = fold(TargetRemoved(target_id), catalogue, Absence())
+    return catalogue
+
+
+def replace_listing(
+    catalogue: Catalogue,
+    changes: tuple[Change, ...],
+    revision: int,
+    absence: Absence,
+) -> Catalogue:
+    """Return the catalogue after a complete listing; what it lacks was removed."""
+    listed = {
+        c.published.target.target_id for c in changes if isinstance(c, TargetPublished)
+    }
+    for target_id in tuple(catalogue.targets):
+        if target_id not in listed:
+            catalogue = fold(TargetRemoved(target_id), catalogue, absence)
+    for change in changes:
+        catalogue = fold(change, catalogue, absence)
+    return replace(catalogue, revision=max(revision, catalogue.revision))
--- /dev/null
+++ b/packages/core/src/sardinequay_core/engine_book.py
@@ -0,0 +1,364 @@
+"""What the host that orders an engine knows of it, and which order comes next.
+
+The book counts places from the engine's own report and from the orders that the report
+cannot show yet. An order whose answer was lost may have been accepted, so nothing more
+is ordered until a report shows. Adapters in use are not evicted: the engine refuses
+that, and an adapter that has been idle longest makes way first, so that the ones in
+steady demand stay.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from .clock import ZERO, Instant, seconds
+from .names import AdapterRef, TargetId
+
+MAX_COMING = 4
+"""Adapters that may be on their way to one engine at a time; a bound of engines."""
+
+RECENT_KEPT = 32
+"""Adapters remembered as loading fast again; engines keep somewhat more in memory."""
+
+COLD_S = 0.255
+"""A load from the weight store at full speed, in seconds; learned from then on."""
+
+WARM_S = 0.03
+"""A load from the engine's memory, in seconds."""
+
+RETRY_UNLOAD_S = 0.05
+"""Until an unload that met a running request is tried again, in seconds."""
+
+RETIRE_AFTER_S = 0.2
+"""How long a load waits for an idle adapter before one in use is closed to new work."""
+
+REPORT_EVERY_S = 10.0
+"""How often an engine is asked although nothing is in doubt, in seconds."""
+
+BUSY_REPORT_S = 0.25
+"""Between reports while an engine loads a base model, which takes it seconds."""
+
+REPORT_RETRY_S = 0.1
+"""Between reports while something is in doubt; about the lag of reports."""
+
+
+@dataclass(frozen=True, slots=True)
+class EngineStatus:
+    """An engine's report of itself, some hundred milliseconds old.
+
+    Parameters
+    ----------
+    orders : int
+        Orders accepted since it started.
+    """
+
+    models: frozenset[str]
+    adapters: frozenset[AdapterRef]
+    coming: frozenset[AdapterRef]
+    is_busy: bool
+    orders: int
+    waiting: int = 0
+    running: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LoadModel:
+    """Order: load a base model."""
+
+    model: str
+
+
+@dataclass(frozen=True, slots=True)
+class LoadAdapter:
+    """Order: load an adapter, its newest version."""
+
+    adapter: AdapterRef
+
+
+@dataclass(frozen=True, slots=True)
+class UnloadAdapter:
+    """Order: drop an adapter."""
+
+    adapter: AdapterRef
+
+
+@dataclass(frozen=True, slots=True)
+class AskReport:
+    """Ask the engine for its report."""
+
+
+@dataclass(frozen=True, slots=True)
+class Rest:
+    """Nothing to do for a while, in seconds."""
+
+    for_s: float
+
+
+Order = LoadModel | LoadAdapter | UnloadAdapter
+Step = Order | AskReport | Rest
+
+
+@dataclass(slots=True)
+class Wanted:
+    """An adapter that requests wait for."""
+
+    since: Instant
+    until: Instant
+    weight: float
+
+
+@dataclass(slots=True)
+class EngineBook:
+    """The record of one engine.
+
+    Parameters
+    ----------
+    orders : int or None
+        Orders that the engine has accepted; None while that is in doubt.
+    used_at : dict
+        When each resident adapter was last known to be used.
+    """
+
+    target: TargetId
+    places: int
+    number: int = 0
+    orders: int | None = None
+    models: set[str] = field(default_factory=set)
+    used_at: dict[AdapterRef, Instant] = field(default_factory=dict)
+    coming: dict[AdapterRef, Instant] = field(default_factory=dict)
+    recent: dict[AdapterRef, None] = field(default_factory=dict)
+    wanted: dict[AdapterRef, Wanted] = field(default_factory=dict)
+    retiring: AdapterRef | None = None
+    refused_unload: dict[AdapterRef, Instant] = field(default_factory=dict)
+    model_wanted: str | None = None
+    model_ready_at: Instant = ZERO
+    is_busy: bool = False
+    cold_s: float = COLD_S
+    reported_at: Instant = ZERO
+    asked_at: Instant = ZERO
+
+    # What others are told.
+
+    def residents(self) -> tuple[AdapterRef, ...]:
+        """Return the adapters that take new requests."""
+        return tuple(a for a in sorted(self.used_at) if a != self.retiring)
+
+    def changed(self) -> None:
+        """Note that peers are to be told."""
+        self.number += 1
+
+    # What comes in.
+
+    def want(
+        self, adapter: AdapterRef, weight: float, until: Instant, now: Instant
+    ) -> None:
+        """Take a request's wish for an adapter."""
+        known = self.wanted.get(adapter)
+        if known is None:
+            self.wanted[adapter] = Wanted(now, until, weight)
+        else:
+            known.weight += weight
+            known.until = max(known.until, until)
+
+    def is_ready(self, adapter: AdapterRef) -> bool:
+        """Return whether an adapter takes requests, in this version or a later one."""
+        return any(
+            held != self.retiring and held.is_at_least(adapter) for held in self.used_at
+        )
+
+    def ready_in_s(self, adapter: AdapterRef, now: Instant) -> float | None:
+        """Return when an adapter that is coming is expected."""
+        at = self.coming.get(adapter)
+        return None if at is None else max(0.0, (at - now).total_seconds())
+
+    def use(self, in_use: Mapping[AdapterRef, int], now: Instant) -> None:
+        """Take which adapters requests use."""
+        for adapter, count in in_use.items():
+            if count and adapter in self.used_at:
+                self.used_at[adapter] = now
+
+    def take_report(
+        self, status: EngineStatus, asked_at: Instant, now: Instant
+    ) -> None:
+        """Take a report asked for at `asked_at`.
+
+        A report that counts fewer orders than were accepted is older than the last of
+        them and says nothing.
+        """
+        if self.orders is not None and status.orders < self.orders:
+            return
+        before = (set(self.used_at), set(self.coming))
+        self.orders = status.orders
+        self.reported_at = now
+        self.models = set(status.models)
+        self.is_busy = status.is_busy
+        for adapter in status.adapters:
+            self.used_at.setdefault(adapter, now)
+            self.arrived(adapter, now)
+        for adapter in tuple(self.used_at):
+            if adapter not in status.adapters:
+                del self.used_at[adapter]
+        for adapter in tuple(self.coming):
+            if adapter not in status.coming:
+                del self.coming[adapter]
+        for adapter in status.coming:
+            self.coming.setdefault(adapter, now + seconds(self.cold_s))
+        if self.retiring not in self.used_at:
+            self.retiring = None
+        if before != (set(self.used_at), set(self.coming)):
+            self.changed()
+
+    def arrived(self, adapter: AdapterRef, now: Instant) -> None:
+        """Note that an adapter is on the engine."""
+        self.coming.pop(adapter, None)
+        self.wanted.pop(adapter, None)
+        self.remember(adapter)
+
+    def remember(self, adapter: AdapterRef) -> None:
+        """Remember an adapter as one that the engine loads fast."""
+        self.recent.pop(adapter, None)
+        self.recent[adapter] = None
+        while len(self.recent) > RECENT_KEPT:
+            del self.recent[next(iter(self.recent))]
+
+    def settle(self, now: Instant) -> None:
+        """Let loads arrive whose time has come; a request then finds out."""
+        for adapter, at in tuple(self.coming.items()):
+            if now >= at:
+                self.used_at[adapter] = now
+                self.arrived(adapter, now)
+                self.changed()
+        for adapter, wanted in tuple(self.wanted.items()):
+            if now >= wanted.until:
+                del self.wanted[adapter]
+        if self.retiring is not None and not self.wanted:
+            self.retiring = None
+            self.changed()
+
+    def accepted(self, order: Order, holds_already: bool, now: Instant) -> None:
+        """Take that an order was accepted, or held already."""
+        if self.orders is not None and not holds_already:
+            self.orders += 1
+        if isinstance(order, LoadModel):
+            self.orders = None
+            return
+        adapter = order.adapter
+        if isinstance(order, UnloadAdapter):
+            self.used_at.pop(adapter, None)
+            self.refused_unload.pop(adapter, None)
+            if self.retiring == adapter:
+                self.retiring = None
+        elif holds_already:
+            self.used_at[adapter] = now
+            self.arrived(adapter, now)
+            self.orders = None
+        else:
+            takes_s = WARM_S if adapter in self.recent else self.cold_s
+            self.coming[adapter] = now + seconds(takes_s)
+            self.wanted.pop(adapter, None)
+        self.changed()
+
+    def refused(self, order: Order, now: Instant) -> None:
+        """Take that an order was refused: in use, or the count of orders differs."""
+        if isinstance(order, UnloadAdapter):
+            self.refused_unload[order.adapter] = now
+            self.used_at[order.adapter] = now
+        else:
+            self.orders = None
+
+    def in_doubt(self) -> None:
+        """Take that an order's answer was lost: it may have been accepted."""
+        self.orders = None
+
+    def missing(self, adapter: AdapterRef) -> None:
+        """Take that the engine says it does not have an adapter."""
+        if self.used_at.pop(adapter, None) is not None:
+            self.changed()
+        self.orders = None
+
+    # What comes next.
+
+    def next_step(self, in_use: Mapping[AdapterRef, int], now: Instant) -> Step:
+        """Return the next order, a report to ask for, or how long to rest."""
+        self.settle(now)
+        self.use(in_use, now)
+        if self.orders is None:
+            return self.ask_or_rest(REPORT_RETRY_S, now)
+        if self.is_busy:
+            return self.ask_or_rest(BUSY_REPORT_S, now)
+        if self.model_wanted is not None and self.model_wanted not in self.models:
+            return LoadModel(self.model_wanted)
+        step = self.next_adapter(in_use, now)
+        if step is not None:
+            return step
+        if (now - self.reported_at).total_seconds() >= REPORT_EVERY_S:
+            return self.ask_or_rest(REPORT_RETRY_S, now)
+        return Rest(self.rest_s(now))
+
+    def ask_or_rest(self, period_s: float, now: Instant) -> Step:
+        """Ask for a report, not more often than a period."""
+        since = (now - self.asked_at).total_seconds()
+        if since >= period_s:
+            self.asked_at = now
+            return AskReport()
+        return Rest(period_s - since)
+
+    def next_adapter(
+        self, in_use: Mapping[AdapterRef, int], now: Instant
+    ) -> Order | None:
+        """Return the order that serves the adapter with the most waiting for it."""
+        ranked = sorted(
+            self.wanted.items(), key=lambda item: (-item[1].weight, item[1].since)
+        )
+        for adapter, wanted in ranked:
+            if self.is_ready(adapter):
+                del self.wanted[adapter]
+                continue
+            if adapter.name.partition("/")[0] not in self.models:
+                continue
+            old = self.older_version(adapter)
+            if old is not None:
+                return self.unload(old, now)
+            if len(self.coming) >= MAX_COMING:
+                return None
+            if len(self.used_at) + len(self.coming) < self.places:
+                return LoadAdapter(adapter)
+            return self.make_way(wanted, in_use, now)
+        return None
+
+    def older_version(self, adapter: AdapterRef) -> AdapterRef | None:
+        """Return an older version of an adapter, which takes its place."""
+        for held in self.used_at:
+            if held.name == adapter.name and not held.is_at_least(adapter):
+                return held
+        return None
+
+    def unload(self, adapter: AdapterRef, now: Instant) -> Order | None:
+        """Return the order to drop an adapter, unless it was just refused."""
+        refused_at = self.refused_unload.get(adapter)
+        if refused_at is not None and now - refused_at < seconds(RETRY_UNLOAD_S):
+            return None
+        return UnloadAdapter(adapter)
+
+    def make_way(
+        self, wanted: Wanted, in_use: Mapping[AdapterRef, int], now: Instant
+    ) -> Order | None:
+        """Return the order that frees a place, if an adapter can go."""
+        evictable = [a for a in self.used_at if a not in self.wanted]
+        idle = [a for a in evictable if not in_use.get(a)]
+        for adapter in sorted(idle, key=lambda a: (self.used_at[a], a)):
+            order = self.unload(adapter, now)
+            if order is not None:
+                return order
+        waited_s = (now - wanted.since).total_seconds()
+        if self.retiring is None and waited_s > RETIRE_AFTER_S and evictable:
+            least = min(evictable, key=lambda a: (in_use.get(a, 0), self.used_at[a], a))
+            self.retiring = least
+            self.changed()
+        return None
+
+    def rest_s(self, now: Instant) -> float:
+        """Return how long nothing can change by itself."""
+        if self.wanted:
+            return RETRY_UNLOAD_S
+        due = [max(0.005, (at - now).total_seconds()) for at in self.coming.values()]
+        return min([1.0, *due])
--- a/packages/core/src/sardinequay_core/names.py
+++ b/packages/core/src/sardinequay_core/names.py
@@ -41,6 +41,17 @@
     def __str__(self) -> str:
         return f"{self.name}{SEPARATOR}{self.version}"
 
+    def is_at_least(self, other: "AdapterRef") -> bool:
+        """Return whether this is the other adapter in its version or a later one.
+
+        Versions that are numbers are compared as such; others only for being equal.
+        """
+        if self.name != other.name:
+            return False
+        if self.version.isdigit() and other.version.isdigit():
+            return int(self.version) >= int(other.version)
+        return self.version == other.version
+
 
 def parse_adapter_ref(text: str) -> Result[AdapterRef, InvalidNameError]:
     """Read an adapter reference.
--- a/packages/core/src/sardinequay_core/outcome.py
+++ b/packages/core/src/sardinequay_core/outcome.py
@@ -19,6 +19,7 @@
     MALFORMED = "malformed"
     TOO_LARGE = "too_large"
     BAD_HEADER = "bad_header"
+    HEADERS_TOO_LARGE = "headers_too_large"
     UNAUTHENTICATED = "unauthenticated"
     NOT_OFFERED = "not_offered"
     UNKNOWN_MODEL = "unknown_model"
@@ -50,6 +51,7 @@
     Reason.KEY_HELD: 409,
     Reason.KEY_SETTLED: 409,
     Reason.TOO_LARGE: 413,
+    Reason.HEADERS_TOO_LARGE: 431,
     Reason.OVERLOADED: 429,
     Reason.INTERNAL: 500,
     Reason.TARGET_FAILED: 502,
--- /dev/null
+++ b/packages/core/src/sardinequay_core/residency.py
@@ -0,0 +1,129 @@
+"""Which engine holds which adapter, as far as one host knows.
+
+The host that orders an engine tells what the engine holds; its later news replace its
+earlier ones. Where nobody tells, what the engine itself published has to do, which is
+about a second old. What an engine says of a request is believed at once.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+
+from .catalogue import PublishedTarget
+from .clock import Instant
+from .names import AdapterRef, HostId, TargetId
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """What one engine holds."""
+
+    token: int
+    number: int
+    adapters: frozenset[AdapterRef]
+    coming: Mapping[AdapterRef, Instant] = field(default_factory=dict)
+    recent: frozenset[str] = frozenset()
+
+
+@dataclass(slots=True)
+class Residency:
+    """What all engines hold.
+
+    Parameters
+    ----------
+    missing : dict
+        Adapters that an engine denied to have, with the news that said otherwise.
+    """
+
+    told: dict[TargetId, Held] = field(default_factory=dict)
+    missing: dict[tuple[TargetId, AdapterRef], tuple[int, int]] = field(
+        default_factory=dict
+    )
+
+    def hear(self, target: TargetId, held: Held) -> bool:
+        """Take news of an engine; return whether they are later than what was known."""
+        known = self.told.get(target)
+        if known is not None and (known.token, known.number) > (
+            held.token,
+            held.number,
+        ):
+            return False
+        self.told[target] = held
+        return True
+
+    def held(self, published: PublishedTarget) -> Held:
+        """Return what an engine holds."""
+        told = self.told.get(published.target.target_id)
+        if told is not None:
+            return told
+        return Held(0, published.revision, published.adapters)
+
+    def resident(
+        self, published: PublishedTarget, wanted: AdapterRef
+    ) -> AdapterRef | None:
+        """Return the adapter as an engine holds it, not older than wanted."""
+        held = self.held(published)
+        for adapter in held.adapters:
+            if adapter.is_at_least(wanted):
+                denied = self.missing.get((published.target.target_id, adapter))
+                if denied is None or denied < (held.token, held.number):
+                    return adapter
+        return None
+
+    def coming_at(
+        self, published: PublishedTarget, wanted: AdapterRef
+    ) -> Instant | None:
+        """Return when an adapter is expected on an engine, if it is coming."""
+        for adapter, at in self.held(published).coming.items():
+            if adapter.is_at_least(wanted):
+                return at
+        return None
+
+    def add(self, published: PublishedTarget, adapter: AdapterRef) -> None:
+        """Take that an adapter is on an engine now, ahead of the next news."""
+        held = self.held(published)
+        target = published.target.target_id
+        self.missing.pop((target, adapter), None)
+        self.told[target] = replace(held, adapters=held.adapters | {adapter})
+
+    def deny(self, published: PublishedTarget, adapter: AdapterRef) -> None:
+        """Take that an engine does not have an adapter after all."""
+        held = self.held(published)
+        key = (published.target.target_id, adapter)
+        self.missing[key] = (held.token, held.number)
+
+    def forget(self, known: frozenset[TargetId]) -> None:
+        """Drop engines that are no longer listed."""
+        for target in tuple(self.told):
+            if target not in known:
+                del self.told[target]
+        for key in tuple(self.missing):
+            if key[0] not in known:
+                del self.missing[key]
+
+
+@dataclass(slots=True)
+class AdapterUses:
+    """Requests that use adapters, by engine: this host's and its peers'."""
+
+    own: dict[tuple[TargetId, AdapterRef], int] = field(default_factory=dict)
+    peers: dict[HostId, Mapping[tuple[TargetId, AdapterRef], int]] = field(
+        default_factory=dict
+    )
+
+    def change(self, target: TargetId, adapter: AdapterRef, by: int) -> None:
+        """Count one of this host's requests in or out."""
+        key = (target, adapter)
+        count = self.own.get(key, 0) + by
+        if count > 0:
+            self.own[key] = count
+        else:
+            self.own.pop(key, None)
+
+    def on(self, target: TargetId) -> dict[AdapterRef, int]:
+        """Return how many requests use each adapter on an engine."""
+        total: dict[AdapterRef, int] = {}
+        for uses in (self.own, *self.peers.values()):
+            for (used_on, adapter), count in uses.items():
+                if used_on == target:
+                    total[adapter] = total.get(adapter, 0) + count
+        return total
--- /dev/null
+++ b/packages/core/src/sardinequay_core/target_health.py
@@ -0,0 +1,144 @@
+"""Which targets to trust, judged by what became of this host's own requests.
+
+Health answers of a target are hints at best: a target may fail requests while it says
+that it is well. A target whose requests fail is left out for a while that doubles, then
+tried with one request at a time. If too many of a pool are left out, all are used: the
+fault is then more likely on the way than in every target.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+
+from .clock import ZERO, Instant, seconds
+from .names import TargetId
+
+
+class Verdict(Enum):
+    """What one attempt said of its target."""
+
+    GOOD = "good"
+    REJECTED = "rejected"
+    FAILED = "failed"
+    UNREACHABLE = "unreachable"
+    GONE = "gone"
+
+
+@dataclass(frozen=True, slots=True)
+class HealthPolicy:
+    """When a target is left out.
+
+    Parameters
+    ----------
+    first_pause, longest_pause : timedelta
+        How long a target is left out at first, and at most. The first is about the time
+        that a crashed process takes to restart.
+    failure_memory : float
+        Weight of the past in the rate of failures at each new outcome; 0.8 looks back
+        on about five requests, as many as one host sends a target in a few seconds.
+    tolerated : float
+        Rate of failures above which a target is left out.
+    full_for : timedelta
+        How long a target that rejected a request counts as full.
+    least_usable : float
+        Share of a pool below which everything is used.
+    """
+
+    first_pause: timedelta = seconds(0.5)
+    longest_pause: timedelta = seconds(4)
+    failure_memory: float = 0.8
+    tolerated: float = 0.35
+    full_for: timedelta = seconds(0.1)
+    least_usable: float = 0.34
+
+
+@dataclass(slots=True)
+class TargetRecord:
+    """What this host remembers of one target."""
+
+    failure_rate: float = 0.0
+    pauses: int = 0
+    out_until: Instant = ZERO
+    full_until: Instant = ZERO
+    is_on_trial: bool = False
+    has_trial_running: bool = False
+
+
+@dataclass(slots=True)
+class TargetHealth:
+    """Records of all targets."""
+
+    policy: HealthPolicy = field(default_factory=HealthPolicy)
+    records: dict[TargetId, TargetRecord] = field(default_factory=dict)
+
+    def record(self, target: TargetId) -> TargetRecord:
+        """Return the record of a target."""
+        return self.records.setdefault(target, TargetRecord())
+
+    def is_usable(self, target: TargetId, now: Instant) -> bool:
+        """Return whether a request may go to a target now."""
+        record = self.records.get(target)
+        if record is None:
+            return True
+        if now < record.out_until:
+            return False
+        return not (record.is_on_trial and record.has_trial_running)
+
+    def usable(self, targets: Iterable[TargetId], now: Instant) -> frozenset[TargetId]:
+        """Return the usable targets of a pool, or all if hardly any is."""
+        everything = frozenset(targets)
+        chosen = frozenset(t for t in everything if self.is_usable(t, now))
+        if len(chosen) < self.policy.least_usable * len(everything):
+            return everything
+        return chosen
+
+    def is_full(self, target: TargetId, now: Instant) -> bool:
+        """Return whether a target rejected a request a moment ago."""
+        record = self.records.get(target)
+        return record is not None and now < record.full_until
+
+    def sent(self, target: TargetId) -> None:
+        """Note that a request goes to a target."""
+        record = self.record(target)
+        record.has_trial_running = record.is_on_trial
+
+    def judge(self, target: TargetId, verdict: Verdict, now: Instant) -> bool:
+        """Take what became of an attempt; return whether the target is now left out."""
+        record = self.record(target)
+        record.has_trial_running = False
+        if verdict is Verdict.REJECTED:
+            record.full_until = now + self.policy.full_for
+            return False
+        if verdict is Verdict.GOOD:
+            record.failure_rate *= self.policy.failure_memory
+            record.is_on_trial = False
+            if record.failure_rate < self.policy.tolerated / 2:
+                record.pauses = 0
+            return False
+        memory = self.policy.failure_memory
+        record.failure_rate = record.failure_rate * memory + (1 - memory)
+        is_certain = verdict in (Verdict.UNREACHABLE, Verdict.GONE)
+        if not (
+            is_certain
+            or record.is_on_trial
+            or record.failure_rate > self.policy.tolerated
+        ):
+            return False
+        self.leave_out(record, now)
+        return True
+
+    def leave_out(self, record: TargetRecord, now: Instant) -> None:
+        """Leave a target out, for longer each time."""
+        if now < record.out_until:
+            return
+        pause = self.policy.first_pause * 2**record.pauses
+        record.out_until = now + min(pause, self.policy.longest_pause)
+        record.pauses = min(record.pauses + 1, 8)
+        record.is_on_trial = True
+
+    def forget(self, known: frozenset[TargetId]) -> None:
+        """Drop the records of targets that are no longer listed."""
+        for target in tuple(self.records):
+            if target not in known:
+                del self.records[target]
--- a/packages/daemon/src/sardinequay_daemon/errors.py
+++ b/packages/daemon/src/sardinequay_daemon/errors.py
@@ -42,6 +42,7 @@
 
     what: str
     detail: str
+    is_history_gone: bool = False
 
     def __str__(self) -> str:
         return f"{self.what}: {self.detail}"
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/fleet_task.py
@@ -0,0 +1,270 @@
+"""Knows the other hosts: finds them by seeds, hears digests, tells its own.
+
+Of each pair the host with the lower id calls, and the reply carries the other's digest,
+so one call serves both ways. The period grows with the number of hosts, which bounds
+what a host spends on telling.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+from datetime import timedelta
+
+from reactivex.subject import Subject
+from returns.result import Success
+
+from sardinequay_core.clock import Clock, Instant, seconds
+from sardinequay_core.names import Address, HostId, parse_address
+from sardinequay_core.rendezvous import rank
+
+from .peers import PeerCaller
+from .serving_messages import Contact, Digest
+
+PERIOD_S = 0.2
+"""Between two digests to one peer in a small fleet: shares of load age by it."""
+
+PERIOD_PER_HOST_S = 0.012
+"""Added period for each host, so that a host sends some 80 digests a second at most."""
+
+ALIVE_FOR = seconds(1.2)
+"""A peer that was heard within this is alive; several periods and a lost connection."""
+
+SEED_PERIOD_S = 0.5
+"""How often seeds are asked while nobody answers, or fewer are known than seeds."""
+
+CALL_S = 0.5
+"""Bound on one exchange; hosts of a region answer in a few milliseconds."""
+
+ALONE_AFTER = seconds(10)
+"""A host that nobody answered for so long since its start takes itself to be alone. Far
+longer than a cut that must be survived, for it then orders engines by itself."""
+
+READERS_PER_DATA_CENTRE = 1
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """A host as this one knows it."""
+
+    contact: Contact
+    heard_at: Instant | None
+    added_at: Instant
+    is_leaving: bool = False
+    orders_for: str = ""
+    store_revision: int = 0
+    store_age_s: float = float("inf")
+
+
+@dataclass(frozen=True, slots=True)
+class HeardDigest:
+    """A digest that came in, and when."""
+
+    digest: Digest
+    at: Instant
+
+
+class FleetTask:
+    """Owns what is known of the other hosts."""
+
+    def __init__(
+        self,
+        me: Contact,
+        seeds: tuple[Address, ...],
+        caller: PeerCaller,
+        clock: Clock,
+        remember: timedelta,
+        digest: Callable[[HostId], Digest],
+    ) -> None:
+        self.me = me
+        self.set_seeds(seeds)
+        self.caller = caller
+        self.clock = clock
+        self.remember = remember
+        self.digest = digest
+        self.peers: dict[HostId, Peer] = {}
+        self.digests: Subject[HeardDigest] = Subject()
+        self.lost: Subject[HostId] = Subject()
+        self.started_at = clock.monotonic()
+        self.joined_at: Instant | None = None
+        self.calling: set[HostId] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.is_leaving = False
+
+    def set_seeds(self, seeds: tuple[Address, ...]) -> None:
+        """Take the addresses to find the others by."""
+        self.seeds = tuple(s for s in seeds if str(s) != self.me.address)
+
+    # What others ask.
+
+    def alive(self) -> tuple[Peer, ...]:
+        """Return the peers heard of lately that do not leave."""
+        now = self.clock.monotonic()
+        return tuple(
+            p
+            for p in self.peers.values()
+            if not p.is_leaving and p.heard_at and now - p.heard_at < ALIVE_FOR
+        )
+
+    @property
+    def live_hosts(self) -> int:
+        """Return how many hosts serve, this one included."""
+        return len(self.alive()) + 1
+
+    def voters(self) -> tuple[HostId, ...]:
+        """Return the hosts of this data centre that count among the voters."""
+        return tuple(
+            p.contact.host_id
+            for p in self.peers.values()
+            if p.contact.data_centre == self.me.data_centre and not p.is_leaving
+        )
+
+    def has_joined(self) -> bool:
+        """Return whether the hosts of this data centre are known well enough to vote."""
+        now = self.clock.monotonic()
+        if not self.seeds or now - self.started_at > ALONE_AFTER:
+            return True
+        return self.joined_at is not None and now - self.joined_at > seconds(1)
+
+    def is_reader(self) -> bool:
+        """Return whether this host reads the store for its data centre."""
+        here = [
+            p.contact.host_id
+            for p in self.alive()
+            if p.contact.data_centre == self.me.data_centre
+        ]
+        ranked = rank("reader", [*here, self.me.host_id])
+        return self.me.host_id in ranked[:READERS_PER_DATA_CENTRE]
+
+    def freshest_store_age_s(self) -> float:
+        """Return how long ago the freshest live peer heard the store."""
+        return min((p.store_age_s for p in self.alive()), default=float("inf"))
+
+    def address_of(self, host_id: HostId) -> Address | None:
+        """Return where a peer is reached."""
+        peer = self.peers.get(host_id)
+        return parse_address(peer.contact.address).unwrap() if peer else None
+
+    def keeper_of(self, data_centre: str) -> HostId | None:
+        """Return the live peer that says it orders a data centre's engines."""
+        for peer in self.alive():
+            if peer.orders_for == data_centre:
+                return peer.contact.host_id
+        return None
+
+    def contacts(self) -> tuple[Contact, ...]:
+        """Return all hosts that are known and stay, this one included."""
+        known = [p.contact for p in self.peers.values() if not p.is_leaving]
+        return (self.me, *known)
+
+    # Telling.
+
+    def period_s(self) -> float:
+        """Return the time between two digests to one peer."""
+        return PERIOD_S + PERIOD_PER_HOST_S * len(self.peers)
+
+    async def run(self) -> None:
+        """Tell peers, for good."""
+        next_seeds = self.clock.monotonic()
+        while True:
+            now = self.clock.monotonic()
+            if now >= next_seeds:
+                next_seeds = now + seconds(SEED_PERIOD_S)
+                self.ask_seeds()
+            self.forget_silent(now)
+            self.tell_all()
+            await asyncio.sleep(self.period_s())
+
+    def ask_seeds(self) -> None:
+        """Exchange digests with seeds that are no known, live peers."""
+        live = {p.contact.address for p in self.alive()}
+        for seed in self.seeds:
+            if str(seed) not in live:
+                self.start(HostId(f"seed {seed}"), seed)
+
+    def tell_all(self, everyone: bool = False) -> None:
+        """Exchange digests with the peers that this host calls."""
+        for host_id, peer in self.peers.items():
+            if everyone or self.me.host_id < host_id or peer.heard_at is None:
+                self.start(host_id, parse_address(peer.contact.address).unwrap())
+
+    def start(self, host_id: HostId, address: Address) -> None:
+        """Start one exchange, unless the last one is still under way."""
+        if host_id in self.calling:
+            return
+        self.calling.add(host_id)
+        task = asyncio.create_task(self.exchange(host_id, address))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def exchange(self, host_id: HostId, address: Address) -> None:
+        """Tell one peer and hear its answer."""
+        try:
+            answer = await self.caller.call(address, self.digest(host_id), CALL_S)
+        finally:
+            self.calling.discard(host_id)
+        if isinstance(answer, Success) and isinstance(answer.unwrap(), Digest):
+            self.hear(answer.unwrap())
+
+    # Hearing.
+
+    async def answer(self, digest: Digest) -> Digest:
+        """Answer a peer's digest with this host's own."""
+        self.hear(digest)
+        return self.digest(digest.host.host_id)
+
+    def hear(self, digest: Digest) -> None:
+        """Take a digest."""
+        now = self.clock.monotonic()
+        host_id = digest.host.host_id
+        if host_id == self.me.host_id:
+            return
+        if self.joined_at is None:
+            self.joined_at = now
+        known = self.peers.get(host_id)
+        if known is None or known.heard_at is None or now - known.heard_at > ALIVE_FOR:
+            log.info("peer regained", extra={"peer": host_id})
+        if digest.is_leaving and (known is None or not known.is_leaving):
+            log.info("peer leaves", extra={"peer": host_id})
+        self.peers[host_id] = Peer(
+            digest.host,
+            now,
+            known.added_at if known else now,
+            digest.is_leaving,
+            digest.orders_for,
+            digest.store_revision,
+            digest.store_age_s,
+        )
+        self.learn(digest.contacts, now)
+        self.digests.on_next(HeardDigest(digest, now))
+
+    def learn(self, contacts: Iterable[Contact], now: Instant) -> None:
+        """Take hosts that a peer knows."""
+        for contact in contacts:
+            known = self.peers.get(contact.host_id)
+            if contact.host_id == self.me.host_id:
+                continue
+            if known is None:
+                self.peers[contact.host_id] = Peer(contact, None, now)
+            elif known.contact != contact and known.heard_at is None:
+                self.peers[contact.host_id] = replace(known, contact=contact)
+
+    def forget_silent(self, now: Instant) -> None:
+        """Log peers that fell silent, and forget those that stay so."""
+        for host_id, peer in tuple(self.peers.items()):
+            last = peer.heard_at or peer.added_at
+            if now - last > self.remember or (
+                peer.is_leaving and now - last > ALIVE_FOR
+            ):
+                del self.peers[host_id]
+                self.lost.on_next(host_id)
+            elif peer.store_age_s != float("inf") and now - last > ALIVE_FOR:
+                log.warning("peer lost", extra={"peer": host_id})
+                self.peers[host_id] = replace(peer, store_age_s=float("inf"))
+                self.lost.on_next(host_id)
+
+    def leave(self) -> None:
+        """Tell everyone at once that this host leaves."""
+        self.is_leaving = True
+        self.tell_all(everyone=True)
--- a/packages/daemon/src/sardinequay_daemon/messages.py
+++ b/packages/daemon/src/sardinequay_daemon/messages.py
@@ -20,6 +20,8 @@
 from sardinequay_core.names import AdapterRef, DataCentre, Digest, PoolName, TargetId
 from sardinequay_core.roster import Roster
 
+from .serving_messages import SERVING_MESSAGES
+
 
 @dataclass(frozen=True, slots=True)
 class InForce:
@@ -230,4 +232,6 @@
     | Wanted
 )
 
-BY_TAG: dict[str, type] = {kind.__name__: kind for kind in Message.__args__}
+BY_TAG: dict[str, type] = {
+    kind.__name__: kind for kind in (*Message.__args__, *SERVING_MESSAGES)
+}
--- a/packages/daemon/src/sardinequay_daemon/metrics.py
+++ b/packages/daemon/src/sardinequay_daemon/metrics.py
@@ -6,12 +6,38 @@
 LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.87, 2.5, 10.0, 60.0]
 
 
-class Metrics:
-    """All metrics of one host; each names its unit."""
+class HostMetrics:
+    """What the metrics of every kind of host share."""
 
     def __init__(self, host_id: str, data_centre: str) -> None:
         self.registry = Registry()
         self.labels = {"host": host_id, "data_centre": data_centre}
+        self.peer_bytes = self.counter(
+            "peer_sent_bytes_total", "Bytes sent to peers by kind of message"
+        )
+        self.peer_messages = self.counter(
+            "peer_sent_messages_total", "Messages sent to peers by kind"
+        )
+
+    def counter(self, name: str, doc: str) -> Counter:
+        """Register a counter."""
+        return Counter(f"sardinequay_{name}", doc, self.labels, self.registry)
+
+    def gauge(self, name: str, doc: str) -> Gauge:
+        """Register a gauge."""
+        return Gauge(f"sardinequay_{name}", doc, self.labels, self.registry)
+
+    def histogram(self, name: str, doc: str, buckets: list[float]) -> Histogram:
+        """Register a histogram."""
+        name = f"sardinequay_{name}"
+        return Histogram(name, doc, self.labels, self.registry, buckets=buckets)
+
+
+class Metrics(HostMetrics):
+    """All metrics of one host; each names its unit."""
+
+    def __init__(self, host_id: str, data_centre: str) -> None:
+        super().__init__(host_id, data_centre)
         self.requests = self.counter("requests_total", "Requests by outcome")
         self.refusals = self.counter("refusals_total", "Failed requests by reason")
         self.retries = self.counter("retries_total", "Further attempts by pool")
@@ -22,12 +48,6 @@
         self.bundle_refusals = self.counter(
             "bundle_refusals_total", "Bundles refused by reason"
         )
-        self.peer_bytes = self.counter(
-            "peer_sent_bytes_total", "Bytes sent to peers by kind of message"
-        )
-        self.peer_messages = self.counter(
-            "peer_sent_messages_total", "Messages sent to peers by kind"
-        )
         self.platform_calls = self.counter(
             "platform_calls_total", "Calls to the platform by service"
         )
@@ -45,16 +65,3 @@
         self.first_byte = self.histogram(
             "first_byte_seconds", "Time to the first byte", LATENCY_BUCKETS_S
         )
-
-    def counter(self, name: str, doc: str) -> Counter:
-        """Register a counter."""
-        return Counter(f"sardinequay_{name}", doc, self.labels, self.registry)
-
-    def gauge(self, name: str, doc: str) -> Gauge:
-        """Register a gauge."""
-        return Gauge(f"sardinequay_{name}", doc, self.labels, self.registry)
-
-    def histogram(self, name: str, doc: str, buckets: list[float]) -> Histogram:
-        """Register a histogram."""
-        name = f"sardinequay_{name}"
-        return Histogram(name, doc, self.labels, self.registry, buckets=buckets)
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -0,0 +1,485 @@
+"""Orders the engines of this host's data centre, while its peers lend it the right.
+
+One task an engine carries out what its book decides, one order at a time. The lease is
+checked right before an order's bytes leave, with nothing awaited in between.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from returns.result import Success
+
+from sardinequay_core.catalogue import Catalogue, PublishedTarget
+from sardinequay_core.clock import Clock, seconds
+from sardinequay_core.engine_book import (
+    AskReport,
+    EngineBook,
+    LoadAdapter,
+    LoadModel,
+    Order,
+    Rest,
+    UnloadAdapter,
+)
+from sardinequay_core.names import AdapterRef, HostId, TargetId
+from sardinequay_core.order_lease import (
+    Ballot,
+    Candidate,
+    OrderPolicy,
+    Resign,
+    Vote,
+    Voter,
+)
+from sardinequay_core.roster import Presence
+
+from .fleet_task import FleetTask
+from .peers import PeerCaller
+from .serving_messages import (
+    AdapterMissing,
+    EngineHoldings,
+    Noted,
+    WantAdapter,
+    WantReply,
+)
+from .serving_metrics import ServingMetrics
+from .serving_ports import EngineOrders, OrderAccepted, OrderTerms
+
+RENEW_S = 0.4
+"""Between two rounds of ballots: three fit in a lease."""
+
+CAMPAIGN_STEP_S = 0.35
+"""How much later each further host of the ranking stands, so that votes do not split."""
+
+BALLOT_S = 0.4
+"""Bound on a voter's answer within a data centre."""
+
+log = logging.getLogger(__name__)
+InUse = Callable[[TargetId], Mapping[AdapterRef, int]]
+
+
+@dataclass(slots=True)
+class OrderedEngine:
+    """An engine that this host orders: its book, and the task that carries it out."""
+
+    published: PublishedTarget
+    book: EngineBook
+    wake: asyncio.Event = field(default_factory=asyncio.Event)
+    ready: dict[AdapterRef, list[asyncio.Future[None]]] = field(default_factory=dict)
+    task: asyncio.Task[None] | None = None
+
+
+class OrderTask:
+    """Owns the lease and the books."""
+
+    def __init__(
+        self,
+        me: HostId,
+        data_centre: str,
+        engines: EngineOrders,
+        peers: PeerCaller,
+        fleet: FleetTask,
+        clock: Clock,
+        metrics: ServingMetrics,
+        policy: OrderPolicy,
+        is_first_start: bool,
+        in_use: InUse,
+        told: Callable[[], None],
+    ) -> None:
+        self.me = me
+        self.data_centre = data_centre
+        self.engines = engines
+        self.peers = peers
+        self.fleet = fleet
+        self.clock = clock
+        self.metrics = metrics
+        self.policy = policy
+        self.in_use = in_use
+        self.told = told
+        now = clock.monotonic()
+        abstains_until = now if is_first_start else now + policy.lease
+        self.voter = Voter(policy, abstains_until)
+        self.candidate = Candidate(me, policy, now, is_first_start)
+        self.catalogue = Catalogue()
+        self.ordered: dict[TargetId, OrderedEngine] = {}
+        self.heard_holdings: dict[TargetId, EngineHoldings] = {}
+        self.no_holder_since = now
+        self.is_resigned = False
+
+    # The lease.
+
+    @property
+    def is_keeper(self) -> bool:
+        """Return whether this host holds the lease now."""
+        self.candidate.refresh(self.clock.monotonic())
+        return self.candidate.is_holder
+
+    async def run(self) -> None:
+        """Stand for the lease and renew it, for good."""
+        while True:
+            if self.should_stand():
+                await self.canvass()
+                await asyncio.sleep(RENEW_S)
+            else:
+                await asyncio.sleep(RENEW_S / 4)
+            self.follow_lease()
+
+    def should_stand(self) -> bool:
+        """Return whether to ask for votes now."""
+        if self.is_resigned or not self.fleet.has_joined():
+            return False
+        if self.candidate.is_holder:
+            return True
+        now = self.clock.monotonic()
+        if self.fleet.keeper_of(self.data_centre) is not None:
+            self.no_holder_since = now
+            return False
+        alive = [
+            p.contact.host_id
+            for p in self.fleet.alive()
+            if p.contact.data_centre == self.data_centre
+        ]
+        place = sorted([*alive, self.me]).index(self.me)
+        return now - self.no_holder_since >= seconds(CAMPAIGN_STEP_S * place)
+
+    async def canvass(self) -> None:
+        """Ask all voters of the data centre at once."""
+        self.candidate.set_voters(self.fleet.voters())
+        ballot = self.candidate.ballot(self.data_centre, self.catalogue.revision)
+        now = self.clock.monotonic()
+        own = self.voter.vote(ballot, now)
+        self.candidate.take(self.me, own, now, now)
+        others = [v for v in sorted(self.candidate.voters) if v != self.me]
+        await asyncio.gather(*(self.ask_vote(v, ballot) for v in others))
+
+    async def ask_vote(self, voter: HostId, ballot: Ballot) -> None:
+        """Ask one voter."""
+        address = self.fleet.address_of(voter)
+        if address is None:
+            return
+        asked_at = self.clock.monotonic()
+        answer = await self.peers.call(address, ballot, BALLOT_S)
+        if isinstance(answer, Success) and isinstance(answer.unwrap(), Vote):
+            self.candidate.take(
+                voter, answer.unwrap(), asked_at, self.clock.monotonic()
+            )
+
+    async def answer_ballot(self, ballot: Ballot) -> Vote:
+        """Answer a peer's ballot with this host's vote."""
+        if ballot.data_centre != self.data_centre:
+            return Vote(False, self.voter.holder, self.voter.highest_token, 0.0)
+        return self.voter.vote(ballot, self.clock.monotonic())
+
+    async def answer_resign(self, message: Resign) -> Noted:
+        """Take a holder's resignation."""
+        self.voter.resign(message, self.clock.monotonic())
+        return Noted()
+
+    def follow_lease(self) -> None:
+        """Begin or end to order, as the lease says."""
+        is_holder = self.is_keeper
+        if is_holder and not self.ordered:
+            self.take_over()
+        elif not is_holder and self.ordered:
+            self.stop_ordering()
+
+    def take_over(self) -> None:
+        """Open a book for each engine here."""
+        targets = self.engines_here()
+        if targets:
+            log.info(
+                "ordering engines",
+                extra={
+                    "token": self.candidate.token,
+                    "engines": sorted(targets),
+                    "voters": sorted(self.candidate.voters),
+                },
+            )
+        for published in targets.values():
+            self.open_book(published)
+
+    def stop_ordering(self) -> None:
+        """Close all books; what waits is told so."""
+        log.info("ordering ended", extra={"token": self.candidate.token})
+        for target_id in tuple(self.ordered):
+            self.close_book(target_id)
+        self.no_holder_since = self.clock.monotonic()
+
+    async def resign(self) -> None:
+        """Give the lease back, so that a successor need not wait it out."""
+        self.is_resigned = True
+        message = self.candidate.resign(self.data_centre, self.clock.monotonic())
+        if message is None:
+            return
+        self.stop_ordering()
+        self.voter.resign(message, self.clock.monotonic())
+        addresses = [self.fleet.address_of(v) for v in self.fleet.voters()]
+        calls = [self.peers.call(a, message, BALLOT_S) for a in addresses if a]
+        await asyncio.gather(*calls)
+
+    # Books.
+
+    def engines_here(self) -> dict[TargetId, PublishedTarget]:
+        """Return the live engines of this data centre."""
+        config = self.catalogue.config
+        if config is None:
+            return {}
+        pools = {p.name for p in config.pools.values() if p.engines is not None}
+        return {
+            t: p
+            for t, p in self.catalogue.targets.items()
+            if p.target.pool in pools
+            and p.target.data_centre == self.data_centre
+            and p.target.presence is Presence.LIVE
+        }
+
+    def take_catalogue(self, catalogue: Catalogue) -> None:
+        """Follow engines that come and go."""
+        self.catalogue = catalogue
+        if not self.candidate.is_holder:
+            return
+        here = self.engines_here()
+        for target_id in tuple(self.ordered):
+            if target_id not in here:
+                self.close_book(target_id)
+        for target_id, published in here.items():
+            engine = self.ordered.get(target_id)
+            if engine is None:
+                self.open_book(published)
+            else:
+                engine.published = published
+                engine.wake.set()
+
+    def open_book(self, published: PublishedTarget) -> None:
+        """Begin to order one engine."""
+        target_id = published.target.target_id
+        config = self.catalogue.config
+        pool = config.pools[published.target.pool].engines if config else None
+        if pool is None or target_id in self.ordered:
+            return
+        book = EngineBook(target_id, pool.adapter_slots)
+        heard = self.heard_holdings.get(target_id)
+        if heard is not None:
+            book.recent = {parse_ref(text): None for text in heard.recent}
+        engine = self.ordered[target_id] = OrderedEngine(published, book)
+        engine.task = asyncio.create_task(self.order_engine(engine))
+
+    def close_book(self, target_id: TargetId) -> None:
+        """Stop ordering one engine."""
+        engine = self.ordered.pop(target_id)
+        if engine.task is not None:
+            engine.task.cancel()
+        for waiting in engine.ready.values():
+            for future in waiting:
+                future.cancel()
+
+    async def order_engine(self, engine: OrderedEngine) -> None:
+        """Carry out what one engine's book decides, for as long as it is open."""
+        book = engine.book
+        while True:
+            now = self.clock.monotonic()
+            engine.wake.clear()
+            book.model_wanted = self.model_for(engine)
+            step = book.next_step(self.in_use(book.target), now)
+            self.tell_ready(engine)
+            if isinstance(step, Rest):
+                await self.rest(engine, step.for_s)
+            elif isinstance(step, AskReport):
+                await self.ask_report(engine)
+            elif self.candidate.may_order(now):
+                await self.give(engine, step)
+            else:
+                await self.rest(engine, RENEW_S / 4)
+
+    async def rest(self, engine: OrderedEngine, for_s: float) -> None:
+        """Wait until something is to be done, or for a while."""
+        try:
+            async with asyncio.timeout(for_s):
+                await engine.wake.wait()
+        except TimeoutError:
+            return
+
+    def model_for(self, engine: OrderedEngine) -> str | None:
+        """Return the model that an engine without any is to load."""
+        config = self.catalogue.config
+        pool = config.pools.get(engine.published.target.pool) if config else None
+        if pool is None or pool.engines is None or engine.book.models:
+            return None
+        if engine.book.orders is None:
+            return None
+        held: dict[str, int] = dict.fromkeys((m.name for m in pool.engines.models), 0)
+        for other in self.catalogue.live(pool.name):
+            for model in other.models:
+                held[model] = held.get(model, 0) + 1
+        return min(held, key=lambda m: (held[m], m), default=None)
+
+    async def ask_report(self, engine: OrderedEngine) -> None:
+        """Ask for a report and enter it."""
+        asked_at = self.clock.monotonic()
+        report = await self.engines.report(engine.published.target)
+        now = self.clock.monotonic()
+        if isinstance(report, Success):
+            number = engine.book.number
+            engine.book.take_report(report.unwrap(), asked_at, now)
+            if engine.book.number != number:
+                self.log_holdings(engine, "report")
+                self.told()
+            return
+        detail = str(report.failure())
+        log.info("no report", extra={"target": engine.book.target, "detail": detail})
+        await self.rest(engine, 0.3)
+
+    async def give(self, engine: OrderedEngine, order: Order) -> None:
+        """Send one order and enter its result."""
+        book, target = engine.book, engine.published.target
+        terms = OrderTerms(self.me, self.candidate.token, book.orders)
+        self.candidate.ordered(self.clock.monotonic())
+        result = await self.engines.order(target, order, terms)
+        now = self.clock.monotonic()
+        self.candidate.ordered(now)
+        if isinstance(result, Success):
+            answer = result.unwrap()
+            if isinstance(answer, OrderAccepted):
+                outcome = "held already" if answer.holds_already else "accepted"
+                book.accepted(order, answer.holds_already, now)
+            else:
+                outcome = f"refused: {answer.detail}"
+                if answer.is_stale_token:
+                    self.candidate.raise_token()
+                book.refused(order, now)
+        else:
+            outcome = f"in doubt: {result.failure().detail}"
+            book.in_doubt()
+        self.note_order(engine, order, outcome)
+        self.told()
+
+    def note_order(self, engine: OrderedEngine, order: Order, outcome: str) -> None:
+        """Log and count one order."""
+        kind = type(order).__name__
+        result = outcome.partition(":")[0]
+        self.metrics.orders.inc({"kind": kind, "result": result})
+        log.info(
+            "order",
+            extra={
+                "target": engine.book.target,
+                "kind": kind,
+                "subject": subject_of(order),
+                "token": self.candidate.token,
+                "resident": [str(a) for a in engine.book.residents()],
+                "outcome": outcome,
+            },
+        )
+
+    def log_holdings(self, engine: OrderedEngine, source: str) -> None:
+        """Log what an engine is now believed to hold."""
+        log.info(
+            "engine holds",
+            extra={
+                "target": engine.book.target,
+                "source": source,
+                "resident": [str(a) for a in engine.book.residents()],
+            },
+        )
+
+    # Wishes.
+
+    async def answer_want(self, message: WantAdapter) -> WantReply:
+        """Have an adapter loaded, and answer when requests can use it."""
+        engine = self.ordered.get(message.target)
+        now = self.clock.monotonic()
+        if engine is None or not self.is_keeper:
+            return WantReply(False, "not ordered here")
+        engine.book.settle(now)
+        if engine.book.is_ready(message.adapter):
+            return WantReply(True, "resident")
+        wait = min(message.wait_s, 30.0)
+        if message.adapter not in engine.book.coming:
+            engine.book.want(message.adapter, message.weight, now + seconds(wait), now)
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        engine.ready.setdefault(message.adapter, []).append(future)
+        engine.wake.set()
+        try:
+            async with asyncio.timeout(wait):
+                await future
+            return WantReply(True, "loaded")
+        except TimeoutError:
+            return WantReply(False, "not loaded in time")
+        except asyncio.CancelledError:
+            if future.cancelled() and message.target not in self.ordered:
+                return WantReply(False, "ordering ended")
+            raise
+        finally:
+            self.drop_waiter(engine, message.adapter, future)
+
+    def drop_waiter(
+        self, engine: OrderedEngine, adapter: AdapterRef, future: asyncio.Future[None]
+    ) -> None:
+        """Forget one that waits for an adapter, and the wish with the last one."""
+        waiting = engine.ready.get(adapter, [])
+        if future in waiting:
+            waiting.remove(future)
+        if not waiting:
+            engine.ready.pop(adapter, None)
+            engine.book.wanted.pop(adapter, None)
+
+    def tell_ready(self, engine: OrderedEngine) -> None:
+        """Answer those whose adapter is there."""
+        for adapter in tuple(engine.ready):
+            if not engine.book.is_ready(adapter):
+                continue
+            for future in engine.ready.pop(adapter):
+                if not future.done():
+                    future.set_result(None)
+
+    async def answer_missing(self, message: AdapterMissing) -> Noted:
+        """Take that an engine said it does not hold an adapter."""
+        engine = self.ordered.get(message.target)
+        if engine is not None:
+            engine.book.missing(message.adapter)
+            engine.wake.set()
+        return Noted()
+
+    # Telling.
+
+    def holdings(self) -> tuple[EngineHoldings, ...]:
+        """Return what to tell peers of the engines ordered here."""
+        now = self.clock.monotonic()
+        return tuple(
+            EngineHoldings(
+                e.book.target,
+                self.candidate.token,
+                e.book.number,
+                e.book.residents(),
+                {
+                    str(a): e.book.ready_in_s(a, now) or 0.0
+                    for a in sorted(e.book.coming)
+                },
+                tuple(str(a) for a in e.book.recent),
+            )
+            for e in self.ordered.values()
+            if e.book.orders is not None or e.book.number
+        )
+
+    def hear_holdings(self, holdings: EngineHoldings) -> None:
+        """Remember what another holder tells, to go on from it."""
+        self.heard_holdings[holdings.target] = holdings
+
+
+def parse_ref(text: str) -> AdapterRef:
+    """Read ``name@version``."""
+    name, _, version = text.rpartition("@")
+    return AdapterRef(name, version)
+
+
+def subject_of(order: Order) -> str:
+    """Return what an order is about."""
+    if isinstance(order, LoadModel):
+        return order.model
+    assert isinstance(order, LoadAdapter | UnloadAdapter)
+    return str(order.adapter)
+
+
+def policy_for(quiet: timedelta) -> OrderPolicy:
+    """Return the lease's times with the deployment's bound between two holders."""
+    return OrderPolicy(quiet=quiet)
--- a/packages/daemon/src/sardinequay_daemon/peers.py
+++ b/packages/daemon/src/sardinequay_daemon/peers.py
@@ -18,7 +18,7 @@
 from sardinequay_core.names import Address
 
 from .errors import PeerError
-from .metrics import Metrics
+from .metrics import HostMetrics
 from .settings import TimingSettings
 from .wire import (
     Frame,
@@ -41,7 +41,7 @@
 class Connection:
     """What both ends of a link share: framed writing, counted by kind of message."""
 
-    def __init__(self, writer: asyncio.StreamWriter, metrics: Metrics) -> None:
+    def __init__(self, writer: asyncio.StreamWriter, metrics: HostMetrics) -> None:
         self.writer = writer
         self.metrics = metrics
 
@@ -66,7 +66,7 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        metrics: Metrics,
+        metrics: HostMetrics,
         silence_s: float,
     ) -> None:
         super().__init__(writer, metrics)
@@ -158,7 +158,7 @@
     def __init__(
         self,
         timing: TimingSettings,
-        metrics: Metrics,
+        metrics: HostMetrics,
         source_ip: str,
         tls: ssl.SSLContext | None = None,
     ) -> None:
@@ -212,7 +212,7 @@
 class PeerServer:
     """Answers the calls of other entry hosts."""
 
-    def __init__(self, metrics: Metrics) -> None:
+    def __init__(self, metrics: HostMetrics) -> None:
         self.metrics = metrics
         self.handlers: dict[type, Handler] = {}
         self.connections: set[Connection] = set()
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -0,0 +1,199 @@
+"""What decisions about requests are made from, in one place on one host.
+
+Everything here is read and changed by direct calls between two awaits, because a choice
+and the counting of what was chosen must not be parted by another request's.
+"""
+
+from dataclasses import dataclass, field
+from random import Random
+
+from sardinequay_core.catalogue import Catalogue, PublishedTarget
+from sardinequay_core.clock import Clock, Instant, seconds
+from sardinequay_core.load_view import LoadView
+from sardinequay_core.names import AdapterRef, PoolName, TargetId
+from sardinequay_core.rendezvous import rank
+from sardinequay_core.repeat_budget import RepeatBudget, RepeatPolicy
+from sardinequay_core.residency import AdapterUses, Held, Residency
+from sardinequay_core.service_choice import ServiceOption
+from sardinequay_core.target_choice import EngineOption, Holding
+from sardinequay_core.target_health import TargetHealth
+
+from .fleet_task import FleetTask, HeardDigest
+from .order_task import OrderTask, parse_ref
+from .serving_messages import AdapterUse, EngineHoldings
+from .serving_ports import RequestTerms
+
+FIRST_VERSION = "1"
+"""The version of an adapter for which none was published."""
+
+
+@dataclass(slots=True)
+class RelayState:
+    """The state, and views of it for one request."""
+
+    data_centre: str
+    clock: Clock
+    random: Random
+    repeat_policy: RepeatPolicy
+    fleet: FleetTask
+    catalogue: Catalogue = field(default_factory=Catalogue)
+    loads: LoadView = field(default_factory=LoadView)
+    health: TargetHealth = field(default_factory=TargetHealth)
+    residency: Residency = field(default_factory=Residency)
+    uses: AdapterUses = field(default_factory=AdapterUses)
+    budgets: dict[PoolName, RepeatBudget] = field(default_factory=dict)
+    orders: OrderTask | None = None
+
+    # What comes in.
+
+    def take_catalogue(self, catalogue: Catalogue) -> None:
+        """Take what the store publishes, and forget targets that are gone."""
+        self.catalogue = catalogue
+        known = frozenset(catalogue.targets)
+        self.health.forget(known)
+        self.residency.forget(known)
+
+    def take_digest(self, heard: HeardDigest) -> None:
+        """Take a peer's share of load, its uses of adapters, and what engines hold."""
+        digest = heard.digest
+        host_id = digest.host.host_id
+        self.loads.hear(host_id, digest.shares, heard.at)
+        self.uses.peers[host_id] = {(u.target, u.adapter): u.count for u in digest.uses}
+        for holdings in digest.holdings:
+            self.hear_holdings(holdings, heard.at)
+
+    def hear_holdings(self, holdings: EngineHoldings, now: Instant) -> None:
+        """Take what an engine holds from the host that orders it."""
+        coming = {
+            parse_ref(text): now + seconds(in_s)
+            for text, in_s in holdings.coming.items()
+        }
+        held = Held(
+            holdings.token,
+            holdings.number,
+            frozenset(holdings.adapters),
+            coming,
+            frozenset(holdings.recent),
+        )
+        if self.residency.hear(holdings.target, held) and self.orders is not None:
+            self.orders.hear_holdings(holdings)
+
+    def lose_peer(self, host_id: str) -> None:
+        """Drop the share of a peer that is gone."""
+        for known in tuple(self.loads.peers):
+            if known == host_id:
+                self.loads.forget(known)
+                self.uses.peers.pop(known, None)
+
+    def adapter_uses(self) -> tuple[AdapterUse, ...]:
+        """Return this host's uses of adapters, for its peers."""
+        return tuple(AdapterUse(t, a, n) for (t, a), n in self.uses.own.items())
+
+    # What a request sees.
+
+    def budget(self, pool: PoolName) -> RepeatBudget:
+        """Return this host's budget of repeats at a pool."""
+        found = self.budgets.get(pool)
+        if found is None:
+            found = self.budgets[pool] = RepeatBudget(self.repeat_policy)
+        return found
+
+    def wanted(self, terms: RequestTerms) -> AdapterRef:
+        """Return the adapter that a request needs, in its newest version."""
+        version = self.catalogue.newest.get(terms.adapter, FIRST_VERSION)
+        return AdapterRef(terms.adapter, version)
+
+    def usable(self, pool: PoolName, now: Instant) -> list[PublishedTarget]:
+        """Return the targets of a pool that requests may go to."""
+        live = self.catalogue.live(pool)
+        usable = self.health.usable((t.target.target_id for t in live), now)
+        return [t for t in live if t.target.target_id in usable]
+
+    def engine_options(
+        self, pool: PoolName, terms: RequestTerms, barred: frozenset[TargetId]
+    ) -> list[EngineOption]:
+        """Return the engines as a model request may use them."""
+        now = self.clock.monotonic()
+        usable = self.usable(pool, now)
+        open_to = [t for t in usable if t.target.target_id not in barred] or usable
+        order = rank(terms.adapter, [t.target.target_id for t in usable])
+        home = {target: place for place, target in enumerate(order)}
+        return [self.engine_option(t, terms, home, now) for t in open_to]
+
+    def engine_option(
+        self,
+        published: PublishedTarget,
+        terms: RequestTerms,
+        home: dict[str, int],
+        now: Instant,
+    ) -> EngineOption:
+        """Return one engine as a model request may use it."""
+        target = published.target
+        target_id = target.target_id
+        held = self.residency.held(published)
+        holding, ready_in_s = self.holding(published, held, terms, now)
+        config = self.catalogue.config
+        pool = config.pools[target.pool].engines if config else None
+        places = pool.adapter_slots if pool else 0
+        in_use = self.uses.on(target_id)
+        idle = sum(1 for a in held.adapters if not in_use.get(a))
+        return EngineOption(
+            target=target_id,
+            holding=holding,
+            first_event_s=self.loads.first_event_s(target_id, terms.prompt_tokens, now),
+            is_local=target.data_centre == self.data_centre,
+            ready_in_s=ready_in_s,
+            free_places=places - len(held.adapters) - len(held.coming),
+            idle_adapters=idle,
+            home_rank=home[target_id],
+            may_load=self.keeper_of(target.data_centre) is not None,
+            is_full=self.health.is_full(target_id, now),
+        )
+
+    def holding(
+        self,
+        published: PublishedTarget,
+        held: Held,
+        terms: RequestTerms,
+        now: Instant,
+    ) -> tuple[Holding, float]:
+        """Return whether an engine has what a request needs, and when if it comes."""
+        if not terms.adapter:
+            has_model = not terms.model or terms.model in published.models
+            return (Holding.RESIDENT if has_model else Holding.ABSENT), 0.0
+        wanted = self.wanted(terms)
+        if self.residency.resident(published, wanted) is not None:
+            return Holding.RESIDENT, 0.0
+        coming_at = self.residency.coming_at(published, wanted)
+        if coming_at is not None:
+            return Holding.COMING, max(0.0, (coming_at - now).total_seconds())
+        is_recent = str(wanted) in held.recent
+        return (Holding.RECENT if is_recent else Holding.ABSENT), 0.0
+
+    def keeper_of(self, data_centre: str) -> str | None:
+        """Return the host that orders a data centre's engines, if one is known."""
+        orders = self.orders
+        if orders is not None and data_centre == self.data_centre and orders.is_keeper:
+            return orders.me
+        return self.fleet.keeper_of(data_centre)
+
+    def service_options(
+        self, pool: PoolName, tried: frozenset[TargetId]
+    ) -> list[ServiceOption]:
+        """Return the targets of a plain service as a request may use them."""
+        now = self.clock.monotonic()
+        options = []
+        for published in self.usable(pool, now):
+            target_id = published.target.target_id
+            options.append(
+                ServiceOption(
+                    target=target_id,
+                    in_work=self.loads.share(target_id, now).running,
+                    slots=published.slots,
+                    is_local=published.target.data_centre == self.data_centre,
+                    is_full=self.health.is_full(target_id, now),
+                    was_tried=target_id in tried,
+                    spread=self.random.random(),
+                )
+            )
+        return options
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -0,0 +1,329 @@
+"""A host that serves requests of any shape: its tasks put together, started, stopped."""
+
+import asyncio
+import contextlib
+import gc
+import logging
+from dataclasses import dataclass, replace
+from random import Random
+
+from aiohttp import web
+from aioprometheus.renderer import render
+
+from sardinequay_core.clock import Clock
+from sardinequay_core.names import Address, HostId
+from sardinequay_core.order_lease import Ballot, Resign
+from sardinequay_core.repeat_budget import RepeatPolicy
+
+from .decision_log import BoundedOutput
+from .errors import StartError
+from .fleet_task import FleetTask, HeardDigest
+from .order_task import OrderTask, policy_for
+from .peers import PeerCaller, PeerServer
+from .relay import Relay
+from .relay_server import RelayServer, readiness_app
+from .relay_state import RelayState
+from .serving_messages import (
+    AdapterMissing,
+    Contact,
+    Digest,
+    FetchItems,
+    ItemsReply,
+    WantAdapter,
+)
+from .serving_metrics import ServingMetrics
+from .serving_ports import CallDialect, EngineOrders, HostProfile, MetadataStore
+from .settings import TimingSettings
+from .store_task import StoreTask
+from .tracing import Tracing
+from .upstream import Upstream
+from .wants import WantBoard
+
+EXIT_PORT_IN_USE = 3
+PEER_TIMING = TimingSettings(call_timeout_s=0.6, silence_s=1.0, connect_timeout_s=0.4)
+"""Hosts of a region answer in milliseconds; a silent link must cost less than the times
+in which changes are to be followed."""
+
+KEEP_ACCEPTING_S = 3.0
+"""After a stop signal, new requests are served for so long: the balancer asks once a
+second and stops sending after two bad answers."""
+
+LAST_SHARE = 0.94
+"""Share of the grace after which what is still in flight is given up; the rest is for
+ending the process before it is killed."""
+
+CLOSE_POLL_S = 0.05
+AnyRunner = web.AppRunner | web.ServerRunner
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """What a deployment's adapter provides."""
+
+    profile: HostProfile
+    store: MetadataStore
+    dialect: CallDialect
+    engines: EngineOrders
+
+
+class ServingHost:
+    """One entry host before engines and plain services of any deployment."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        clock: Clock,
+        random: Random,
+        tracing: Tracing,
+        output: BoundedOutput,
+    ) -> None:
+        self.profile = deployment.profile
+        self.deployment = deployment
+        self.clock = clock
+        self.random = random
+        self.output = output
+        profile = self.profile
+        bounds = profile.bounds
+        self.me = Contact(profile.host_id, profile.data_centre, str(profile.peers))
+        self.metrics = ServingMetrics(profile.host_id, profile.data_centre)
+        self.peer_server = PeerServer(self.metrics)
+        self.peers = PeerCaller(PEER_TIMING, self.metrics, profile.peers.ip)
+        order_policy = policy_for(bounds.order_quiet)
+        self.fleet = FleetTask(
+            self.me,
+            profile.seeds,
+            self.peers,
+            clock,
+            order_policy.remember,
+            self.digest,
+        )
+        self.store = StoreTask(
+            deployment.store,
+            clock,
+            random,
+            bounds.entry_return,
+            self.fleet.is_reader,
+            self.fleet.freshest_store_age_s,
+        )
+        repeats = RepeatPolicy(
+            bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window
+        )
+        self.state = RelayState(profile.data_centre, clock, random, repeats, self.fleet)
+        self.orders = OrderTask(
+            profile.host_id,
+            profile.data_centre,
+            deployment.engines,
+            self.peers,
+            self.fleet,
+            clock,
+            self.metrics,
+            order_policy,
+            profile.is_first_start,
+            self.state.uses.on,
+            self.tell_holdings,
+        )
+        self.state.orders = self.orders
+        self.upstream = Upstream(profile.callers.ip)
+        self.relay = Relay(
+            self.state,
+            deployment.dialect,
+            self.upstream,
+            WantBoard(self.state, self.peers),
+            self.metrics,
+            tracing,
+        )
+        self.server = RelayServer(
+            self.relay,
+            self.state,
+            deployment.dialect,
+            self.metrics,
+            tracing,
+            clock,
+            profile.memory_mb,
+        )
+        self.contacts_told: dict[HostId, int] = {}
+        self.fetching: asyncio.Task[None] | None = None
+        self.is_stopping = False
+        self.runners: list[AnyRunner] = []
+        self.connect()
+
+    def connect(self) -> None:
+        """Say which task hears of which change, and who answers which message."""
+        self.store.catalogues.subscribe(self.state.take_catalogue)
+        self.store.catalogues.subscribe(self.orders.take_catalogue)
+        self.store.catalogues.subscribe(lambda _: self.fleet.tell_all(everyone=False))
+        self.fleet.digests.subscribe(self.state.take_digest)
+        self.fleet.digests.subscribe(self.take_digest)
+        self.fleet.lost.subscribe(self.state.lose_peer)
+        server = self.peer_server
+        server.register(Digest, self.fleet.answer)
+        server.register(FetchItems, self.store.answer_fetch)
+        server.register(Ballot, self.orders.answer_ballot)
+        server.register(Resign, self.orders.answer_resign)
+        server.register(WantAdapter, self.orders.answer_want)
+        server.register(AdapterMissing, self.orders.answer_missing)
+
+    def take_profile(self, profile: HostProfile) -> None:
+        """Take settings that changed: seeds and bounds; addresses stay."""
+        self.profile = replace(self.profile, seeds=profile.seeds, bounds=profile.bounds)
+        self.fleet.set_seeds(profile.seeds)
+        log.info("settings reloaded", extra={"seeds": [str(s) for s in profile.seeds]})
+
+    # Digests.
+
+    def digest(self, host_id: HostId) -> Digest:
+        """Return what to tell a peer now."""
+        standing = self.store.standing()
+        contacts = self.fleet.contacts()
+        is_known = self.contacts_told.get(host_id) == len(contacts)
+        self.contacts_told[host_id] = len(contacts)
+        return Digest(
+            host=self.me,
+            is_leaving=self.fleet.is_leaving,
+            contacts=() if is_known else contacts,
+            contacts_known=len(contacts),
+            shares=dict(self.state.loads.own),
+            uses=self.state.adapter_uses(),
+            holdings=self.orders.holdings(),
+            orders_for=self.profile.data_centre if self.orders.is_keeper else "",
+            store_revision=standing.revision,
+            store_age_s=standing.age_s,
+        )
+
+    def tell_holdings(self) -> None:
+        """Let this host and its peers know what engines hold now."""
+        now = self.clock.monotonic()
+        for holdings in self.orders.holdings():
+            self.state.hear_holdings(holdings, now)
+        self.fleet.tell_all(everyone=True)
+
+    def take_digest(self, heard: HeardDigest) -> None:
+        """Fetch what a peer knows of the store and this host does not."""
+        digest = heard.digest
+        is_idle = self.fetching is None or self.fetching.done()
+        if digest.store_revision > self.store.catalogue.revision and is_idle:
+            self.fetching = asyncio.create_task(self.fetch(digest.host.host_id))
+
+    async def fetch(self, host_id: HostId) -> None:
+        """Fetch items of the store from a peer."""
+        address = self.fleet.address_of(host_id)
+        if address is None:
+            return
+        ask = FetchItems(self.store.catalogue.revision)
+        answer = (await self.peers.call(address, ask)).value_or(None)
+        if isinstance(answer, ItemsReply):
+            self.store.take_from_peer(answer)
+
+    # Life.
+
+    def is_ready(self) -> bool:
+        """Return whether this host can serve: it knows what to serve, and by whom."""
+        catalogue = self.store.catalogue
+        return (
+            catalogue.config is not None
+            and bool(catalogue.targets)
+            and not self.is_stopping
+        )
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until told to stop, then let what is in flight finish."""
+        peer_listener = await self.listen()
+        log.info("started", extra={"data_centre": self.profile.data_centre})
+        try:
+            async with asyncio.TaskGroup() as group:
+                work = [
+                    group.create_task(self.store.run()),
+                    group.create_task(self.fleet.run()),
+                    group.create_task(self.orders.run()),
+                    group.create_task(self.server.sweep()),
+                    group.create_task(self.tidy()),
+                ]
+                await stop.wait()
+                await self.drain()
+                for task in work:
+                    task.cancel()
+        finally:
+            peer_listener.close()
+            await self.close()
+            log.info("stopped", extra={"in_flight": self.server.in_flight})
+            self.output.drain()
+
+    async def tidy(self) -> None:
+        """Write what waits in the log, and keep memory from growing in cycles."""
+        gc.freeze()
+        while True:
+            await asyncio.sleep(0.5)
+            self.output.drain()
+            self.metrics.log_lines_left_out.set({}, self.output.left_out)
+            self.metrics.in_flight.set({}, self.server.in_flight)
+            config = self.state.catalogue.config
+            self.metrics.config_version.set({}, config.version if config else 0)
+
+    async def listen(self) -> asyncio.Server:
+        """Open the listeners."""
+        profile = self.profile
+        try:
+            listener = await self.peer_server.start(profile.peers)
+            ready = web.AppRunner(
+                readiness_app(profile.readiness_path, self.is_ready), access_log=None
+            )
+            await self.serve_http(ready, profile.readiness)
+            metrics = web.AppRunner(self.metrics_app(), access_log=None)
+            await self.serve_http(metrics, profile.metrics)
+            await self.serve_http(web.ServerRunner(self.server), profile.callers)
+        except OSError as error:
+            raise StartError(f"cannot listen: {error}", EXIT_PORT_IN_USE) from error
+        return listener
+
+    async def serve_http(
+        self,
+        runner: AnyRunner,
+        address: Address,
+    ) -> None:
+        """Serve HTTP at an address."""
+        await runner.setup()
+        self.runners.append(runner)
+        await web.TCPSite(runner, address.ip, address.port).start()
+
+    def metrics_app(self) -> web.Application:
+        """Return the page of metrics."""
+
+        async def page(request: web.Request) -> web.Response:
+            content, headers = render(self.metrics.registry, [])
+            return web.Response(body=content, headers=headers)
+
+        app = web.Application()
+        app.router.add_get("/metrics", page)
+        return app
+
+    async def drain(self) -> None:
+        """Become unready, hand over, and let requests in flight finish."""
+        began = self.clock.monotonic()
+        grace_s = self.profile.bounds.grace.total_seconds() * LAST_SHARE
+        log.info("stopping", extra={"in_flight": self.server.in_flight})
+        self.is_stopping = True
+        await self.orders.resign()
+        self.fleet.leave()
+        await asyncio.sleep(min(KEEP_ACCEPTING_S, grace_s / 2))
+        self.server.is_closing = True
+        while self.server.in_flight or self.open_connections():
+            taken_s = (self.clock.monotonic() - began).total_seconds()
+            if taken_s > grace_s:
+                left = self.server.in_flight
+                log.error("stopped with requests in flight", extra={"in_flight": left})
+                break
+            await asyncio.sleep(CLOSE_POLL_S)
+
+    def open_connections(self) -> bool:
+        """Return whether callers still have connections that are closed in turn."""
+        return bool(self.server.connections)
+
+    async def close(self) -> None:
+        """Close all that is open."""
+        for runner in reversed(self.runners):
+            with contextlib.suppress(asyncio.TimeoutError):
+                await runner.cleanup()
+        await self.upstream.close()
+        self.peers.close()
+        self.peer_server.close()
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/serving_messages.py
@@ -0,0 +1,147 @@
+"""Messages between hosts that serve requests of any shape.
+
+Durations travel as seconds.
+"""
+
+from dataclasses import dataclass
+
+from sardinequay_core.load_view import EngineShare
+from sardinequay_core.names import AdapterRef, HostId, TargetId
+from sardinequay_core.order_lease import Ballot, Resign, Vote
+
+from .serving_ports import StoreItem
+
+
+@dataclass(frozen=True, slots=True)
+class Contact:
+    """How a host is reached."""
+
+    host_id: HostId
+    data_centre: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class EngineHoldings:
+    """What one engine holds, told by the host that orders it.
+
+    Parameters
+    ----------
+    number : int
+        Counts changes; with the token it tells later news from earlier.
+    coming : dict
+        Adapters on their way and when they are expected, in seconds.
+    """
+
+    target: TargetId
+    token: int
+    number: int
+    adapters: tuple[AdapterRef, ...]
+    coming: dict[str, float]
+    recent: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AdapterUse:
+    """Requests of one host that use an adapter on an engine."""
+
+    target: TargetId
+    adapter: AdapterRef
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class Digest:
+    """What a host tells each of its peers a few times a second.
+
+    Parameters
+    ----------
+    contacts : tuple of Contact
+        Hosts that the sender knows; empty if the peer has them already.
+    orders_for : str
+        The data centre whose engines the sender orders; empty for none.
+    store_revision : int
+        Up to where the sender knows the store.
+    store_age_s : float
+        How long ago it last heard the store itself; infinite if never.
+    """
+
+    host: Contact
+    is_leaving: bool
+    contacts: tuple[Contact, ...]
+    contacts_known: int
+    shares: dict[TargetId, EngineShare]
+    uses: tuple[AdapterUse, ...]
+    holdings: tuple[EngineHoldings, ...]
+    orders_for: str
+    store_revision: int
+    store_age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class FetchItems:
+    """Asks for the store's items that changed after a revision."""
+
+    after: int
+
+
+@dataclass(frozen=True, slots=True)
+class ItemsReply:
+    """Items of the store, all of them if `is_whole`."""
+
+    items: tuple[StoreItem, ...]
+    revision: int
+    is_whole: bool
+
+
+@dataclass(frozen=True, slots=True)
+class WantAdapter:
+    """Asks the host that orders an engine to have an adapter loaded there.
+
+    Parameters
+    ----------
+    weight : float
+        What loading it is worth to the requests that wait.
+    wait_s : float
+        How long waiting for it helps, in seconds.
+    """
+
+    target: TargetId
+    adapter: AdapterRef
+    weight: float
+    wait_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class WantReply:
+    """Whether the adapter is ready; else why not."""
+
+    is_ready: bool
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class AdapterMissing:
+    """Tells that an engine said it does not hold an adapter."""
+
+    target: TargetId
+    adapter: AdapterRef
+
+
+@dataclass(frozen=True, slots=True)
+class Noted:
+    """The answer to a message that asks for nothing."""
+
+
+SERVING_MESSAGES = (
+    AdapterMissing,
+    Ballot,
+    Digest,
+    FetchItems,
+    ItemsReply,
+    Noted,
+    Resign,
+    Vote,
+    WantAdapter,
+    WantReply,
+)
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/serving_metrics.py
@@ -0,0 +1,34 @@
+"""The metrics of a host that serves requests of any shape."""
+
+from .metrics import HostMetrics
+
+LATENCY_BUCKETS_S = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15.0,
+]  # fmt: skip
+
+
+class ServingMetrics(HostMetrics):
+    """Counters, gauges and latency histograms; each names its unit."""
+
+    def __init__(self, host_id: str, data_centre: str) -> None:
+        super().__init__(host_id, data_centre)
+        self.requests = self.counter("requests_total", "Requests by route and status")
+        self.refusals = self.counter("refusals_total", "Refused requests by reason")
+        self.attempts = self.counter("attempts_total", "Attempts by pool and result")
+        self.orders = self.counter("orders_total", "Orders to engines by kind, result")
+        self.store_reads = self.counter("store_reads_total", "Reads of the store")
+        self.left_out = self.counter("targets_left_out_total", "Targets left out")
+        self.in_flight = self.gauge("in_flight", "Requests in flight")
+        self.config_version = self.gauge("config_version", "Version in force")
+        self.log_lines_left_out = self.gauge(
+            "log_lines_left_out", "Log lines that wait to be told as left out"
+        )
+        self.first_byte = self.histogram(
+            "first_byte_seconds", "Time to the first byte by route", LATENCY_BUCKETS_S
+        )
+        self.whole_answer = self.histogram(
+            "answer_seconds", "Time to the end of the answer", LATENCY_BUCKETS_S
+        )
+        self.load_wait = self.histogram(
+            "load_wait_seconds", "Waits for an adapter", LATENCY_BUCKETS_S
+        )
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/store_task.py
@@ -0,0 +1,297 @@
+"""Follows the metadata store, directly or through peers that do.
+
+A few hosts of each data centre read the store; the others take what those know. A host
+that hears of no fresh reader reads for itself, so a host that is cut off from its
+reader falls behind for a moment only.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from datetime import timedelta
+from random import Random
+
+from reactivex.subject import BehaviorSubject
+from returns.result import Success
+
+from sardinequay_core.catalogue import (
+    Absence,
+    Catalogue,
+    Change,
+    expire,
+    fold,
+    replace_listing,
+)
+from sardinequay_core.clock import Clock, Instant, seconds
+
+from .errors import PlatformError
+from .serving_messages import FetchItems, ItemsReply
+from .serving_ports import MetadataStore, StoreItem, StoreRead
+
+WATCH_WAIT = seconds(1)
+"""How long a watch waits. Short, since a connection that went silent shows only by it."""
+
+BATCH_PAUSE_S = 0.3
+"""Between two watches: entries change several times a second, calls are counted."""
+
+RETRY_S = (0.1, 0.25, 0.5, 0.5, 1.0)
+"""Pauses after failed reads; at most a second, since changes must be followed fast."""
+
+FRESH_PEER_S = 2.0
+"""A reader that heard the store within this is relied on: a watch and its bound."""
+
+IDLE_S = 0.1
+"""How often a host that does not read looks whether it must."""
+
+TROUBLE_MEMORY = seconds(5)
+"""For so long after a failed read a vanished entry may be due to the store itself: its
+leases ran out while it was away. About three heartbeats of a target."""
+
+MAX_RECENT_ITEMS = 512
+"""Changed items kept for peers that lag; older ones cost a whole listing."""
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class StoreStanding:
+    """What this host tells its peers of the store."""
+
+    revision: int
+    age_s: float
+
+
+class StoreTask:
+    """Owns the catalogue and the store's items."""
+
+    def __init__(
+        self,
+        store: MetadataStore,
+        clock: Clock,
+        random: Random,
+        entry_return: timedelta,
+        is_reader: Callable[[], bool],
+        freshest_peer_age_s: Callable[[], float],
+    ) -> None:
+        self.store = store
+        self.clock = clock
+        self.random = random
+        self.entry_return = entry_return
+        self.is_reader = is_reader
+        self.freshest_peer_age_s = freshest_peer_age_s
+        self.catalogues: BehaviorSubject[Catalogue] = BehaviorSubject(Catalogue())
+        self.items: dict[str, StoreItem] = {}
+        self.removed: dict[str, StoreItem] = {}
+        self.heard_at: Instant | None = None
+        self.trouble_at: Instant | None = None
+        self.failures = 0
+        self.must_list = True
+
+    @property
+    def catalogue(self) -> Catalogue:
+        """Return what is known now."""
+        return self.catalogues.value
+
+    # Reading.
+
+    async def run(self) -> None:
+        """Follow the store for good."""
+        while True:
+            if self.may_rely_on_peers():
+                await asyncio.sleep(IDLE_S)
+                self.expire()
+                continue
+            await self.read_once()
+
+    def may_rely_on_peers(self) -> bool:
+        """Return whether another host's reading is enough."""
+        is_known = self.catalogue.config is not None
+        return (
+            is_known
+            and not self.is_reader()
+            and self.freshest_peer_age_s() < FRESH_PEER_S
+        )
+
+    async def read_once(self) -> None:
+        """List, or watch once; then pause."""
+        if self.must_list:
+            read = await self.store.list_all()
+        else:
+            read = await self.store.watch(self.catalogue.revision, WATCH_WAIT)
+        if isinstance(read, Success):
+            self.take_read(read.unwrap(), is_whole=self.must_list)
+            await asyncio.sleep(BATCH_PAUSE_S if read.unwrap().items else 0)
+            return
+        await self.take_failure(read.failure())
+
+    def take_read(self, read: StoreRead, is_whole: bool) -> None:
+        """Take what a read gave."""
+        now = self.clock.monotonic()
+        if self.failures:
+            log.info("store regained", extra={"failures": self.failures})
+        if self.failures and self.trouble_at is not None:
+            self.trouble_at = now
+        self.failures = 0
+        self.heard_at = now
+        if read.revision < self.catalogue.revision:
+            # An answer older than what is known already says nothing new.
+            log.warning(
+                "store answered with an older state",
+                extra={"revision": read.revision, "known": self.catalogue.revision},
+            )
+            self.must_list = True
+            return
+        self.must_list = False
+        if is_whole:
+            self.take_whole(read)
+        else:
+            self.take_changes(read.items, read.revision)
+        self.expire()
+
+    async def take_failure(self, error: PlatformError) -> None:
+        """Take a failed read, and pause before the next."""
+        if error.is_history_gone:
+            log.info("store lost its history", extra={"detail": error.detail})
+            self.must_list = True
+            return
+        if not self.failures:
+            log.warning("store lost", extra={"detail": str(error)})
+        self.trouble_at = self.clock.monotonic()
+        pause_s = RETRY_S[min(self.failures, len(RETRY_S) - 1)]
+        self.failures += 1
+        self.expire()
+        await asyncio.sleep(pause_s * self.random.uniform(0.75, 1.25))
+
+    # Folding.
+
+    def absence(self) -> Absence:
+        """Return how a vanished entry is to be taken now."""
+        now, trouble = self.clock.monotonic(), self.trouble_at
+        if trouble is None or now - trouble > TROUBLE_MEMORY:
+            return Absence()
+        return Absence(now + self.entry_return)
+
+    def take_whole(self, read: StoreRead) -> None:
+        """Take a complete listing."""
+        listed = {item.key: item for item in read.items}
+        for key, item in self.items.items():
+            if key not in listed:
+                self.removed[key] = StoreItem(
+                    key, max(item.revision, read.revision), None
+                )
+        self.items = listed
+        changes = tuple(c for c in map(self.decode, read.items) if c is not None)
+        self.publish(
+            replace_listing(self.catalogue, changes, read.revision, self.absence())
+        )
+
+    def take_changes(self, items: tuple[StoreItem, ...], revision: int) -> None:
+        """Take items that changed, in order."""
+        catalogue = self.catalogue
+        for item in items:
+            self.keep(item)
+            change = self.decode(item)
+            if change is not None:
+                catalogue = fold(change, catalogue, self.absence())
+        self.publish(replace(catalogue, revision=max(revision, catalogue.revision)))
+
+    def keep(self, item: StoreItem) -> None:
+        """Keep an item for peers."""
+        if item.value is None:
+            self.items.pop(item.key, None)
+            self.removed.pop(item.key, None)
+            self.removed[item.key] = item
+            while len(self.removed) > MAX_RECENT_ITEMS:
+                del self.removed[next(iter(self.removed))]
+        else:
+            self.items[item.key] = item
+            self.removed.pop(item.key, None)
+
+    def decode(self, item: StoreItem) -> Change | None:
+        """Decode an item; one that is not understood is logged and left out."""
+        try:
+            return self.store.decode(item)
+        except PlatformError as error:
+            log.error(
+                "item not understood", extra={"key": item.key, "detail": str(error)}
+            )
+            return None
+
+    def publish(self, catalogue: Catalogue) -> None:
+        """Make a catalogue known if it says anything new."""
+        before = self.catalogue
+        if catalogue == before:
+            return
+        self.log_differences(before, catalogue)
+        self.catalogues.on_next(catalogue)
+
+    def log_differences(self, before: Catalogue, after: Catalogue) -> None:
+        """Log what this host now believes otherwise."""
+        old = before.config.version if before.config else 0
+        new = after.config.version if after.config else 0
+        if new != old:
+            log.info(
+                "configuration in force",
+                extra={"version": new, "before": old, "revision": after.revision},
+            )
+        for target_id in {*before.targets, *after.targets}:
+            was, now = before.targets.get(target_id), after.targets.get(target_id)
+            old_state = was.target.presence.value if was else "absent"
+            new_state = now.target.presence.value if now else "absent"
+            if target_id in after.unconfirmed and target_id not in before.unconfirmed:
+                new_state = "unconfirmed"
+            if old_state != new_state:
+                log.info(
+                    "target changed",
+                    extra={
+                        "target": target_id,
+                        "before": old_state,
+                        "after": new_state,
+                        "revision": after.revision,
+                    },
+                )
+
+    def expire(self) -> None:
+        """Drop targets whose entries did not come back.
+
+        While the store is in trouble no entry can come back.
+        """
+        if self.catalogue.unconfirmed and not self.failures:
+            self.publish(expire(self.catalogue, self.clock.monotonic()))
+
+    # Peers.
+
+    def standing(self) -> StoreStanding:
+        """Return what to tell peers."""
+        heard = self.heard_at
+        age = float("inf")
+        if heard is not None:
+            age = (self.clock.monotonic() - heard).total_seconds()
+        return StoreStanding(self.catalogue.revision, age)
+
+    async def answer_fetch(self, message: FetchItems) -> ItemsReply:
+        """Give a peer what changed after the revision that it knows."""
+        oldest = min((i.revision for i in self.removed.values()), default=0)
+        is_whole = message.after == 0 or (
+            len(self.removed) >= MAX_RECENT_ITEMS and message.after < oldest
+        )
+        known = [*self.items.values(), *self.removed.values()]
+        items = (
+            list(self.items.values())
+            if is_whole
+            else [i for i in known if i.revision > message.after]
+        )
+        items.sort(key=lambda item: item.revision)
+        return ItemsReply(tuple(items), self.catalogue.revision, is_whole)
+
+    def take_from_peer(self, reply: ItemsReply) -> None:
+        """Take a peer's items if they are newer than what is known."""
+        if reply.revision <= self.catalogue.revision:
+            return
+        read = StoreRead(reply.items, reply.revision)
+        if reply.is_whole:
+            self.take_whole(read)
+        else:
+            self.take_changes(reply.items, reply.revision)
+        self.must_list = False
