Count an unload as an order, and let it name no expected count

Cause: an engine drops an adapter at once (it says that the order holds) and counts it, so the count that loads named was one too low and every order after the first unload was refused.

--- a/packages/core/src/sardinequay_core/engine_book.py
+++ b/packages/core/src/sardinequay_core/engine_book.py
@@ -236,7 +236,9 @@
 
     def accepted(self, order: Order, holds_already: bool, now: Instant) -> None:
         """Take that an order was accepted, or held already."""
-        if self.orders is not None and not holds_already:
+        # An engine drops an adapter at once, says that the order holds, and counts it.
+        counts = not holds_already or isinstance(order, UnloadAdapter)
+        if self.orders is not None and counts:
             self.orders += 1
         if isinstance(order, LoadModel):
             self.orders = None
@@ -275,6 +277,14 @@
             self.changed()
         self.orders = None
 
+    def expected_orders(self, order: Order) -> int | None:
+        """Return the count of orders that the engine must show to accept one.
+
+        A load must not meet an engine that another host has filled meanwhile. Dropping
+        an adapter does no harm then, and its refusal is to mean only that it is in use.
+        """
+        return None if isinstance(order, UnloadAdapter) else self.orders
+
     # What comes next.
 
     def next_step(self, in_use: Mapping[AdapterRef, int], now: Instant) -> Step:
--- a/packages/daemon/src/sardinequay_daemon/order_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -333,7 +333,8 @@
     async def give(self, engine: OrderedEngine, order: Order) -> None:
         """Send one order and enter its result."""
         book, target = engine.book, engine.published.target
-        terms = OrderTerms(self.me, self.candidate.token, book.orders)
+        expected = book.expected_orders(order)
+        terms = OrderTerms(self.me, self.candidate.token, expected)
         self.candidate.ordered(self.clock.monotonic())
         result = await self.engines.order(target, order, terms)
         now = self.clock.monotonic()
