--- a/dev.py
+++ b/dev.py
@@ -15,7 +15,13 @@
 ROOT = Path(__file__).resolve().parent
 VENV = ROOT / ".venv"
 PYTHON = VENV / "bin" / "python"
-PACKAGES = ("core", "daemon", "cli", "lab")
+MEMBERS = (
+    "packages/core",
+    "packages/daemon",
+    "packages/cli",
+    "packages/lab",
+    "platform",
+)
 TOOLS = ("hypothesis", "import-linter", "mypy", "pytest", "pytest-asyncio", "ruff")
 TEST_TOOLS = ("syrupy",)
 
@@ -33,7 +39,7 @@
 def set_up() -> None:
     """Create `.venv` and install what the pins name, unless that is already done."""
     pins = (ROOT / "constraints.txt").read_bytes()
-    projects = [ROOT / "packages" / name / "pyproject.toml" for name in PACKAGES]
+    projects = [ROOT / member / "pyproject.toml" for member in MEMBERS]
     wanted = hashlib.sha256(pins + b"".join(p.read_bytes() for p in projects))
     stamp = VENV / "installed"
     if stamp.exists() and stamp.read_text() == wanted.hexdigest():
@@ -41,7 +47,7 @@
     venv.create(VENV, with_pip=True, symlinks=True, clear=True)
     pip = (PYTHON, "-m", "pip", "install", "-q", "-c", "constraints.txt")
     run(*pip, "setuptools", "wheel", *TOOLS, *TEST_TOOLS)
-    editable = [part for name in PACKAGES for part in ("-e", f"packages/{name}")]
+    editable = [part for member in MEMBERS for part in ("-e", member)]
     run(*pip, "--no-build-isolation", *editable)
     stamp.write_text(wanted.hexdigest())
 
@@ -50,7 +56,7 @@
     """Run formatter, linter, type checks, import contracts and all tests."""
     run(PYTHON, "-m", "ruff", "format", "--check", ".")
     run(PYTHON, "-m", "ruff", "check", ".")
-    run(PYTHON, "-m", "mypy", *[f"packages/{name}/src" for name in PACKAGES])
+    run(PYTHON, "-m", "mypy", *[f"{member}/src" for member in MEMBERS])
     run(VENV / "bin" / "lint-imports", "--no-cache")
     return run(PYTHON, "-m", "pytest", check=False)
 
--- a/packages/core/src/sardinequay_core/order_lease.py
+++ b/packages/core/src/sardinequay_core/order_lease.py
@@ -17,6 +17,7 @@
 from .clock import ZERO, Instant, seconds
 from .names import HostId
 
+NOBODY = HostId("")
 TOKENS_PER_REVISION = 256
 """Room for successions between two changes of the store's revision."""
 
@@ -41,10 +42,10 @@
         be survived safely, since a cut-off host looks like a dead one.
     """
 
-    lease: timedelta = seconds(1.5)
-    margin: timedelta = seconds(0.2)
-    quiet: timedelta = seconds(3.3)
-    remember: timedelta = seconds(30)
+    lease: timedelta = timedelta(seconds=1.5)
+    margin: timedelta = timedelta(seconds=0.2)
+    quiet: timedelta = timedelta(seconds=3.3)
+    remember: timedelta = timedelta(seconds=30)
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,10 +91,10 @@
 
     policy: OrderPolicy
     abstains_until: Instant
-    holder: HostId = HostId("")
+    holder: HostId = NOBODY
     until: Instant = ZERO
     highest_token: int = 0
-    previous: HostId = HostId("")
+    previous: HostId = NOBODY
     previous_quiet_since: Instant | None = None
 
     def vote(self, ballot: Ballot, now: Instant) -> Vote:
@@ -127,7 +128,7 @@
             return
         self.previous = self.holder
         self.previous_quiet_since = now - seconds(message.last_order_age_s)
-        self.holder = HostId("")
+        self.holder = NOBODY
         self.until = now
 
 
--- a/packages/core/src/sardinequay_core/repeat_budget.py
+++ b/packages/core/src/sardinequay_core/repeat_budget.py
@@ -1,9 +1,9 @@
 """How many further arrivals a pool of targets can bear, shared without talking.
 
-Load pattern: targets fail or reject requests, and every entry host sends them again; the
-repeats then are what keeps the targets overloaded. Over any window all hosts together
-may add a ratio of the requests, and a slack. Each host takes the ratio of its own
-requests and its share of the slack by the number of live hosts.
+Load pattern: targets fail or reject requests, and every entry host sends them again;
+the repeats then are what keeps the targets overloaded. Over any window all hosts
+together may add a ratio of the requests, and a slack. Each host takes the ratio of its
+own requests and its share of the slack by the number of live hosts.
 """
 
 from collections import deque
--- a/packages/core/src/sardinequay_core/target_health.py
+++ b/packages/core/src/sardinequay_core/target_health.py
@@ -11,7 +11,7 @@
 from datetime import timedelta
 from enum import Enum
 
-from .clock import ZERO, Instant, seconds
+from .clock import ZERO, Instant
 from .names import TargetId
 
 
@@ -45,11 +45,11 @@
         Share of a pool below which everything is used.
     """
 
-    first_pause: timedelta = seconds(0.5)
-    longest_pause: timedelta = seconds(4)
+    first_pause: timedelta = timedelta(seconds=0.5)
+    longest_pause: timedelta = timedelta(seconds=4)
     failure_memory: float = 0.8
     tolerated: float = 0.35
-    full_for: timedelta = seconds(0.1)
+    full_for: timedelta = timedelta(seconds=0.1)
     least_usable: float = 0.34
 
 
--- a/packages/daemon/src/sardinequay_daemon/fleet_task.py
+++ b/packages/daemon/src/sardinequay_daemon/fleet_task.py
@@ -121,7 +121,7 @@
         )
 
     def has_joined(self) -> bool:
-        """Return whether the hosts of this data centre are known well enough to vote."""
+        """Return whether the hosts here are known well enough to vote."""
         now = self.clock.monotonic()
         if not self.seeds or now - self.started_at > ALONE_AFTER:
             return True
--- a/packages/daemon/src/sardinequay_daemon/order_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -50,7 +50,7 @@
 """Between two rounds of ballots: three fit in a lease."""
 
 CAMPAIGN_STEP_S = 0.35
-"""How much later each further host of the ranking stands, so that votes do not split."""
+"""How much later each further host stands, so that votes do not split."""
 
 BALLOT_S = 0.4
 """Bound on a voter's answer within a data centre."""
--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -1,4 +1,4 @@
-"""Serves one request: chooses a target, sends it, and decides what a failure permits."""
+"""Serves one request: chooses a target, sends, decides what a failure permits."""
 
 import asyncio
 import logging
@@ -14,8 +14,8 @@
 from sardinequay_core.clock import Instant, seconds
 from sardinequay_core.names import AdapterRef, PoolName, TargetId
 from sardinequay_core.outcome import Outcome, Reason, Refusal, not_run
-from sardinequay_core.serving import Route
 from sardinequay_core.service_choice import choose_service
+from sardinequay_core.serving import Route
 from sardinequay_core.target_choice import Load, Nowhere, Send, TooBusy, choose
 from sardinequay_core.target_health import Verdict
 
--- a/packages/daemon/src/sardinequay_daemon/relay_server.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_server.py
@@ -81,7 +81,7 @@
         clock: Clock,
         memory_mb: int,
     ) -> None:
-        super().__init__(self.handle, handler_cancellation=True)  # type: ignore[arg-type]
+        super().__init__(self.handle, handler_cancellation=True)
         self.relay = relay
         self.state = state
         self.dialect = dialect
@@ -175,10 +175,11 @@
             raise Refused(not_run(Reason.HEADERS_TOO_LARGE, text))
         if not http.raw_path.startswith("/"):
             raise Refused(not_run(Reason.MALFORMED, "the target is no path"))
-        terms = self.dialect.terms(http.headers)
-        if not isinstance(terms, Success):
-            raise Refused(terms.failure())
-        return terms.unwrap()
+        read = self.dialect.terms(http.headers)
+        if not isinstance(read, Success):
+            raise Refused(read.failure())
+        terms: RequestTerms = read.unwrap()
+        return terms
 
     def find_route(self, http: web.BaseRequest) -> tuple[ServingConfig, Route]:
         """Return the route in force for a request."""
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -1,4 +1,4 @@
-"""A host that serves requests of any shape: its tasks put together, started, stopped."""
+"""A host for requests of any shape: its tasks put together, started, stopped."""
 
 import asyncio
 import contextlib
--- a/packages/daemon/src/sardinequay_daemon/serving_ports.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_ports.py
@@ -12,7 +12,6 @@
 from returns.result import Result
 
 from sardinequay_core.catalogue import Change
-from sardinequay_core.clock import seconds
 from sardinequay_core.engine_book import EngineStatus, Order
 from sardinequay_core.names import Address, DataCentre, HostId
 from sardinequay_core.outcome import Refusal
@@ -231,12 +230,12 @@
         The bound on further arrivals at a pool, see `RepeatPolicy`.
     """
 
-    order_quiet: timedelta = seconds(3.3)
-    grace: timedelta = seconds(8)
-    entry_return: timedelta = seconds(2.2)
+    order_quiet: timedelta = timedelta(seconds=3.3)
+    grace: timedelta = timedelta(seconds=8)
+    entry_return: timedelta = timedelta(seconds=2.2)
     repeat_ratio: float = 0.2
     repeat_slack: float = 50.0
-    repeat_window: timedelta = seconds(10)
+    repeat_window: timedelta = timedelta(seconds=10)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/sardinequay_daemon/store_task.py
+++ b/packages/daemon/src/sardinequay_daemon/store_task.py
@@ -30,7 +30,7 @@
 from .serving_ports import MetadataStore, StoreItem, StoreRead
 
 WATCH_WAIT = seconds(1)
-"""How long a watch waits. Short, since a connection that went silent shows only by it."""
+"""How long a watch waits; only its end shows that a connection went silent."""
 
 BATCH_PAUSE_S = 0.3
 """Between two watches: entries change several times a second, calls are counted."""
--- a/packages/daemon/src/sardinequay_daemon/wants.py
+++ b/packages/daemon/src/sardinequay_daemon/wants.py
@@ -3,8 +3,6 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from returns.result import Success
-
 from sardinequay_core.names import AdapterRef, HostId, TargetId
 
 from .peers import PeerCaller
@@ -66,8 +64,9 @@
         if address is None:
             return WantReply(False, "nobody orders the engine")
         answer = await self.peers.call(address, message, message.wait_s + REPLY_SLACK_S)
-        if isinstance(answer, Success) and isinstance(answer.unwrap(), WantReply):
-            return answer.unwrap()
+        reply = answer.value_or(None)
+        if isinstance(reply, WantReply):
+            return reply
         return WantReply(False, f"no answer: {answer}")
 
     def tell_soon(self, target: TargetId, adapter: AdapterRef) -> None:
