--- a/packages/core/src/sardinequay_core/engine_book.py
+++ b/packages/core/src/sardinequay_core/engine_book.py
@@ -13,6 +13,10 @@
 from .clock import ZERO, Instant, seconds
 from .names import AdapterRef, TargetId
 
+REPORT_LAG_S = 0.4
+"""How old a report may be. After an order whose fate is open, only a report asked for
+this much later shows it."""
+
 MAX_COMING = 4
 """Adapters that may be on their way to one engine at a time; a bound of engines."""
 
@@ -114,6 +118,9 @@
     ----------
     orders : int or None
         Orders that the engine has accepted; None while that is in doubt.
+    dropping : set
+        Adapters that the engine drops as soon as their requests have ended; they take
+        places until a report no longer shows them.
     used_at : dict
         When each resident adapter was last known to be used.
     """
@@ -122,12 +129,14 @@
     places: int
     number: int = 0
     orders: int | None = None
+    doubt_since: Instant | None = None
     models: set[str] = field(default_factory=set)
     used_at: dict[AdapterRef, Instant] = field(default_factory=dict)
     coming: dict[AdapterRef, Instant] = field(default_factory=dict)
     recent: dict[AdapterRef, None] = field(default_factory=dict)
     wanted: dict[AdapterRef, Wanted] = field(default_factory=dict)
     retiring: AdapterRef | None = None
+    dropping: set[AdapterRef] = field(default_factory=set)
     refused_unload: dict[AdapterRef, Instant] = field(default_factory=dict)
     model_wanted: str | None = None
     model_ready_at: Instant = ZERO
@@ -140,7 +149,7 @@
 
     def residents(self) -> tuple[AdapterRef, ...]:
         """Return the adapters that take new requests."""
-        return tuple(a for a in sorted(self.used_at) if a != self.retiring)
+        return tuple(a for a in sorted(self.used_at) if self.is_open(a))
 
     def changed(self) -> None:
         """Note that peers are to be told."""
@@ -162,9 +171,13 @@
     def is_ready(self, adapter: AdapterRef) -> bool:
         """Return whether an adapter takes requests, in this version or a later one."""
         return any(
-            held != self.retiring and held.is_at_least(adapter) for held in self.used_at
+            self.is_open(held) and held.is_at_least(adapter) for held in self.used_at
         )
 
+    def is_open(self, adapter: AdapterRef) -> bool:
+        """Return whether an adapter takes new requests."""
+        return adapter != self.retiring and adapter not in self.dropping
+
     def ready_in_s(self, adapter: AdapterRef, now: Instant) -> float | None:
         """Return when an adapter that is coming is expected."""
         at = self.coming.get(adapter)
@@ -182,10 +195,14 @@
         """Take a report asked for at `asked_at`.
 
         A report that counts fewer orders than were accepted is older than the last of
-        them and says nothing.
+        them and says nothing; nor does one that may be older than an open order.
         """
         if self.orders is not None and status.orders < self.orders:
             return
+        doubt = self.doubt_since
+        if doubt is not None and asked_at - doubt < seconds(REPORT_LAG_S):
+            return
+        self.doubt_since = None
         before = (set(self.used_at), set(self.coming))
         self.orders = status.orders
         self.reported_at = now
@@ -204,6 +221,7 @@
             self.coming.setdefault(adapter, now + seconds(self.cold_s))
         if self.retiring not in self.used_at:
             self.retiring = None
+        self.dropping &= set(self.used_at)
         if before != (set(self.used_at), set(self.coming)):
             self.changed()
 
@@ -241,18 +259,20 @@
         if self.orders is not None and counts:
             self.orders += 1
         if isinstance(order, LoadModel):
-            self.orders = None
+            self.is_busy = True
             return
         adapter = order.adapter
         if isinstance(order, UnloadAdapter):
-            self.used_at.pop(adapter, None)
             self.refused_unload.pop(adapter, None)
             if self.retiring == adapter:
                 self.retiring = None
+            if holds_already:
+                self.used_at.pop(adapter, None)
+            else:
+                self.dropping.add(adapter)
         elif holds_already:
             self.used_at[adapter] = now
             self.arrived(adapter, now)
-            self.orders = None
         else:
             takes_s = WARM_S if adapter in self.recent else self.cold_s
             self.coming[adapter] = now + seconds(takes_s)
@@ -265,17 +285,19 @@
             self.refused_unload[order.adapter] = now
             self.used_at[order.adapter] = now
         else:
-            self.orders = None
+            self.in_doubt(now)
 
-    def in_doubt(self) -> None:
+    def in_doubt(self, now: Instant) -> None:
         """Take that an order's answer was lost: it may have been accepted."""
         self.orders = None
+        self.doubt_since = now
 
-    def missing(self, adapter: AdapterRef) -> None:
+    def missing(self, adapter: AdapterRef, now: Instant) -> None:
         """Take that the engine says it does not have an adapter."""
-        if self.used_at.pop(adapter, None) is not None:
+        if adapter in self.used_at:
+            del self.used_at[adapter]
             self.changed()
-        self.orders = None
+            self.in_doubt(now)
 
     def expected_orders(self, order: Order) -> int | None:
         """Return the count of orders that the engine must show to accept one.
@@ -293,7 +315,7 @@
         self.use(in_use, now)
         if self.orders is None:
             return self.ask_or_rest(REPORT_RETRY_S, now)
-        if self.is_busy:
+        if self.is_busy or self.dropping:
             return self.ask_or_rest(BUSY_REPORT_S, now)
         if self.model_wanted is not None and self.model_wanted not in self.models:
             return LoadModel(self.model_wanted)
@@ -353,7 +375,9 @@
         self, wanted: Wanted, in_use: Mapping[AdapterRef, int], now: Instant
     ) -> Order | None:
         """Return the order that frees a place, if an adapter can go."""
-        evictable = [a for a in self.used_at if a not in self.wanted]
+        evictable = [
+            a for a in self.used_at if a not in self.wanted and a not in self.dropping
+        ]
         idle = [a for a in evictable if not in_use.get(a)]
         for adapter in sorted(idle, key=lambda a: (self.used_at[a], a)):
             order = self.unload(adapter, now)
--- a/packages/daemon/src/sardinequay_daemon/order_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -351,7 +351,7 @@
                 book.refused(order, now)
         else:
             outcome = f"in doubt: {result.failure().detail}"
-            book.in_doubt()
+            book.in_doubt(now)
         self.note_order(engine, order, outcome)
         self.told()
 
@@ -437,7 +437,7 @@
         """Take that an engine said it does not hold an adapter."""
         engine = self.ordered.get(message.target)
         if engine is not None:
-            engine.book.missing(message.adapter)
+            engine.book.missing(message.adapter, self.clock.monotonic())
             engine.wake.set()
         return Noted()
 
--- a/packages/daemon/src/sardinequay_daemon/relay_server.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_server.py
@@ -27,11 +27,16 @@
 BODIES_MEMORY_SHARE = 0.2
 """Part of the process's memory that request bodies may take together."""
 
+CLOSING_IDLE = seconds(0.2)
+"""A stopping host closes connections that have been idle for this, so that requests of
+new connections are still read: several round trips to any caller."""
+
 SWEEP_S = 0.25
 """How often connections that take too long are looked for."""
 
 NO_CONFIG_RETRY = seconds(0.5)
 BODY_RETRY = seconds(0.5)
+STOPPING_RETRY = seconds(0.05)
 log = logging.getLogger(__name__)
 
 
@@ -59,6 +64,15 @@
         """Note that the answer is complete."""
         self.idle_since = self.server.clock.monotonic()
 
+    def is_idle(self, now: Instant) -> bool:
+        """Return whether no request has been here, or on its way, for a while."""
+        since = self.idle_since
+        return (
+            since is not None
+            and self.partial_since is None
+            and now - since > CLOSING_IDLE
+        )
+
     def keeps_waiting(self, limits: CallerLimits, now: Instant) -> bool:
         """Return whether the caller takes longer than it may."""
         if self.partial_since is not None:
@@ -92,6 +106,7 @@
         self.bodies_bytes = 0
         self.in_flight = 0
         self.is_closing = False
+        self.stops_at: Instant | None = None
 
     def __call__(self) -> CallerConnection:
         """Make the protocol of one connection."""
@@ -118,10 +133,10 @@
             for connection in self.connections:
                 if not isinstance(connection, CallerConnection):
                     continue
-                if connection.keeps_waiting(limits, now):
+                if connection.keeps_waiting(limits, now) or (
+                    self.is_closing and connection.is_idle(now)
+                ):
                     connection.force_close()
-                elif self.is_closing and connection.idle_since is not None:
-                    connection.close()
 
     # One request.
 
@@ -149,6 +164,7 @@
             request_id = terms.request_id
             config, route = self.find_route(http)
             answer.route = route.name
+            self.refuse_if_closing(route)
             exchange = await self.exchange(http, terms, config, route, arrived)
             try:
                 await self.relay.serve(exchange, answer.sink())
@@ -195,6 +211,16 @@
             raise Refused(not_run(Reason.UNKNOWN_ROUTE, text))
         return config, route
 
+    def refuse_if_closing(self, route: Route) -> None:
+        """Refuse what a stopping host cannot complete any more."""
+        stops_at = self.stops_at
+        if not self.is_closing or stops_at is None:
+            return
+        time_left = stops_at - self.clock.monotonic()
+        if route.timeout > time_left or route.repetition.is_stream:
+            text = "this host is stopping; others serve you"
+            raise Refused(not_run(Reason.SHUTTING_DOWN, text, STOPPING_RETRY))
+
     async def exchange(
         self,
         http: web.BaseRequest,
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 from aioprometheus.renderer import render
 
-from sardinequay_core.clock import Clock
+from sardinequay_core.clock import Clock, seconds
 from sardinequay_core.names import Address, HostId
 from sardinequay_core.order_lease import Ballot, Resign
 from sardinequay_core.repeat_budget import RepeatPolicy
@@ -44,9 +44,9 @@
 """Hosts of a region answer in milliseconds; a silent link must cost less than the times
 in which changes are to be followed."""
 
-KEEP_ACCEPTING_S = 3.0
-"""After a stop signal, new requests are served for so long: the balancer asks once a
-second and stops sending after two bad answers."""
+KEEP_ACCEPTING_S = 2.8
+"""After a stop signal, streams are begun for so long: the balancer asks once a second
+and stops sending after two bad answers. What begins later could not end in the grace."""
 
 LAST_SHARE = 0.94
 """Share of the grace after which what is still in flight is given up; the rest is for
@@ -306,6 +306,7 @@
         await self.orders.resign()
         self.fleet.leave()
         await asyncio.sleep(min(KEEP_ACCEPTING_S, grace_s / 2))
+        self.server.stops_at = began + seconds(grace_s)
         self.server.is_closing = True
         while self.server.in_flight or self.open_connections():
             taken_s = (self.clock.monotonic() - began).total_seconds()
--- a/packages/daemon/src/sardinequay_daemon/upstream.py
+++ b/packages/daemon/src/sardinequay_daemon/upstream.py
@@ -4,9 +4,12 @@
 from collections.abc import AsyncGenerator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from functools import partial
 from http import HTTPStatus
+from typing import Any
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -47,19 +50,41 @@
     is_repeatable: bool
 
 
+class WatchedConnection(ResponseHandler):
+    """A connection that tells a reset from an end, and notices what nobody asked for.
+
+    The library takes any end of a connection for the end of an answer without a length.
+    It also hands out a kept connection on which an extra answer has arrived.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Let an answer that was reset fail for its reader."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(f"reset: {exc!r}"))
+        super().connection_lost(exc)
+
+    def is_connected(self) -> bool:
+        """Return whether the connection can take another request."""
+        return super().is_connected() and not self.should_close
+
+
+class Connector(aiohttp.TCPConnector):
+    """Opens watched connections."""
+
+    def __init__(self, source_ip: str, **options: Any) -> None:
+        super().__init__(limit=0, local_addr=(source_ip, 0), **options)
+        self._factory = partial(WatchedConnection, loop=self._loop)
+
+
 class Upstream:
     """Connections to targets."""
 
     def __init__(self, source_ip: str) -> None:
-        source = (source_ip, 0)
         self.pooled = make_session(
-            aiohttp.TCPConnector(
-                limit=0, keepalive_timeout=IDLE_CONNECTION_S, local_addr=source
-            )
-        )
-        self.fresh = make_session(
-            aiohttp.TCPConnector(limit=0, force_close=True, local_addr=source)
+            Connector(source_ip, keepalive_timeout=IDLE_CONNECTION_S)
         )
+        self.fresh = make_session(Connector(source_ip, force_close=True))
 
     @asynccontextmanager
     async def send(
