--- a/packages/core/src/sardinequay_core/order_lease.py
+++ b/packages/core/src/sardinequay_core/order_lease.py
@@ -42,9 +42,9 @@
         be survived safely, since a cut-off host looks like a dead one.
     """
 
-    lease: timedelta = timedelta(seconds=1.5)
-    margin: timedelta = timedelta(seconds=0.2)
-    quiet: timedelta = timedelta(seconds=3.3)
+    lease: timedelta = timedelta(seconds=1.0)
+    margin: timedelta = timedelta(seconds=0.15)
+    quiet: timedelta = timedelta(seconds=3.1)
     remember: timedelta = timedelta(seconds=30)
 
 
@@ -122,6 +122,16 @@
             return float("inf")
         return max(0.0, (now - since).total_seconds())
 
+    def is_promised(self, me: HostId, now: Instant) -> bool:
+        """Return whether the vote is given to another host than the voter's own."""
+        return self.holder not in (NOBODY, me) and now < self.until
+
+    def withdraw(self, me: HostId, now: Instant) -> None:
+        """Take back the vote that a host gave itself without winning."""
+        if self.holder == me:
+            self.holder = NOBODY
+            self.until = now
+
     def resign(self, message: Resign, now: Instant) -> None:
         """Take the vote back from a holder that stops."""
         if self.holder != message.holder:
--- a/packages/daemon/src/sardinequay_daemon/fleet_task.py
+++ b/packages/daemon/src/sardinequay_daemon/fleet_task.py
@@ -260,6 +260,14 @@
         self.learn(digest.contacts, now)
         self.digests.on_next(HeardDigest(digest, now))
 
+    def suspect(self, host_id: HostId) -> None:
+        """Take a peer that did not answer for lost until it is heard again."""
+        known = self.peers.get(host_id)
+        if known is None or known.heard_at is None:
+            return
+        long_ago = self.clock.monotonic() - ALIVE_FOR
+        self.peers[host_id] = replace(known, heard_at=min(known.heard_at, long_ago))
+
     def learn(self, contacts: Iterable[Contact], now: Instant) -> None:
         """Take hosts that a peer knows."""
         for contact in contacts:
--- a/packages/daemon/src/sardinequay_daemon/order_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
+from random import Random
 
 from returns.result import Success
 
@@ -47,13 +48,16 @@
 from .serving_metrics import ServingMetrics
 from .serving_ports import EngineOrders, OrderAccepted, OrderTerms
 
-RENEW_S = 0.4
+RENEW_S = 0.3
 """Between two rounds of ballots: three fit in a lease."""
 
-CAMPAIGN_STEP_S = 0.35
+CAMPAIGN_STEP_S = 0.3
 """How much later each further host stands, so that votes do not split."""
 
-BALLOT_S = 0.4
+STEP_BACK_SPREAD_S = 0.6
+"""Two round trips of a canvass: who steps back less far wins the next one."""
+
+BALLOT_S = 0.3
 """Bound on a voter's answer within a data centre."""
 
 log = logging.getLogger(__name__)
@@ -85,6 +89,7 @@
         metrics: ServingMetrics,
         policy: OrderPolicy,
         is_first_start: bool,
+        random: Random,
         in_use: InUse,
         told: Callable[[], None],
     ) -> None:
@@ -96,6 +101,7 @@
         self.clock = clock
         self.metrics = metrics
         self.policy = policy
+        self.random = random
         self.in_use = in_use
         self.told = told
         now = clock.monotonic()
@@ -126,6 +132,7 @@
         while True:
             if self.should_stand():
                 await self.canvass()
+                self.after_canvass()
                 await asyncio.sleep(RENEW_S)
             else:
                 await asyncio.sleep(RENEW_S / 4)
@@ -138,6 +145,8 @@
         if self.candidate.is_holder:
             return True
         now = self.clock.monotonic()
+        if self.voter.is_promised(self.me, now):
+            return False
         if self.fleet.lease_holder() is not None:
             self.no_holder_since = now
             return False
@@ -162,6 +171,16 @@
         others = [v for v in sorted(self.candidate.voters) if v != self.me]
         await asyncio.gather(*(self.ask_vote(v, ballot) for v in others))
 
+    def after_canvass(self) -> None:
+        """Step back after a split vote, so that votes lapse and one can win."""
+        now = self.clock.monotonic()
+        self.candidate.refresh(now)
+        if self.candidate.is_holder:
+            return
+        self.voter.withdraw(self.me, now)
+        spread_s = self.random.uniform(0, STEP_BACK_SPREAD_S)
+        self.no_holder_since = now + self.policy.lease + seconds(spread_s)
+
     async def ask_vote(self, voter: HostId, ballot: Ballot) -> None:
         """Ask one voter."""
         address = self.fleet.address_of(voter)
--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -15,7 +15,7 @@
 from sardinequay_core.names import AdapterRef, PoolName, TargetId
 from sardinequay_core.outcome import Outcome, Reason, Refusal, not_run
 from sardinequay_core.service_choice import choose_service
-from sardinequay_core.serving import Route
+from sardinequay_core.serving import Repetition, Route
 from sardinequay_core.target_choice import (
     PATIENCE,
     Load,
@@ -34,7 +34,7 @@
 from .serving_metrics import ServingMetrics
 from .serving_ports import AnswerFacts, CallDialect, Headers, RequestTerms, SendTerms
 from .tracing import Tracing
-from .upstream import Outgoing, Upstream, is_small
+from .upstream import MAX_WHOLE_BYTES, Outgoing, Upstream
 from .wants import WantBoard
 
 FIRST_EVENT_FLOOR_S = 2.0
@@ -52,6 +52,9 @@
 IDEMPOTENT_PATIENCE = 2.0
 """Goals that an idempotent request waits on one target before another is tried."""
 
+MAX_FAILED_ASKS = 4
+"""Wishes for an adapter that may fail before a request is refused."""
+
 UNKNOWN_WAIT_S = 2.0
 """Taken for an engine's queue after a wish there failed without saying how long."""
 
@@ -170,6 +173,8 @@
             self.state.fleet.live_hosts, now
         )
         route = exchange.route
+        if exchange.has_begun and route.repetition is not Repetition.RESUMABLE_STREAM:
+            raise BrokenOffError
         step = next_step(
             route.repetition,
             route.max_runs,
@@ -239,12 +244,16 @@
             FIRST_EVENT_GOALS * route.goal.total_seconds(),
             FIRST_EVENT_PAUSES * pause_s,
         )
-        waited_s = (self.clock.monotonic() - exchange.arrived).total_seconds()
-        return min(left_s, patience_s - waited_s)
+        return min(left_s, patience_s - self.waited_s(exchange))
+
+    def waited_s(self, exchange: Exchange) -> float:
+        """Return how long ago the request came, in seconds."""
+        return (self.clock.monotonic() - exchange.arrived).total_seconds()
 
     async def choose_engine(self, exchange: Exchange) -> PublishedTarget:
         """Return the engine for the next attempt, with the adapter on it."""
         told: dict[TargetId, float] = {}
+        failed_asks = 0
         while True:
             options = self.state.engine_options(
                 exchange.pool, exchange.terms, exchange.tried, told
@@ -252,13 +261,24 @@
             left_s = self.first_event_left_s(exchange)
             choice = choose(options, left_s)
             if isinstance(choice, Send):
-                self.log_choice(exchange, choice.target, "resident", len(options))
+                self.log_choice(
+                    exchange,
+                    choice.target,
+                    "resident",
+                    len(options),
+                    choice.expected_s,
+                )
                 return self.state.catalogue.targets[choice.target]
             if not isinstance(choice, Load):
                 raise Refused(self.no_engine(exchange, choice, left_s))
             reply = await self.wait_for_load(exchange, choice.target, left_s)
-            if not reply.is_ready:
-                told[choice.target] = reply.expected_s or UNKNOWN_WAIT_S
+            if reply.is_ready:
+                continue
+            told[choice.target] = reply.expected_s or UNKNOWN_WAIT_S
+            failed_asks += 1
+            if failed_asks >= MAX_FAILED_ASKS:
+                busy = TooBusy(min(told.values()))
+                raise Refused(self.no_engine(exchange, busy, left_s))
 
     def no_engine(
         self, exchange: Exchange, choice: TooBusy | Nowhere, left_s: float
@@ -311,7 +331,12 @@
             residency.add(published, wanted)
 
     def log_choice(
-        self, exchange: Exchange, target: TargetId, why: str, options: int
+        self,
+        exchange: Exchange,
+        target: TargetId,
+        why: str,
+        options: int,
+        expected_s: float = 0.0,
     ) -> None:
         """Log where a request goes and from what that was decided."""
         share = self.state.loads.share(target, self.clock.monotonic())
@@ -327,6 +352,8 @@
                 "revision": self.state.catalogue.revision,
                 "store_age_s": round(self.state.fleet.freshest_store_age_s(), 2),
                 "attempt": exchange.so_far.runs + exchange.so_far.rejections + 1,
+                "expected_s": round(expected_s, 4),
+                "waited_s": round(self.waited_s(exchange), 4),
             },
         )
 
@@ -536,44 +563,57 @@
                 and so_far.runs < exchange.route.max_runs
             ):
                 return AttemptEnd.MAY_HAVE_RUN
-        left_s = max(0.001, self.relay.left(exchange).total_seconds())
-        if not exchange.has_begun and is_small(answer):
-            body = await self.relay.upstream.whole(answer, left_s)
-            self.first_event()
-            exchange.has_begun = True
-            await sink.begin(AnswerHead(answer.status, answer))
-            await sink.write(body)
-        else:
+        if exchange.route.repetition.is_stream:
             await self.stream(answer, sink)
+        else:
+            await self.pass_whole(answer, sink)
         if not is_failure:
             self.judge(Verdict.GOOD)
         return None
 
+    async def begin(self, answer: aiohttp.ClientResponse, sink: Sink) -> None:
+        """Send the answer's head on, if none was."""
+        if not self.exchange.has_begun:
+            self.exchange.has_begun = True
+            await sink.begin(AnswerHead(answer.status, answer))
+
+    async def pass_whole(self, answer: aiohttp.ClientResponse, sink: Sink) -> None:
+        """Pass a plain answer on: in one piece if it is small, else as it comes.
+
+        The caller gets nothing of an answer that breaks off while it is small, so that
+        another target may still answer.
+        """
+        parts = Parts(answer, self.relay, self.exchange)
+        held: list[bytes] = []
+        size = 0
+        while data := await parts.next():
+            held.append(data)
+            size += len(data)
+            if size > MAX_WHOLE_BYTES:
+                await self.begin(answer, sink)
+                await sink.write(b"".join(held))
+                held.clear()
+        await self.begin(answer, sink)
+        await sink.write(b"".join(held))
+
     async def stream(self, answer: aiohttp.ClientResponse, sink: Sink) -> None:
-        """Pass a long answer on as it comes."""
+        """Pass a stream on, event by event."""
         exchange = self.exchange
-        cutter = EventCutter() if exchange.route.repetition.is_stream else None
+        cutter = EventCutter()
         parts = Parts(answer, self.relay, exchange)
         while data := await parts.next():
-            if cutter is not None:
-                events = cutter.feed(data)
-                if events is None:
-                    continue
-                data = events.data
-                if events.last_id:
-                    exchange.last_event = str(events.last_id)
+            events = cutter.feed(data)
+            if events is None:
+                continue
+            if events.last_id:
+                exchange.last_event = str(events.last_id)
             if not self.has_first:
                 self.first_event()
                 self.learn_pace()
-            if not exchange.has_begun:
-                exchange.has_begun = True
-                await sink.begin(AnswerHead(answer.status, answer))
-            await sink.write(data)
-        if not exchange.has_begun:
-            exchange.has_begun = True
-            await sink.begin(AnswerHead(answer.status, answer))
-        if cutter is not None and cutter.rest:
-            await sink.write(cutter.rest)
+            await self.begin(answer, sink)
+            await sink.write(events.data)
+        await self.begin(answer, sink)
+        await sink.write(cutter.rest)
 
     def learn_pace(self) -> None:
         """Learn how fast the engine reads from when its first event came."""
--- a/packages/daemon/src/sardinequay_daemon/relay_server.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_server.py
@@ -297,6 +297,7 @@
         self.arrived = arrived
         self.route = ""
         self.response: web.StreamResponse | None = None
+        self.first_s = 0.0
 
     def sink(self) -> Sink:
         """Return where the relay puts an answer."""
@@ -315,7 +316,8 @@
         if self.server.is_closing:
             response.force_close()
         self.response = response
-        self.server.metrics.first_byte.observe({"route": self.route}, self.taken_s())
+        self.first_s = self.taken_s()
+        self.server.metrics.first_byte.observe({"route": self.route}, self.first_s)
         await response.prepare(self.http)
 
     async def write(self, data: bytes) -> None:
@@ -344,6 +346,7 @@
                 "route": self.route,
                 "result": result,
                 "detail": detail,
+                "first_s": round(self.first_s, 4),
                 "took_s": round(self.taken_s(), 4),
                 "version": config.version if config else 0,
             },
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -120,6 +120,7 @@
             self.metrics,
             order_policy,
             profile.is_first_start,
+            random,
             self.state.uses.on,
             self.tell_holdings,
         )
--- a/packages/daemon/src/sardinequay_daemon/upstream.py
+++ b/packages/daemon/src/sardinequay_daemon/upstream.py
@@ -5,7 +5,6 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from functools import partial
-from http import HTTPStatus
 from typing import Any
 
 import aiohttp
@@ -127,15 +126,6 @@
         except TimeoutError as error:
             raise TargetError(TargetFault.BROKEN, f"silent for {within_s} s") from error
 
-    async def whole(self, answer: aiohttp.ClientResponse, within_s: float) -> bytes:
-        """Read an answer's whole body."""
-        try:
-            async with asyncio.timeout(within_s):
-                with TurnedErrors():
-                    return await answer.read()
-        except TimeoutError as error:
-            raise TargetError(TargetFault.BROKEN, "the body took too long") from error
-
     async def close(self) -> None:
         """Close all connections."""
         await self.pooled.close()
@@ -150,11 +140,3 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S),
     )
-
-
-def is_small(answer: aiohttp.ClientResponse) -> bool:
-    """Return whether an answer is to be read whole before it is passed on."""
-    if answer.status == HTTPStatus.NO_CONTENT:
-        return True
-    length = answer.content_length
-    return length is not None and length <= MAX_WHOLE_BYTES
--- a/packages/daemon/src/sardinequay_daemon/wants.py
+++ b/packages/daemon/src/sardinequay_daemon/wants.py
@@ -39,6 +39,7 @@
         reply = answer.value_or(None)
         if isinstance(reply, WantReply):
             return reply
+        self.state.fleet.suspect(HostId(keeper))
         return WantReply(False, f"no answer: {answer}")
 
     def tell_soon(self, target: TargetId, adapter: AdapterRef) -> None:
