Tell at once when an adapter falls idle, and prefer engines that had it

Cause: with six places an engine and some twenty adapters in demand, a place that is idle unknown is lost for a digest's period, and a load from the store holds a place idle ten times as long as one from the engine's memory.

--- a/packages/core/src/sardinequay_core/engine_book.py
+++ b/packages/core/src/sardinequay_core/engine_book.py
@@ -34,12 +34,15 @@
 STILL_COMING_S = 0.08
 """Until a request is sent again to an engine whose load took longer than expected."""
 
-JUST_LOADED_S = 0.3
+LATE_LOAD_S = 0.3
+"""An engine that denies an adapter this soon after it was due is still loading it."""
+
+JUST_LOADED_S = 0.1
 """How long a loaded adapter is kept although no use of it is known yet: those who
-waited for it are on their way, and their uses are told a few times a second. Without
+waited for it are on their way, and their uses are told as they begin. Without
 it, two of three refused attempts met an adapter that was dropped as it came."""
 
-JUST_USED_S = 0.1
+JUST_USED_S = 0.02
 """The same after an adapter's last known use."""
 
 WARM_S = 0.03
@@ -405,7 +408,7 @@
         del self.used_at[adapter]
         self.changed()
         arrived_at = self.arrived_at.pop(adapter, None)
-        if arrived_at is not None and now - arrived_at < seconds(JUST_LOADED_S):
+        if arrived_at is not None and now - arrived_at < seconds(LATE_LOAD_S):
             self.cold_s = min(SLOWEST_COLD_S, self.cold_s * COLD_GROWTH)
             self.recent.pop(adapter, None)
             self.coming[adapter] = now + seconds(STILL_COMING_S)
--- a/packages/core/src/sardinequay_core/residency.py
+++ b/packages/core/src/sardinequay_core/residency.py
@@ -108,18 +108,29 @@
     """Requests that use adapters, by engine: this host's and its peers'."""
 
     own: dict[tuple[TargetId, AdapterRef], int] = field(default_factory=dict)
-    peers: dict[HostId, Mapping[tuple[TargetId, AdapterRef], int]] = field(
+    peers: dict[HostId, dict[tuple[TargetId, AdapterRef], int]] = field(
         default_factory=dict
     )
 
-    def change(self, target: TargetId, adapter: AdapterRef, by: int) -> None:
-        """Count one of this host's requests in or out."""
+    def change(self, target: TargetId, adapter: AdapterRef, by: int) -> int:
+        """Count one of this host's requests in or out; return how many there are."""
         key = (target, adapter)
         count = self.own.get(key, 0) + by
         if count > 0:
             self.own[key] = count
         else:
             self.own.pop(key, None)
+        return count
+
+    def hear(
+        self, host: HostId, target: TargetId, adapter: AdapterRef, count: int
+    ) -> None:
+        """Take how many requests of a peer use an adapter from now on."""
+        uses = self.peers.setdefault(host, {})
+        if count > 0:
+            uses[(target, adapter)] = count
+        else:
+            uses.pop((target, adapter), None)
 
     def on(self, target: TargetId) -> dict[AdapterRef, int]:
         """Return how many requests use each adapter on an engine."""
--- a/packages/core/src/sardinequay_core/target_choice.py
+++ b/packages/core/src/sardinequay_core/target_choice.py
@@ -131,7 +131,23 @@
 Choice = Send | Load | TooBusy | Nowhere
 
 
-def load_s(option: EngineOption, has_copies: bool) -> float:
+@dataclass(frozen=True, slots=True)
+class Copies:
+    """Whether any engine has a request's adapter, or had it lately."""
+
+    any_resident: bool
+    any_recent: bool
+
+
+def copies_of(options: Sequence[EngineOption]) -> Copies:
+    """Return where a request's adapter is, over all engines."""
+    held = {o.holding for o in options}
+    return Copies(
+        Holding.RESIDENT in held or Holding.COMING in held, Holding.RECENT in held
+    )
+
+
+def load_s(option: EngineOption, copies: Copies) -> float:
     """Return what getting the adapter onto an engine counts for, in seconds."""
     if option.holding is Holding.COMING:
         return option.ready_in_s
@@ -139,8 +155,10 @@
         return option.told_s
     is_warm = option.holding is Holding.RECENT
     cost = WARM_LOAD_S if is_warm else COLD_LOAD_S
-    if has_copies:
-        cost += FURTHER_WARM_COPY_S if is_warm else FURTHER_COPY_S
+    if is_warm:
+        cost += FURTHER_WARM_COPY_S if copies.any_resident else 0.0
+    elif copies.any_resident or copies.any_recent:
+        cost += FURTHER_COPY_S
     else:
         cost += option.home_rank * HOME_STEP_S
     if option.free_places <= 0:
@@ -149,7 +167,7 @@
     return cost
 
 
-def cost_s(option: EngineOption, has_copies: bool) -> float:
+def cost_s(option: EngineOption, copies: Copies) -> float:
     """Return what sending a request to an engine counts for, in seconds."""
     cost = option.first_event_s
     if not option.is_local:
@@ -159,18 +177,18 @@
     if option.was_barred:
         cost += BARRED_S
     if option.holding is not Holding.RESIDENT:
-        cost += load_s(option, has_copies)
+        cost += load_s(option, copies)
     return cost
 
 
 def choose(options: Sequence[EngineOption], left_s: float) -> Choice:
     """Return where a request goes that has `left_s` seconds for its first event."""
-    has_copies = any(o.holding in (Holding.RESIDENT, Holding.COMING) for o in options)
+    copies = copies_of(options)
     open_to = [o for o in options if o.holding is Holding.RESIDENT or o.may_load]
     if not open_to:
         return Nowhere()
-    best = min(open_to, key=lambda o: (cost_s(o, has_copies), o.target))
-    expected_s = cost_s(best, has_copies)
+    best = min(open_to, key=lambda o: (cost_s(o, copies), o.target))
+    expected_s = cost_s(best, copies)
     if expected_s > left_s * PATIENCE:
         return TooBusy(expected_s - left_s * PATIENCE)
     if best.holding is Holding.RESIDENT:
--- a/packages/daemon/src/sardinequay_daemon/order_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
@@ -34,6 +34,7 @@
     Vote,
     Voter,
 )
+from sardinequay_core.residency import AdapterUses
 from sardinequay_core.roster import Presence
 
 from .fleet_task import FleetTask
@@ -42,6 +43,7 @@
     AdapterMissing,
     EngineHoldings,
     Noted,
+    UseChanged,
     WantAdapter,
     WantReply,
 )
@@ -61,7 +63,6 @@
 """Bound on a voter's answer within a data centre."""
 
 log = logging.getLogger(__name__)
-InUse = Callable[[TargetId], Mapping[AdapterRef, int]]
 
 
 @dataclass(slots=True)
@@ -90,7 +91,7 @@
         policy: OrderPolicy,
         is_first_start: bool,
         random: Random,
-        in_use: InUse,
+        uses: AdapterUses,
         told: Callable[[], None],
     ) -> None:
         self.me = me
@@ -102,7 +103,7 @@
         self.metrics = metrics
         self.policy = policy
         self.random = random
-        self.in_use = in_use
+        self.uses = uses
         self.told = told
         now = clock.monotonic()
         abstains_until = now if is_first_start else now + policy.lease
@@ -309,7 +310,7 @@
             now = self.clock.monotonic()
             engine.wake.clear()
             book.model_wanted = self.model_for(engine)
-            step = book.next_step(self.in_use(book.target), now)
+            step = book.next_step(self.uses.on(book.target), now)
             self.tell_ready(engine)
             if isinstance(step, Rest):
                 await self.rest(engine, step.for_s)
@@ -467,12 +468,23 @@
                 if not future.done():
                     future.set_result(None)
 
-    async def answer_missing(self, message: AdapterMissing) -> Noted:
-        """Take that an engine said it does not hold an adapter."""
-        engine = self.ordered.get(message.target)
-        if engine is not None:
+    async def answer_telling(self, message: AdapterMissing | UseChanged) -> Noted:
+        """Take what a host tells of an adapter on an engine ordered here."""
+        if isinstance(message, UseChanged):
+            use = message.use
+            target_id = use.target
+            if message.host_id != self.me:
+                self.uses.hear(message.host_id, target_id, use.adapter, use.count)
+        else:
+            target_id = message.target
+        engine = self.ordered.get(target_id)
+        if engine is None:
+            return Noted()
+        if isinstance(message, AdapterMissing):
             engine.book.missing(message.adapter, self.clock.monotonic())
-            engine.wake.set()
+        else:
+            engine.book.use({message.use.adapter: 1}, self.clock.monotonic())
+        engine.wake.set()
         return Noted()
 
     # Telling.
--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -413,14 +413,17 @@
         if not self.tokens:
             self.first_event()
         if self.adapter is not None:
-            self.state.uses.change(self.target_id, self.adapter, 1)
+            count = self.state.uses.change(self.target_id, self.adapter, 1)
+            self.relay.wants.tell_use(self.target_id, self.adapter, count)
         self.state.health.sent(self.target_id)
 
     def leave(self) -> None:
         """Count the attempt out."""
         self.state.loads.end(self.target_id, self.tokens, self.has_first)
         if self.adapter is not None:
-            self.state.uses.change(self.target_id, self.adapter, -1)
+            count = self.state.uses.change(self.target_id, self.adapter, -1)
+            if not count:
+                self.relay.wants.tell_use(self.target_id, self.adapter, count)
 
     def first_event(self) -> None:
         """Count the prompt as read."""
@@ -506,8 +509,7 @@
                 self.judge(Verdict.GONE)
             elif self.adapter is not None:
                 self.state.residency.deny(self.published, self.adapter)
-                wants = self.relay.wants
-                wants.tell_soon(self.target_id, self.adapter)
+                self.relay.wants.tell_missing(self.target_id, self.adapter)
         else:
             self.judge(Verdict.REJECTED)
         log.info(
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -29,6 +29,7 @@
     Digest,
     FetchItems,
     ItemsReply,
+    UseChanged,
     WantAdapter,
 )
 from .serving_metrics import ServingMetrics
@@ -121,7 +122,7 @@
             order_policy,
             profile.is_first_start,
             random,
-            self.state.uses.on,
+            self.state.uses,
             self.tell_holdings,
         )
         self.state.orders = self.orders
@@ -163,7 +164,8 @@
         server.register(Ballot, self.orders.answer_ballot)
         server.register(Resign, self.orders.answer_resign)
         server.register(WantAdapter, self.orders.answer_want)
-        server.register(AdapterMissing, self.orders.answer_missing)
+        server.register(AdapterMissing, self.orders.answer_telling)
+        server.register(UseChanged, self.orders.answer_telling)
 
     def take_profile(self, profile: HostProfile) -> None:
         """Take settings that changed: seeds and bounds; addresses stay."""
--- a/packages/daemon/src/sardinequay_daemon/serving_messages.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_messages.py
@@ -150,6 +150,17 @@
     adapter: AdapterRef
 
 
+@dataclass(frozen=True, slots=True)
+class UseChanged:
+    """Tells the host that orders an engine that an adapter fell idle or is used.
+
+    Sent at once, since a place that is idle unknown is a place lost.
+    """
+
+    host_id: HostId
+    use: AdapterUse
+
+
 @dataclass(frozen=True, slots=True)
 class Noted:
     """The answer to a message that asks for nothing."""
@@ -163,6 +174,7 @@
     ItemsReply,
     Noted,
     Resign,
+    UseChanged,
     Vote,
     WantAdapter,
     WantReply,
--- a/packages/daemon/src/sardinequay_daemon/wants.py
+++ b/packages/daemon/src/sardinequay_daemon/wants.py
@@ -7,7 +7,13 @@
 
 from .peers import PeerCaller
 from .relay_state import RelayState
-from .serving_messages import AdapterMissing, WantAdapter, WantReply
+from .serving_messages import (
+    AdapterMissing,
+    AdapterUse,
+    UseChanged,
+    WantAdapter,
+    WantReply,
+)
 
 REPLY_SLACK_S = 0.2
 """What an answer may take beyond the wait that it was asked for."""
@@ -42,22 +48,35 @@
         self.state.fleet.suspect(HostId(keeper))
         return WantReply(False, f"no answer: {answer}")
 
-    def tell_soon(self, target: TargetId, adapter: AdapterRef) -> None:
-        """Tell of a missing adapter without waiting for the answer."""
-        task = asyncio.create_task(self.tell_missing(target, adapter))
+    def tell_use(self, target: TargetId, adapter: AdapterRef, count: int) -> None:
+        """Tell that an adapter fell idle or came into use, if it did."""
+        orders = self.state.orders
+        if orders is None or count > 1:
+            return
+        use = AdapterUse(target, adapter, count)
+        self.tell_soon(target, UseChanged(orders.me, use))
+
+    def tell_missing(self, target: TargetId, adapter: AdapterRef) -> None:
+        """Tell that an engine denies to have an adapter."""
+        self.tell_soon(target, AdapterMissing(target, adapter))
+
+    def tell_soon(self, target: TargetId, message: AdapterMissing | UseChanged) -> None:
+        """Tell whoever orders an engine, without waiting for the answer."""
+        task = asyncio.create_task(self.tell(target, message))
         self.tellings.add(task)
         task.add_done_callback(self.tellings.discard)
 
-    async def tell_missing(self, target: TargetId, adapter: AdapterRef) -> None:
-        """Tell whoever orders an engine that it denies to have an adapter."""
+    async def tell(
+        self, target: TargetId, message: AdapterMissing | UseChanged
+    ) -> None:
+        """Tell whoever orders an engine."""
         published = self.state.catalogue.targets.get(target)
         orders = self.state.orders
         if published is None or orders is None:
             return
-        message = AdapterMissing(target, adapter)
         keeper = self.state.keeper_of(published.target.data_centre)
         if keeper == orders.me:
-            await orders.answer_missing(message)
+            await orders.answer_telling(message)
             return
         address = self.state.fleet.address_of(HostId(keeper or ""))
         if address is not None:
