--- a/packages/core/src/sardinequay_core/order_lease.py
+++ b/packages/core/src/sardinequay_core/order_lease.py
@@ -64,7 +64,7 @@
     Parameters
     ----------
     highest_token : int
-        The highest token of any holder that this voter knows of.
+        The highest token of any other holder that this voter knows of.
     quiet_s : float
         How long ago, at least, another holder that this voter knows of may have given
         its last order; infinite if there was none.
@@ -87,27 +87,64 @@
 
 @dataclass(slots=True)
 class Voter:
-    """One host's vote."""
+    """One host's vote.
+
+    Parameters
+    ----------
+    knows_tokens : bool
+        Whether tokens that were given before this host started are bounded yet. It does
+        not vote before: it may have voted for one of them and forgotten it.
+    """
 
     policy: OrderPolicy
     abstains_until: Instant
+    knows_tokens: bool
     holder: HostId = NOBODY
     until: Instant = ZERO
     highest_token: int = 0
+    highest_by: HostId = NOBODY
     previous: HostId = NOBODY
     previous_quiet_since: Instant | None = None
 
+    def __post_init__(self) -> None:
+        """Count a holder that may be forgotten as ordering while votes for it last."""
+        if not self.knows_tokens:
+            self.previous_quiet_since = self.abstains_until
+
     def vote(self, ballot: Ballot, now: Instant) -> Vote:
         """Give the vote, unless another host holds it or may hold it."""
         is_free = now >= self.until or self.holder == ballot.candidate
-        granted = is_free and now >= self.abstains_until
+        granted = is_free and self.knows_tokens and now >= self.abstains_until
         if granted:
             if self.holder != ballot.candidate:
                 self.note_previous()
                 self.holder = ballot.candidate
             self.until = now + self.policy.lease
-            self.highest_token = max(self.highest_token, ballot.token)
-        return Vote(granted, self.holder, self.highest_token, self.quiet_s(now, ballot))
+        others = self.highest_of_others(ballot)
+        if granted and ballot.token > self.highest_token:
+            self.highest_token = ballot.token
+            self.highest_by = ballot.candidate
+        return Vote(granted, self.holder, others, self.quiet_s(now, ballot))
+
+    def highest_of_others(self, ballot: Ballot) -> int:
+        """Return the highest token that may be another holder's."""
+        is_own = self.highest_by == ballot.candidate
+        if is_own and self.highest_token == ballot.token:
+            return ballot.token - 1
+        return self.highest_token
+
+    def learn_revision(self, revision: int) -> None:
+        """Take a revision of the store that this host has seen since it started.
+
+        Tokens grow from the revision that voters saw when they started. Each order
+        changes what its engine publishes, so revisions outgrow tokens, and this bounds
+        all tokens under which an order was given and that the voter may have forgotten.
+        """
+        if self.knows_tokens:
+            return
+        self.knows_tokens = True
+        bound = (revision + 1) * TOKENS_PER_REVISION
+        self.highest_token = max(self.highest_token, bound)
 
     def note_previous(self) -> None:
         """Remember a holder whose vote ran out: it may have ordered until then."""
@@ -118,7 +155,7 @@
     def quiet_s(self, now: Instant, ballot: Ballot) -> float:
         """Return for how long another holder was quiet, in seconds."""
         since = self.previous_quiet_since
-        if since is None or self.previous == ballot.candidate:
+        if since is None or self.previous == ballot.candidate != NOBODY:
             return float("inf")
         return max(0.0, (now - since).total_seconds())
 
@@ -144,20 +181,10 @@
 
 @dataclass(slots=True)
 class Candidate:
-    """One host's claim to order the engines of its data centre.
-
-    Parameters
-    ----------
-    started_at : timedelta
-        When this host started; nothing is known of orders before it.
-    is_first_start : bool
-        Whether the whole system starts for the first time: nobody has ordered before.
-    """
+    """One host's claim to order the engines of its data centre."""
 
     me: HostId
     policy: OrderPolicy
-    started_at: Instant
-    is_first_start: bool
     voters: frozenset[HostId] = frozenset()
     votes: dict[HostId, Instant] = field(default_factory=dict)
     token: int = 0
@@ -175,14 +202,10 @@
         """Return how many votes make a majority."""
         return len(self.voters) // 2 + 1
 
-    def ballot(self, data_centre: str, revision: int) -> Ballot:
-        """Return what to ask voters, with a token above all that are known.
-
-        Tokens grow with the store's revision, so that they still rise after all hosts
-        have restarted and forgotten them.
-        """
+    def ballot(self, data_centre: str) -> Ballot:
+        """Return what to ask voters, with a token above all that are known."""
         if not self.is_holder:
-            self.token = max(self.highest_seen + 1, revision * TOKENS_PER_REVISION)
+            self.token = self.highest_seen + 1
         return Ballot(self.me, data_centre, self.token)
 
     def take(self, voter: HostId, vote: Vote, asked_at: Instant, now: Instant) -> None:
@@ -206,15 +229,18 @@
     def refresh(self, now: Instant) -> None:
         """Become the holder, or stop being it."""
         has_majority = self.valid_votes(now) >= self.quorum
-        if has_majority and not self.is_holder:
+        # A token that voters know a higher one of is asked for once more, higher.
+        is_highest = self.highest_seen < self.token
+        if has_majority and is_highest and not self.is_holder:
             self.is_holder = True
-            if not self.is_first_start:
-                unknown = self.started_at + self.policy.quiet + self.policy.lease
-                self.may_order_from = max(self.may_order_from, unknown)
         elif not has_majority and self.is_holder:
             self.is_holder = False
             self.highest_seen = max(self.highest_seen, self.token)
 
+    def must_ask_higher(self, now: Instant) -> bool:
+        """Return whether only a higher token is missing to hold the lease."""
+        return not self.is_holder and self.valid_votes(now) >= self.quorum
+
     def may_order(self, now: Instant) -> bool:
         """Return whether an order may be sent at this very moment."""
         self.refresh(now)
--- /dev/null
+++ b/packages/core/tests/test_catalogue.py
@@ -0,0 +1,94 @@
+"""What the store publishes: never back, and patient with entries that vanish."""
+
+import pytest
+
+from sardinequay_core.catalogue import (
+    Absence,
+    Catalogue,
+    ConfigPublished,
+    PublishedTarget,
+    TargetPublished,
+    TargetRemoved,
+    VersionPublished,
+    expire,
+    fold,
+    replace_listing,
+)
+from sardinequay_core.clock import seconds
+from sardinequay_core.names import Address, DataCentre, PoolName, TargetId
+from sardinequay_core.roster import Presence, Target, TargetKind
+from sardinequay_core.serving import CallerLimits, make_config
+
+NOW = seconds(100)
+PROMPT = Absence()
+PATIENT = Absence(NOW + seconds(2))
+
+
+def published(name: str, revision: int = 1, presence=Presence.LIVE) -> TargetPublished:
+    target = Target(
+        TargetId(name),
+        PoolName("pool"),
+        TargetKind.SERVICE,
+        DataCentre("here"),
+        Address("127.0.0.1", 1),
+        presence,
+    )
+    return TargetPublished(PublishedTarget(target, 4, revision))
+
+
+def config(version: int) -> ConfigPublished:
+    return ConfigPublished(make_config(version, (), (), CallerLimits()))
+
+
+@pytest.fixture
+def one() -> Catalogue:
+    return fold(published("a", 5), Catalogue(), PROMPT)
+
+
+def test_older_configuration_never_replaces_a_newer() -> None:
+    newer = fold(config(7), Catalogue(), PROMPT)
+    assert fold(config(5), newer, PROMPT).config.version == 7
+    assert fold(config(9), newer, PROMPT).config.version == 9
+
+
+def test_older_entry_of_a_target_is_ignored(one: Catalogue) -> None:
+    late = fold(published("a", 4, Presence.LEAVING), one, PROMPT)
+    assert late.live(PoolName("pool"))
+    assert not fold(published("a", 6, Presence.LEAVING), one, PROMPT).live(
+        PoolName("pool")
+    )
+
+
+def test_removed_target_is_dropped_at_once_while_the_store_is_well(one) -> None:
+    assert not fold(TargetRemoved(TargetId("a")), one, PROMPT).targets
+
+
+def test_entry_that_vanished_in_trouble_is_kept_until_it_can_be_back(one) -> None:
+    kept = fold(TargetRemoved(TargetId("a")), one, PATIENT)
+    assert kept.live(PoolName("pool"))
+    assert expire(kept, NOW + seconds(1.9)).targets
+    assert not expire(kept, NOW + seconds(2)).targets
+
+
+def test_entry_that_came_back_stays(one: Catalogue) -> None:
+    kept = fold(TargetRemoved(TargetId("a")), one, PATIENT)
+    back = fold(published("a", 9), kept, PATIENT)
+    assert expire(back, NOW + seconds(60)).targets
+
+
+def test_leaving_target_that_vanishes_in_trouble_is_gone() -> None:
+    leaving = fold(published("a", 5, Presence.LEAVING), Catalogue(), PROMPT)
+    assert not fold(TargetRemoved(TargetId("a")), leaving, PATIENT).targets
+
+
+def test_listing_removes_what_it_lacks(one: Catalogue) -> None:
+    listed = replace_listing(one, (published("b", 6), config(3)), 8, PROMPT)
+    assert set(listed.targets) == {"b"}
+    assert listed.revision == 8
+    assert listed.config.version == 3
+
+
+def test_newest_version_of_an_adapter_only_rises() -> None:
+    first = fold(VersionPublished("m/a", "10"), Catalogue(), PROMPT)
+    assert fold(VersionPublished("m/a", "9"), first, PROMPT).newest == {"m/a": "10"}
+    assert fold(VersionPublished("m/a", "11"), first, PROMPT).newest == {"m/a": "11"}
--- /dev/null
+++ b/packages/core/tests/test_engine_book.py
@@ -0,0 +1,186 @@
+"""Orders to one engine: places are never overfilled, idle adapters make way."""
+
+import pytest
+
+from sardinequay_core.clock import Instant, seconds
+from sardinequay_core.engine_book import (
+    AskReport,
+    EngineBook,
+    EngineStatus,
+    LoadAdapter,
+    LoadModel,
+    Rest,
+    UnloadAdapter,
+    Waiter,
+)
+from sardinequay_core.names import AdapterRef, TargetId
+
+NOW = seconds(500)
+
+
+def ref(name: str, version: str = "1") -> AdapterRef:
+    return AdapterRef(f"m/{name}", version)
+
+
+def status(*adapters: AdapterRef, orders: int = 0, **more) -> EngineStatus:
+    fields = {"coming": frozenset(), "is_busy": False, "models": frozenset({"m"})}
+    return EngineStatus(adapters=frozenset(adapters), orders=orders, **fields | more)
+
+
+def waiter(now: Instant, worth: float = 1.0) -> Waiter:
+    return Waiter(worth, now + seconds(0.5), now + seconds(3), now)
+
+
+@pytest.fixture
+def book() -> EngineBook:
+    """An engine with two places that holds x and y, both idle for long."""
+    made = EngineBook(TargetId("e"), places=2)
+    made.take_report(status(ref("x"), ref("y")), NOW, NOW)
+    return made
+
+
+def later(by_s: float) -> Instant:
+    return NOW + seconds(by_s)
+
+
+def test_begins_with_a_report() -> None:
+    made = EngineBook(TargetId("e"), places=2)
+    assert made.next_step({}, NOW) == AskReport()
+
+
+def test_idle_adapter_makes_way_then_the_wanted_one_is_loaded(book) -> None:
+    book.want(ref("z"), waiter(later(1)))
+    step = book.next_step({ref("x"): 1}, later(1))
+    assert step == UnloadAdapter(ref("y"))
+    book.accepted(step, holds_already=True, now=later(1))
+    assert book.next_step({}, later(1)) == LoadAdapter(ref("z"))
+
+
+def test_unload_counts_as_an_order_and_names_no_count(book) -> None:
+    order = UnloadAdapter(ref("y"))
+    assert book.expected_orders(order) is None
+    book.accepted(order, holds_already=True, now=NOW)
+    assert book.expected_orders(LoadAdapter(ref("z"))) == 1
+
+
+def test_eviction_that_waits_for_its_requests_keeps_its_place(book) -> None:
+    book.want(ref("z"), waiter(later(1)))
+    book.accepted(UnloadAdapter(ref("y")), holds_already=False, now=later(1))
+    assert not isinstance(book.next_step({}, later(1)), LoadAdapter)
+    assert not book.is_ready(ref("y"))
+    shown = status(ref("x"), orders=1)
+    book.take_report(shown, later(1.5), later(1.6))
+    assert book.next_step({}, later(1.6)) == LoadAdapter(ref("z"))
+
+
+def test_after_an_open_order_only_a_later_report_counts(book) -> None:
+    book.in_doubt(later(1))
+    book.want(ref("z"), waiter(later(1)))
+    book.take_report(status(ref("x")), later(1.1), later(1.2))
+    assert book.orders is None
+    book.take_report(status(ref("x")), later(1.5), later(1.6))
+    assert book.next_step({}, later(1.6)) == LoadAdapter(ref("z"))
+
+
+def test_report_older_than_the_last_order_says_nothing(book) -> None:
+    book.accepted(UnloadAdapter(ref("y")), holds_already=True, now=later(1))
+    book.take_report(status(ref("x"), ref("y"), orders=0), later(1.1), later(1.2))
+    assert not book.is_ready(ref("y"))
+
+
+def test_adapter_that_just_came_is_not_evicted_before_its_use_is_known(book) -> None:
+    book.used_at.pop(ref("y"))
+    book.accepted(LoadAdapter(ref("z")), holds_already=False, now=later(1))
+    book.settle(later(1.3))
+    assert book.is_ready(ref("z"))
+    book.want(ref("v"), waiter(later(1.3)))
+    assert isinstance(book.next_step({ref("x"): 1}, later(1.31)), Rest)
+
+
+def test_waiting_long_closes_one_adapter_in_use_to_new_work(book) -> None:
+    book.want(ref("z"), waiter(later(1)))
+    in_use = {ref("x"): 3, ref("y"): 1}
+    book.next_step(in_use, later(1))
+    assert book.residents() == (ref("x"), ref("y"))
+    book.next_step(in_use, later(1.4))
+    assert book.residents() == (ref("x"),)
+
+
+def test_most_worth_is_loaded_first(book) -> None:
+    book.used_at.clear()
+    book.want(ref("u"), waiter(later(1)))
+    book.want(ref("v"), waiter(later(1)))
+    book.want(ref("v"), waiter(later(1)))
+    assert book.next_step({}, later(1)) == LoadAdapter(ref("v"))
+
+
+def test_late_waiters_count_less_than_those_on_time(book) -> None:
+    book.used_at.clear()
+    book.want(ref("u"), Waiter(1.5, later(0.5), later(3), later(0)))
+    book.want(ref("v"), waiter(later(1)))
+    assert book.next_step({}, later(1)) == LoadAdapter(ref("v"))
+
+
+def test_refused_unload_is_not_repeated_at_once(book) -> None:
+    book.want(ref("z"), waiter(later(1)))
+    step = book.next_step({}, later(1))
+    book.refused(step, later(1))
+    other = book.next_step({}, later(1.01))
+    assert isinstance(other, UnloadAdapter)
+    assert other != step
+
+
+def test_older_version_makes_way_for_the_newer(book) -> None:
+    book.want(ref("x", "2"), waiter(later(1)))
+    assert not book.is_ready(ref("x", "2"))
+    assert book.next_step({}, later(1)) == UnloadAdapter(ref("x"))
+
+
+def test_empty_engine_loads_its_model_first_and_once() -> None:
+    made = EngineBook(TargetId("e"), places=2, model_wanted="m")
+    made.take_report(status(models=frozenset()), NOW, NOW)
+    step = made.next_step({}, NOW)
+    assert step == LoadModel("m")
+    made.accepted(step, holds_already=False, now=NOW)
+    assert not isinstance(made.next_step({}, later(0.1)), LoadModel)
+
+
+def test_load_that_takes_longer_is_waited_for_and_learned_from(book) -> None:
+    book.used_at.pop(ref("y"))
+    before = book.cold_s
+    book.accepted(LoadAdapter(ref("z")), holds_already=False, now=later(1))
+    book.settle(later(1.3))
+    book.missing(ref("z"), later(1.31))
+    assert ref("z") in book.coming
+    assert book.cold_s > before
+
+
+def test_expected_wait_grows_with_the_queue(book) -> None:
+    waits = []
+    for name in "uvw":
+        waits.append(book.expected_wait_s(ref(name), 1.0, later(1)))
+        book.want(ref(name), waiter(later(1)))
+    assert waits[0] < waits[1] < waits[2]
+
+
+def test_never_orders_more_than_there_are_places() -> None:
+    """Replay a burst of wishes against an engine that counts its places."""
+    made = EngineBook(TargetId("e"), places=3)
+    held: set[AdapterRef] = set()
+    orders = 0
+    made.take_report(status(), NOW, NOW)
+    now = NOW
+    for n in range(400):
+        now += seconds(0.02)
+        made.want(ref(f"a{n % 17}"), waiter(now))
+        step = made.next_step({}, now)
+        if isinstance(step, LoadAdapter):
+            held.add(step.adapter)
+            orders += 1
+            made.accepted(step, holds_already=False, now=now)
+        elif isinstance(step, UnloadAdapter):
+            held.discard(step.adapter)
+            orders += 1
+            made.accepted(step, holds_already=True, now=now)
+        assert len(held) <= 3
+    assert orders > 40
--- /dev/null
+++ b/packages/core/tests/test_relay_decisions.py
@@ -0,0 +1,157 @@
+"""What a failed attempt permits, the budget of repeats, loads and services."""
+
+from datetime import timedelta
+
+import pytest
+
+from sardinequay_core.after_attempt import AttemptEnd, AttemptsSoFar, Next, next_step
+from sardinequay_core.catalogue import PublishedTarget
+from sardinequay_core.clock import ZERO, seconds
+from sardinequay_core.load_view import EngineShare, LoadView
+from sardinequay_core.names import (
+    AdapterRef,
+    Address,
+    DataCentre,
+    HostId,
+    PoolName,
+    TargetId,
+)
+from sardinequay_core.repeat_budget import RepeatBudget, RepeatPolicy
+from sardinequay_core.residency import AdapterUses, Held, Residency
+from sardinequay_core.roster import Target, TargetKind
+from sardinequay_core.service_choice import ServiceOption, choose_service
+from sardinequay_core.serving import Repetition
+
+LEFT = timedelta(seconds=1)
+E = TargetId("e")
+
+
+@pytest.mark.parametrize(
+    ("repetition", "ends", "expected"),
+    [
+        (Repetition.ONCE, [AttemptEnd.NOT_SENT], Next.AGAIN),
+        (Repetition.ONCE, [AttemptEnd.REJECTED], Next.AGAIN),
+        (Repetition.ONCE, [AttemptEnd.MAY_HAVE_RUN], Next.GIVE_UP_MAY_HAVE_RUN),
+        (
+            Repetition.ONCE,
+            [AttemptEnd.REJECTED, AttemptEnd.MAY_HAVE_RUN],
+            Next.GIVE_UP_MAY_HAVE_RUN,
+        ),
+        (Repetition.STREAM, [AttemptEnd.BROKEN_OFF], Next.GIVE_UP_MAY_HAVE_RUN),
+        (Repetition.IDEMPOTENT, [AttemptEnd.MAY_HAVE_RUN], Next.AGAIN),
+        (
+            Repetition.IDEMPOTENT,
+            [AttemptEnd.MAY_HAVE_RUN] * 2,
+            Next.GIVE_UP_MAY_HAVE_RUN,
+        ),
+        (Repetition.RESUMABLE_STREAM, [AttemptEnd.BROKEN_OFF], Next.AGAIN),
+        (Repetition.ONCE, [AttemptEnd.REJECTED] * 4, Next.GIVE_UP_NOT_RUN),
+    ],
+)
+def test_what_a_failed_attempt_permits(repetition, ends, expected) -> None:
+    so_far = AttemptsSoFar()
+    for end in ends:
+        so_far = so_far.after(end)
+    assert next_step(repetition, 2, so_far, LEFT, True) is expected
+
+
+def test_no_time_or_no_budget_ends_a_request() -> None:
+    so_far = AttemptsSoFar().after(AttemptEnd.REJECTED)
+    for left, budget in ((ZERO, True), (LEFT, False)):
+        end = next_step(Repetition.IDEMPOTENT, 2, so_far, left, budget)
+        assert end is Next.GIVE_UP_NOT_RUN
+
+
+def test_hosts_together_keep_the_budget_when_everything_fails() -> None:
+    """Replay an outage: every request is rejected and would be sent four times."""
+    policy = RepeatPolicy(ratio=0.2, slack=56)
+    budgets = [RepeatBudget(policy) for _ in range(8)]
+    repeats = 0
+    for n in range(800):
+        now = seconds(n * 0.0125)
+        budget = budgets[n % 8]
+        budget.request(now)
+        for _ in range(3):
+            if budget.may_repeat(8, now):
+                budget.repeat(now)
+                repeats += 1
+    assert 100 < repeats <= 0.2 * 800 + 56
+
+
+def test_load_counts_own_and_peers_requests_and_forgets_silent_peers() -> None:
+    view = LoadView()
+    view.begin(E, 2000)
+    view.hear(HostId("p"), {E: EngineShare(3000, 2)}, seconds(10))
+    assert view.share(E, seconds(10)) == EngineShare(5000, 2)
+    assert view.share(E, seconds(12)) == EngineShare(2000, 0)
+    view.first_event(E, 2000)
+    view.end(E, 2000, had_first_event=True)
+    assert view.share(E, seconds(12)) == EngineShare()
+
+
+def test_slow_engine_is_learned() -> None:
+    view = LoadView()
+    before = view.first_event_s(E, 2000, ZERO)
+    for _ in range(20):
+        view.measured(E, view.first_event_s(E, 2000, ZERO), 0.5)
+    assert view.first_event_s(E, 2000, ZERO) > 3 * before
+
+
+def service(name: str, in_work: int = 0, **more) -> ServiceOption:
+    fields = {"is_local": True, "is_full": False, "was_tried": False, "spread": 0.0}
+    return ServiceOption(TargetId(name), in_work, 6, **fields | more)
+
+
+def test_least_filled_service_is_taken() -> None:
+    assert choose_service([service("a", 3), service("b", 1)]) == "b"
+    assert choose_service([service("a", 1), service("b", 0, is_local=False)]) == "b"
+    assert choose_service([service("a"), service("b", 0, is_local=False)]) == "a"
+    assert choose_service([service("a", was_tried=True), service("b", 5)]) == "b"
+    assert choose_service([]) is None
+
+
+@pytest.fixture
+def published() -> PublishedTarget:
+    target = Target(
+        E, PoolName("p"), TargetKind.ENGINE, DataCentre("here"), Address("::1", 1)
+    )
+    return PublishedTarget(target, 64, 3, adapters=frozenset({AdapterRef("m/a", "1")}))
+
+
+def test_later_news_of_an_engine_replace_earlier(published) -> None:
+    a, b = AdapterRef("m/a", "1"), AdapterRef("m/b", "1")
+    residency = Residency()
+    assert residency.resident(published, a) == a
+    assert residency.hear(E, Held(10, 2, frozenset({b})))
+    assert residency.resident(published, a) is None
+    assert not residency.hear(E, Held(10, 1, frozenset({a})))
+    assert residency.hear(E, Held(11, 0, frozenset({a})))
+    assert residency.resident(published, a) == a
+
+
+def test_denied_adapter_is_not_resident_until_later_news(published) -> None:
+    a = AdapterRef("m/a", "1")
+    residency = Residency()
+    residency.hear(E, Held(10, 2, frozenset({a})))
+    residency.deny(published, a)
+    assert residency.resident(published, a) is None
+    residency.hear(E, Held(10, 3, frozenset({a})))
+    assert residency.resident(published, a) == a
+
+
+def test_older_version_does_not_serve_a_newer_wish(published) -> None:
+    residency = Residency()
+    assert residency.resident(published, AdapterRef("m/a", "2")) is None
+    residency.add(published, AdapterRef("m/a", "10"))
+    assert residency.resident(published, AdapterRef("m/a", "9")) is not None
+
+
+def test_uses_of_all_hosts_are_summed() -> None:
+    a = AdapterRef("m/a", "1")
+    uses = AdapterUses()
+    uses.change(E, a, 1)
+    uses.hear(HostId("p"), E, a, 2)
+    assert uses.on(E) == {a: 3}
+    uses.hear(HostId("p"), E, a, 0)
+    uses.change(E, a, -1)
+    assert uses.on(E) == {}
--- /dev/null
+++ b/packages/core/tests/test_serving.py
@@ -0,0 +1,63 @@
+"""Routes: the longest prefix wins, and split traffic keeps its shares."""
+
+from dataclasses import replace
+from datetime import timedelta
+
+import pytest
+
+from sardinequay_core.names import PoolName
+from sardinequay_core.serving import (
+    CallerLimits,
+    Repetition,
+    Route,
+    Share,
+    make_config,
+)
+
+
+@pytest.fixture
+def route() -> Route:
+    return Route(
+        name="r",
+        host="a.example",
+        prefix="/x/",
+        repetition=Repetition.ONCE,
+        timeout=timedelta(seconds=1),
+        goal=timedelta(seconds=0.1),
+        priority=1,
+        max_runs=1,
+        shares=(Share(PoolName("p"), 1.0),),
+    )
+
+
+def test_longest_prefix_of_the_host_wins(route: Route) -> None:
+    longer = replace(route, name="longer", prefix="/x/y/")
+    other = replace(route, name="other", host="b.example", prefix="/x/y/z/")
+    config = make_config(1, (route, longer, other), (), CallerLimits())
+    assert config.match("a.example", "/x/y/z/1") == longer
+    assert config.match("a.example", "/x/1") == route
+    assert config.match("a.example", "/y/") is None
+    assert config.match("c.example", "/x/") is None
+
+
+def test_split_traffic_keeps_its_shares_and_each_request_its_way(route: Route) -> None:
+    shares = (Share(PoolName("p"), 90), Share(PoolName("q"), 10))
+    split = replace(route, shares=shares)
+    ids = [f"request-{n}" for n in range(4000)]
+    to_q = sum(split.pool_for(i) == "q" for i in ids)
+    assert 300 < to_q < 500
+    assert [split.pool_for(i) for i in ids] == [split.pool_for(i) for i in ids]
+
+
+@pytest.mark.parametrize(
+    ("kind", "again", "stream"),
+    [
+        (Repetition.IDEMPOTENT, True, False),
+        (Repetition.ONCE, False, False),
+        (Repetition.STREAM, False, True),
+        (Repetition.RESUMABLE_STREAM, True, True),
+    ],
+)
+def test_what_may_be_repeated(kind: Repetition, again: bool, stream: bool) -> None:
+    assert kind.may_run_again is again
+    assert kind.is_stream is stream
--- /dev/null
+++ b/packages/core/tests/test_target_health.py
@@ -0,0 +1,56 @@
+"""Leaving targets out by what became of requests, and trying them again."""
+
+import pytest
+
+from sardinequay_core.clock import seconds
+from sardinequay_core.names import TargetId
+from sardinequay_core.target_health import TargetHealth, Verdict
+
+A, B, C = (TargetId(t) for t in "abc")
+NOW = seconds(50)
+
+
+@pytest.fixture
+def health() -> TargetHealth:
+    return TargetHealth()
+
+
+def test_unreachable_target_is_left_out_then_tried_with_one_request(health) -> None:
+    assert health.judge(A, Verdict.UNREACHABLE, NOW)
+    assert not health.is_usable(A, NOW + seconds(0.4))
+    later = NOW + seconds(0.6)
+    assert health.is_usable(A, later)
+    health.sent(A)
+    assert not health.is_usable(A, later)
+    health.judge(A, Verdict.GOOD, later)
+    assert health.is_usable(A, later)
+
+
+def test_pauses_double_while_trials_fail(health) -> None:
+    health.judge(A, Verdict.UNREACHABLE, NOW)
+    health.judge(A, Verdict.FAILED, NOW + seconds(0.6))
+    assert not health.is_usable(A, NOW + seconds(1.5))
+    assert health.is_usable(A, NOW + seconds(1.7))
+
+
+def test_part_of_the_requests_failing_leaves_a_target_out(health) -> None:
+    ends = [Verdict.GOOD, Verdict.FAILED, Verdict.FAILED, Verdict.FAILED]
+    assert any(health.judge(A, end, NOW) for end in ends)
+
+
+def test_one_failure_among_many_does_not(health) -> None:
+    ends = [Verdict.GOOD] * 6 + [Verdict.FAILED] + [Verdict.GOOD] * 3
+    assert not any(health.judge(A, end, NOW) for end in ends)
+
+
+def test_full_target_is_not_left_out(health) -> None:
+    assert not health.judge(A, Verdict.REJECTED, NOW)
+    assert health.is_full(A, NOW + seconds(0.05))
+    assert not health.is_full(A, NOW + seconds(0.2))
+
+
+def test_pool_of_which_hardly_any_is_left_is_used_whole(health) -> None:
+    for target in (A, B, C):
+        health.judge(target, Verdict.UNREACHABLE, NOW)
+    assert health.usable((A, B, C), NOW) == {A, B, C}
+    assert TargetHealth().usable((A, B), NOW) == {A, B}
--- a/packages/daemon/src/sardinequay_daemon/order_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -107,8 +107,8 @@
         self.told = told
         now = clock.monotonic()
         abstains_until = now if is_first_start else now + policy.lease
-        self.voter = Voter(policy, abstains_until)
-        self.candidate = Candidate(me, policy, now, is_first_start)
+        self.voter = Voter(policy, abstains_until, knows_tokens=is_first_start)
+        self.candidate = Candidate(me, policy)
         self.catalogue = Catalogue()
         self.ordered: dict[TargetId, OrderedEngine] = {}
         self.heard_holdings: dict[TargetId, EngineHoldings] = {}
@@ -163,9 +163,15 @@
         return now - self.no_holder_since >= seconds(CAMPAIGN_STEP_S * place)
 
     async def canvass(self) -> None:
-        """Ask all voters of the data centre at once."""
+        """Ask all voters of the data centre at once, and again if a token was low."""
         self.candidate.set_voters(self.fleet.voters())
-        ballot = self.candidate.ballot(self.data_centre, self.catalogue.revision)
+        await self.ask_all()
+        if self.candidate.must_ask_higher(self.clock.monotonic()):
+            await self.ask_all()
+
+    async def ask_all(self) -> None:
+        """Ask each voter once."""
+        ballot = self.candidate.ballot(self.data_centre)
         now = self.clock.monotonic()
         own = self.voter.vote(ballot, now)
         self.candidate.take(self.me, own, now, now)
@@ -266,6 +272,8 @@
     def take_catalogue(self, catalogue: Catalogue) -> None:
         """Follow engines that come and go."""
         self.catalogue = catalogue
+        if catalogue.revision:
+            self.voter.learn_revision(catalogue.revision)
         if not self.candidate.is_holder:
             return
         here = self.engines_here()
