Test membership, the store's follower and the log without input or output

Also: a host that holds the lease but has no books yet told its peers that it may order in infinitely long, and a refusal could not carry that as a time (an exception in two requests after all hosts were killed). Seen failing in test_keeper_is_the_peer_that_may_order_soonest.

--- a/packages/daemon/src/sardinequay_daemon/fleet_task.py
+++ b/packages/daemon/src/sardinequay_daemon/fleet_task.py
@@ -40,6 +40,9 @@
 """A host that nobody answered for so long since its start takes itself to be alone. Far
 longer than a cut that must be survived, for it then orders engines by itself."""
 
+NOT_SOON_S = 60.0
+"""Beyond this a host that says when it may order engines says that it does not know."""
+
 READERS_PER_DATA_CENTRE = 1
 log = logging.getLogger(__name__)
 
@@ -157,14 +160,14 @@
         return None
 
     def keeper_of(self, data_centre: str) -> Peer | None:
-        """Return the live peer that holds the lease to order a data centre's engines.
+        """Return the live peer that orders a data centre's engines, now or soon.
 
         Of two that say so, the one that has had to wait less is the holder.
         """
         holders = [
             p
             for p in self.alive()
-            if p.holds_lease and p.contact.data_centre == data_centre
+            if p.orders_in_s < NOT_SOON_S and p.contact.data_centre == data_centre
         ]
         return min(
             holders, key=lambda p: (p.orders_in_s, p.contact.host_id), default=None
--- /dev/null
+++ b/packages/daemon/tests/test_decision_log.py
@@ -0,0 +1,103 @@
+"""Logs that never block: bounded in rate and in space, with what was left out told."""
+
+import json
+import logging
+import os
+from collections.abc import Iterator
+
+import pytest
+from pythonjsonlogger.json import JsonFormatter
+
+from sardinequay_daemon.decision_log import (
+    FIELDS,
+    MAX_BURST_LINES,
+    MAX_WAITING_BYTES,
+    RENAMED,
+    BoundedOutput,
+)
+
+from .conftest import TurnedClock
+
+
+@pytest.fixture
+def pipe() -> Iterator[tuple[int, int]]:
+    reading, writing = os.pipe()
+    os.set_blocking(reading, False)
+    yield reading, writing
+    os.close(reading)
+    os.close(writing)
+
+
+@pytest.fixture
+def output(clock: TurnedClock, pipe) -> BoundedOutput:
+    made = BoundedOutput(clock, pipe[1])
+    made.setFormatter(JsonFormatter(FIELDS, rename_fields=RENAMED))
+    return made
+
+
+def line(text: str, level: int = logging.INFO, **fields) -> logging.LogRecord:
+    record = logging.LogRecord("x", level, "", 0, text, None, None)
+    for name, value in fields.items():
+        setattr(record, name, value)
+    return record
+
+
+def read_lines(reading: int) -> list[dict]:
+    data = b""
+    while True:
+        try:
+            data += os.read(reading, 65_536)
+        except BlockingIOError:
+            return [json.loads(part) for part in data.splitlines()]
+
+
+def test_lines_are_json_with_their_fields(output, pipe) -> None:
+    output.emit(line("target chosen", request="r1", unread_tokens=7))
+    (found,) = read_lines(pipe[0])
+    assert found["event"] == "target chosen"
+    assert found["request"] == "r1"
+    assert found["unread_tokens"] == 7
+
+
+def test_lines_beyond_the_rate_are_counted_and_told(output, pipe, clock) -> None:
+    for _ in range(int(MAX_BURST_LINES) + 50):
+        output.emit(line("x"))
+    assert output.left_out == 50
+    read_lines(pipe[0])
+    clock.turn(1)
+    output.emit(line("later"))
+    found = read_lines(pipe[0])
+    assert found[0]["event"] == "log lines left out"
+    assert found[0]["count"] == 50
+
+
+def test_reader_that_does_not_read_blocks_nothing(output, clock) -> None:
+    text = "y" * 10_000
+    for _ in range(400):
+        clock.turn(1)
+        output.emit(line(text))
+    assert output.left_out
+    assert output.waiting_bytes < MAX_WAITING_BYTES + 20_000
+
+
+def test_waiting_lines_arrive_whole_once_somebody_reads(output, pipe, clock) -> None:
+    for n in range(60):
+        clock.turn(1)
+        output.emit(line("z" * 3000, n=n))
+    found = []
+    for _ in range(20):
+        reading = os.read(pipe[0], 40_000) if output.waiting else b""
+        found.append(reading)
+        output.drain()
+    found.append(os.read(pipe[0], 1_000_000))
+    lines = [json.loads(part) for part in b"".join(found).splitlines()]
+    assert [x["n"] for x in lines] == list(range(60))
+
+
+def test_closed_reader_is_no_error(clock: TurnedClock) -> None:
+    reading, writing = os.pipe()
+    made = BoundedOutput(clock, writing)
+    os.close(reading)
+    made.emit(line("x"))
+    assert not made.waiting
+    os.close(writing)
--- /dev/null
+++ b/packages/daemon/tests/test_fleet_task.py
@@ -0,0 +1,119 @@
+"""Knowing the other hosts: who is alive, who votes, who orders, who reads."""
+
+from dataclasses import replace
+from datetime import timedelta
+
+import pytest
+
+from sardinequay_core.names import HostId, parse_address
+from sardinequay_daemon.fleet_task import ALIVE_FOR, FleetTask
+from sardinequay_daemon.peers import PeerCaller
+from sardinequay_daemon.serving_messages import Contact, Digest
+
+from .conftest import TurnedClock
+
+ME = Contact(HostId("h1"), "za", "127.0.0.1:1")
+FOREVER = float("inf")
+
+
+def digest(name: str, data_centre: str = "za", **more) -> Digest:
+    made = Digest(
+        host=Contact(HostId(name), data_centre, f"127.0.0.1:{10 + int(name[1:])}"),
+        is_leaving=False,
+        contacts=(),
+        contacts_known=0,
+        shares={},
+        uses=(),
+        holdings=(),
+        holds_lease=False,
+        orders_in_s=FOREVER,
+        up_s=1.0,
+        store_revision=1,
+        store_age_s=0.2,
+    )
+    return replace(made, **more)
+
+
+@pytest.fixture
+def fleet(clock: TurnedClock, metrics, timing) -> FleetTask:
+    caller = PeerCaller(timing, metrics, "127.0.0.1")
+    seeds = (parse_address("127.0.0.1:12").unwrap(),)
+    return FleetTask(
+        ME, seeds, caller, clock, timedelta(seconds=30), lambda _: digest("h1")
+    )
+
+
+def test_heard_peers_are_alive_until_they_fall_silent(fleet, clock) -> None:
+    fleet.hear(digest("h2"))
+    fleet.hear(digest("h3", "zb"))
+    assert fleet.live_hosts == 3
+    clock.turn(ALIVE_FOR.total_seconds())
+    assert fleet.live_hosts == 1
+
+
+def test_silent_peer_still_counts_among_the_voters(fleet, clock) -> None:
+    fleet.hear(digest("h2"))
+    fleet.hear(digest("h3", "zb"))
+    clock.turn(20)
+    fleet.forget_silent(clock.monotonic())
+    assert fleet.voters() == ("h2",)
+    clock.turn(11)
+    fleet.forget_silent(clock.monotonic())
+    assert fleet.voters() == ()
+
+
+def test_leaving_peer_votes_no_more(fleet) -> None:
+    fleet.hear(digest("h2"))
+    fleet.hear(digest("h2", is_leaving=True))
+    assert fleet.voters() == ()
+
+
+def test_host_that_hears_nobody_does_not_vote_for_long(fleet, clock) -> None:
+    assert not fleet.has_joined()
+    clock.turn(5)
+    assert not fleet.has_joined()
+    clock.turn(6)
+    assert fleet.has_joined()
+
+
+def test_host_that_joined_votes_after_it_knows_the_others(fleet, clock) -> None:
+    fleet.hear(digest("h2"))
+    assert not fleet.has_joined()
+    clock.turn(1.1)
+    assert fleet.has_joined()
+
+
+def test_keeper_is_the_peer_that_may_order_soonest(fleet) -> None:
+    fleet.hear(digest("h2", "zb", holds_lease=True, orders_in_s=FOREVER))
+    assert fleet.keeper_of("zb") is None
+    fleet.hear(digest("h2", "zb", holds_lease=True, orders_in_s=2.0))
+    fleet.hear(digest("h3", "zb", holds_lease=True, orders_in_s=0.0))
+    assert fleet.keeper_of("zb").contact.host_id == "h3"
+
+
+def test_suspected_peer_is_not_alive_until_heard_again(fleet) -> None:
+    fleet.hear(digest("h2"))
+    fleet.suspect(HostId("h2"))
+    assert fleet.live_hosts == 1
+    fleet.hear(digest("h2"))
+    assert fleet.live_hosts == 2
+
+
+def test_one_host_of_a_data_centre_reads_the_store(clock, metrics, timing) -> None:
+    names = ("h1", "h2", "h3")
+    readers = 0
+    for me in names:
+        mine = digest(me).host
+        caller = PeerCaller(timing, metrics, "127.0.0.1")
+        made = FleetTask(mine, (), caller, clock, timedelta(30), lambda _: digest("h1"))
+        for other in names:
+            made.hear(digest(other))
+        readers += made.is_reader()
+    assert readers == 1
+
+
+def test_hosts_told_by_peers_are_known_but_not_alive(fleet) -> None:
+    told = digest("h4", "zb").host
+    fleet.hear(digest("h2", contacts=(told,)))
+    assert {c.host_id for c in fleet.contacts()} == {"h1", "h2", "h4"}
+    assert fleet.live_hosts == 2
--- /dev/null
+++ b/packages/daemon/tests/test_store_task.py
@@ -0,0 +1,163 @@
+"""Following the store: trouble, lost history, peers that know more."""
+
+from datetime import timedelta
+from random import Random
+
+import pytest
+from returns.result import Failure, Success
+
+from sardinequay_core.catalogue import Change, ConfigPublished
+from sardinequay_core.clock import seconds
+from sardinequay_core.serving import CallerLimits, make_config
+from sardinequay_daemon.errors import PlatformError
+from sardinequay_daemon.serving_messages import FetchItems
+from sardinequay_daemon.serving_ports import StoreItem, StoreRead
+from sardinequay_daemon.store_task import StoreTask
+
+from .conftest import TurnedClock
+
+
+def item(version: int, revision: int) -> StoreItem:
+    return StoreItem("config", revision, str(version).encode())
+
+
+class ScriptedStore:
+    """Gives the answers that a test prepared."""
+
+    def __init__(self) -> None:
+        self.answers: list = []
+        self.listings = 0
+
+    async def list_all(self):
+        self.listings += 1
+        return self.answers.pop(0)
+
+    async def watch(self, after: int, wait: timedelta):
+        return self.answers.pop(0)
+
+    def decode(self, found: StoreItem) -> Change | None:
+        if found.value is None:
+            return None
+        if found.value == b"spoiled":
+            raise PlatformError("config", "spoiled")
+        made = make_config(int(found.value), (), (), CallerLimits())
+        return ConfigPublished(made)
+
+
+@pytest.fixture
+def scripted() -> ScriptedStore:
+    return ScriptedStore()
+
+
+@pytest.fixture
+def peers() -> dict[str, object]:
+    """What this host is told of the others."""
+    return {"is_reader": True, "age_s": float("inf")}
+
+
+@pytest.fixture
+def task(scripted, clock: TurnedClock, peers, monkeypatch) -> StoreTask:
+    monkeypatch.setattr("sardinequay_daemon.store_task.BATCH_PAUSE_S", 0)
+    monkeypatch.setattr("sardinequay_daemon.store_task.RETRY_S", (0,))
+    return StoreTask(
+        scripted,
+        clock,
+        Random(1),
+        seconds(2),
+        lambda: bool(peers["is_reader"]),
+        lambda: float(peers["age_s"]),
+    )
+
+
+def read(*items: StoreItem, revision: int) -> Success[StoreRead]:
+    return Success(StoreRead(items, revision))
+
+
+REFUSED = Failure(PlatformError("store", "status 503"))
+GONE = Failure(PlatformError("store", "status 410", is_history_gone=True))
+
+
+async def test_lists_then_watches(task: StoreTask, scripted) -> None:
+    scripted.answers = [read(item(1, 5), revision=6), read(item(2, 7), revision=7)]
+    await task.read_once()
+    await task.read_once()
+    assert scripted.listings == 1
+    assert task.catalogue.config.version == 2
+    assert task.catalogue.revision == 7
+
+
+async def test_lost_history_means_a_new_listing(task: StoreTask, scripted) -> None:
+    scripted.answers = [read(revision=6), GONE, read(item(3, 9), revision=9)]
+    for _ in range(3):
+        await task.read_once()
+    assert scripted.listings == 2
+    assert task.catalogue.config.version == 3
+
+
+async def test_older_answer_changes_nothing(task: StoreTask, scripted) -> None:
+    scripted.answers = [
+        read(item(5, 9), revision=9),
+        read(item(4, 4), revision=4),
+        read(item(5, 9), revision=9),
+    ]
+    for _ in range(3):
+        await task.read_once()
+    assert task.catalogue.config.version == 5
+
+
+async def test_spoiled_item_does_not_stop_the_others(task, scripted) -> None:
+    scripted.answers = [read(StoreItem("x", 1, b"spoiled"), item(1, 2), revision=2)]
+    await task.read_once()
+    assert task.catalogue.config.version == 1
+
+
+async def test_host_with_a_fresh_reader_need_not_read(task, scripted, peers) -> None:
+    assert not task.may_rely_on_peers()
+    scripted.answers = [read(item(1, 1), revision=1)]
+    await task.read_once()
+    peers |= {"is_reader": False, "age_s": 0.5}
+    assert task.may_rely_on_peers()
+    peers["age_s"] = 3.0
+    assert not task.may_rely_on_peers()
+
+
+async def test_vanished_entries_are_kept_around_trouble(task, scripted, clock) -> None:
+    scripted.answers = [read(revision=1), REFUSED, read(revision=2)]
+    await task.read_once()
+    assert task.absence().keep_until is None
+    await task.read_once()
+    assert task.absence().keep_until is not None
+    await task.read_once()
+    clock.turn(6)
+    assert task.absence().keep_until is None
+
+
+async def test_peer_gives_only_what_changed(task: StoreTask, scripted) -> None:
+    scripted.answers = [
+        read(item(1, 5), StoreItem("a", 2, b"7"), revision=6),
+        read(StoreItem("a", 8, None), revision=8),
+    ]
+    await task.read_once()
+    await task.read_once()
+    reply = await task.answer_fetch(FetchItems(6))
+    assert [i.key for i in reply.items] == ["a"]
+    assert not reply.is_whole
+    whole = await task.answer_fetch(FetchItems(0))
+    assert whole.is_whole
+    assert [i.key for i in whole.items] == ["config"]
+
+
+async def test_host_that_starts_while_the_store_is_down_learns_from_a_peer(
+    task: StoreTask, scripted
+) -> None:
+    scripted.answers = [REFUSED]
+    await task.read_once()
+    other = ScriptedStore()
+    other.answers = [read(item(4, 9), revision=9)]
+    peer = StoreTask(
+        other, task.clock, Random(1), seconds(2), lambda: True, lambda: 9.0
+    )
+    await peer.read_once()
+    task.take_from_peer(await peer.answer_fetch(FetchItems(0)))
+    assert task.catalogue.config.version == 4
+    assert task.catalogue.revision == 9
