--- a/packages/cli/src/sardinequay_cli/fleet_verbs.py
+++ b/packages/cli/src/sardinequay_cli/fleet_verbs.py
@@ -50,7 +50,7 @@
     """Show what is in force, host by host."""
     answers = asyncio.run(ask_all(arguments.hosts, "/v1/status"))
     lines = tuple(status_line(answer) for answer in answers)
-    versions = {a.body["bundle_version"] for a in answers if a.body}
+    versions = {version_of(a.body) for a in answers if a.body}
     document = {
         "hosts": [
             a.body or {"address": a.address, "unreachable": a.error} for a in answers
@@ -60,6 +60,12 @@
     return Output(lines, document, exit_code_of(answers))
 
 
+def version_of(body: dict[str, Any]) -> int:
+    """Return the version in force, of a bundle or of a configuration."""
+    version: int = body.get("bundle_version", body.get("config_version", 0))
+    return version
+
+
 def exit_code_of(answers: list[HostAnswer]) -> int:
     """Return the exit code that says whether every host answered."""
     return EXIT_UNREACHABLE if any(a.body is None for a in answers) else 0
@@ -71,6 +77,14 @@
         return f"{answer.address}  unreachable: {answer.error}"
     body = answer.body
     state = "ready" if body["ready"] else "not ready"
+    if "config_version" in body:
+        return (
+            f"{body['host']}  {body['data_centre']}  {state}  "
+            f"configuration {body['config_version']}  "
+            f"store {body['store_age_s']:.1f} s old  in flight {body['in_flight']}  "
+            f"peers {len(body['peers'])}  targets {len(body['targets'])}  "
+            f"orders engines {'yes' if body['orders_engines'] else 'no'}"
+        )
     refused = len(body["bundles_refused"])
     return (
         f"{body['host']}  {body['data_centre']}  {state}  "
--- a/packages/cli/src/sardinequay_cli/main.py
+++ b/packages/cli/src/sardinequay_cli/main.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from . import bundle_verbs, fleet_verbs
+from . import bundle_verbs, fleet_verbs, log_verbs
 from .errors import CommandError
 from .output import Output
 
@@ -32,6 +32,7 @@
     add_bundle(groups)
     add_settings(groups)
     add_fleet(groups)
+    add_logs(groups)
     return made
 
 
@@ -117,6 +118,18 @@
     add_hosts(made)
 
 
+def add_logs(
+    groups: SubParsers,
+) -> None:
+    """Add the verbs that read collected logs."""
+    text = "Logs collected from hosts."
+    group = groups.add_parser("logs", help=text, description=text)
+    verbs = group.add_subparsers(dest="name", required=True, metavar="VERB")
+    made = add_verb(verbs, "explain", log_verbs.explain)
+    made.add_argument("id", help="of a request")
+    made.add_argument("files", nargs="+", type=Path, help="lines of JSON, any hosts'")
+
+
 def add_hosts(made: argparse.ArgumentParser) -> None:
     """Add the option that names the hosts to ask."""
     made.add_argument(
--- /dev/null
+++ b/packages/cli/tests/test_logs.py
@@ -0,0 +1,72 @@
+"""From a request's id to its cause, by lines that hosts logged while they served."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+from sardinequay_cli.errors import EXIT_FINDINGS, EXIT_USAGE
+from sardinequay_cli.main import main
+
+RECORDED = Path(__file__).parent / "recorded" / "host.log"
+REFUSED = "55a06241d5dae4d8"
+TIMED_OUT = "ab7e580bb4a22c9e"
+BROKEN_OFF = "df6d910da8914e87"
+
+
+def explain(capsys: pytest.CaptureFixture[str], request_id: str) -> list[dict]:
+    assert main(["--json", "logs", "explain", request_id, str(RECORDED)]) == 0
+    return json.loads(capsys.readouterr().out)["lines"]
+
+
+def test_refused_request_names_the_queue_that_it_could_not_wait_for(capsys) -> None:
+    lines = explain(capsys, REFUSED)
+    asked = next(x for x in lines if x["event"] == "waited for adapter")
+    assert not asked["ready"]
+    assert asked["expected_s"] > 1
+    end = lines[-1]
+    assert (end["event"], end["result"]) == ("refused", "503")
+    assert end["detail"].startswith("overloaded, not_run")
+
+
+def test_request_that_timed_out_names_the_silent_target(capsys) -> None:
+    lines = explain(capsys, TIMED_OUT)
+    sent = next(x for x in lines if x["event"] == "target chosen")
+    failed = next(x for x in lines if x["event"] == "attempt failed")
+    assert failed["target"] == sent["target"]
+    assert failed["detail"].startswith("silent for")
+    assert lines[-1]["detail"].startswith("target_failed, unknown")
+
+
+def test_stream_that_broke_off_names_the_engine_that_ended_it(capsys) -> None:
+    lines = explain(capsys, BROKEN_OFF)
+    order = next(x for x in lines if x["event"] == "order")
+    failed = next(x for x in lines if x["event"] == "attempt failed")
+    assert order["target"] == failed["target"]
+    assert failed["end"] == "broken_off"
+    assert lines[-1]["event"] == "cut off"
+
+
+def test_every_line_of_a_decision_names_its_inputs_and_their_age(capsys) -> None:
+    for request_id in (TIMED_OUT, BROKEN_OFF):
+        chosen = [
+            x for x in explain(capsys, request_id) if x["event"] == "target chosen"
+        ]
+        assert all({"revision", "store_age_s", "options"} <= set(x) for x in chosen)
+
+
+def test_unknown_request_is_a_finding(capsys) -> None:
+    assert main(["logs", "explain", "nobody", str(RECORDED)]) == EXIT_FINDINGS
+    assert "no line tells" in capsys.readouterr().out
+
+
+def test_missing_file_is_a_usage_error(capsys, tmp_path: Path) -> None:
+    assert main(["logs", "explain", "x", str(tmp_path / "none")]) == EXIT_USAGE
+
+
+def test_lines_that_are_no_logs_are_passed_over(capsys, tmp_path: Path) -> None:
+    path = tmp_path / "mixed"
+    path.write_text(
+        f"noise\n{{broken\n 3.2 h1 {RECORDED.read_text().splitlines()[0]}\n"
+    )
+    assert main(["logs", "explain", "x", str(path)]) == EXIT_FINDINGS
--- a/packages/core/src/sardinequay_core/target_health.py
+++ b/packages/core/src/sardinequay_core/target_health.py
@@ -21,6 +21,7 @@
     GOOD = "good"
     REJECTED = "rejected"
     FAILED = "failed"
+    SILENT = "silent"
     UNREACHABLE = "unreachable"
     GONE = "gone"
 
@@ -61,6 +62,7 @@
     pauses: int = 0
     out_until: Instant = ZERO
     full_until: Instant = ZERO
+    answered_at: Instant = ZERO
     is_on_trial: bool = False
     has_trial_running: bool = False
 
@@ -103,19 +105,37 @@
         record = self.record(target)
         record.has_trial_running = record.is_on_trial
 
-    def judge(self, target: TargetId, verdict: Verdict, now: Instant) -> bool:
-        """Take what became of an attempt; return whether the target is now left out."""
+    def judge(
+        self, target: TargetId, verdict: Verdict, sent_at: Instant, now: Instant
+    ) -> bool:
+        """Take what became of an attempt; return whether the target is now left out.
+
+        Silence until a request's own time is over says nothing of a target that has
+        answered others meanwhile: some requests take longer than they may.
+        """
         record = self.record(target)
         record.has_trial_running = False
         if verdict is Verdict.REJECTED:
             record.full_until = now + self.policy.full_for
+            record.answered_at = now
             return False
         if verdict is Verdict.GOOD:
-            record.failure_rate *= self.policy.failure_memory
-            record.is_on_trial = False
-            if record.failure_rate < self.policy.tolerated / 2:
-                record.pauses = 0
+            self.did_well(record, now)
+            return False
+        if verdict is Verdict.SILENT and record.answered_at > sent_at:
             return False
+        return self.did_badly(record, verdict, now)
+
+    def did_well(self, record: TargetRecord, now: Instant) -> None:
+        """Take a good answer."""
+        record.answered_at = now
+        record.failure_rate *= self.policy.failure_memory
+        record.is_on_trial = False
+        if record.failure_rate < self.policy.tolerated / 2:
+            record.pauses = 0
+
+    def did_badly(self, record: TargetRecord, verdict: Verdict, now: Instant) -> bool:
+        """Take a failure; return whether the target is now left out."""
         memory = self.policy.failure_memory
         record.failure_rate = record.failure_rate * memory + (1 - memory)
         is_certain = verdict in (Verdict.UNREACHABLE, Verdict.GONE)
--- a/packages/daemon/src/sardinequay_daemon/errors.py
+++ b/packages/daemon/src/sardinequay_daemon/errors.py
@@ -56,6 +56,7 @@
     REFUSED = "refused"
     STALE_TOKEN = "stale_token"
     BROKEN = "broken"
+    SILENT = "silent"
 
 
 @dataclass(unsafe_hash=True)
@@ -71,7 +72,7 @@
     @property
     def proves_not_run(self) -> bool:
         """Return whether the target has certainly not run the request."""
-        return self.fault is not TargetFault.BROKEN
+        return self.fault not in (TargetFault.BROKEN, TargetFault.SILENT)
 
 
 @dataclass(unsafe_hash=True)
--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -434,7 +434,7 @@
     def judge(self, verdict: Verdict) -> None:
         """Let the attempt's end count for or against the target."""
         is_out = self.state.health.judge(
-            self.target_id, verdict, self.relay.clock.monotonic()
+            self.target_id, verdict, self.sent_at, self.relay.clock.monotonic()
         )
         if is_out:
             self.relay.metrics.left_out.inc({"pool": self.exchange.pool})
@@ -533,6 +533,8 @@
         if error.fault is TargetFault.NOT_SENT:
             end = AttemptEnd.NOT_SENT
             self.judge(Verdict.UNREACHABLE)
+        elif error.fault is TargetFault.SILENT:
+            self.judge(Verdict.SILENT)
         else:
             self.judge(Verdict.FAILED)
         log.info(
@@ -647,7 +649,7 @@
                 return await turned(from_target)
         except TimeoutError as error:
             detail = "the request's time is over"
-            raise TargetError(TargetFault.BROKEN, detail) from error
+            raise TargetError(TargetFault.SILENT, detail) from error
 
 
 def worth_of(route: Route) -> float:
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -322,10 +322,35 @@
             content, headers = render(self.metrics.registry, [])
             return web.Response(body=content, headers=headers)
 
+        async def status(request: web.Request) -> web.Response:
+            return web.json_response(self.status())
+
         app = web.Application()
         app.router.add_get("/metrics", page)
+        app.router.add_get("/v1/status", status)
         return app
 
+    def status(self) -> dict[str, object]:
+        """Return what is in force on this host, for operators."""
+        catalogue = self.store.catalogue
+        standing = self.store.standing()
+        return {
+            "host": self.profile.host_id,
+            "data_centre": self.profile.data_centre,
+            "ready": self.is_ready(),
+            "stopping": self.is_stopping,
+            "config_version": catalogue.config.version if catalogue.config else 0,
+            "store_revision": standing.revision,
+            "store_age_s": min(standing.age_s, self.fleet.freshest_store_age_s(), 1e6),
+            "reads_store": self.fleet.is_reader(),
+            "orders_engines": self.orders.is_keeper,
+            "in_flight": self.server.in_flight,
+            "peers": sorted(p.contact.host_id for p in self.fleet.alive()),
+            "targets": {
+                t: p.target.presence.value for t, p in catalogue.targets.items()
+            },
+        }
+
     async def drain(self) -> None:
         """Become unready, hand over, and let requests in flight finish."""
         began = self.clock.monotonic()
--- a/packages/daemon/src/sardinequay_daemon/upstream.py
+++ b/packages/daemon/src/sardinequay_daemon/upstream.py
@@ -124,7 +124,8 @@
                         skip_auto_headers=NO_AUTOMATIC_HEADERS,
                     )
         except TimeoutError as error:
-            raise TargetError(TargetFault.BROKEN, f"silent for {within_s} s") from error
+            detail = f"silent for {within_s:.3f} s"
+            raise TargetError(TargetFault.SILENT, detail) from error
 
     async def close(self) -> None:
         """Close all connections."""
