Bound how often news is told, tell near peers more often, weigh silence less

For fleets of 85 hosts: each order told every peer at once, a peer counted as dead within its period of telling.

--- a/packages/core/src/sardinequay_core/residency.py
+++ b/packages/core/src/sardinequay_core/residency.py
@@ -134,9 +134,13 @@
 
     def on(self, target: TargetId) -> dict[AdapterRef, int]:
         """Return how many requests use each adapter on an engine."""
-        total: dict[AdapterRef, int] = {}
+        return self.by_target().get(target, {})
+
+    def by_target(self) -> dict[TargetId, dict[AdapterRef, int]]:
+        """Return how many requests use each adapter, engine by engine."""
+        total: dict[TargetId, dict[AdapterRef, int]] = {}
         for uses in (self.own, *self.peers.values()):
-            for (used_on, adapter), count in uses.items():
-                if used_on == target:
-                    total[adapter] = total.get(adapter, 0) + count
+            for (target, adapter), count in uses.items():
+                on_target = total.setdefault(target, {})
+                on_target[adapter] = on_target.get(adapter, 0) + count
         return total
--- a/packages/core/src/sardinequay_core/target_health.py
+++ b/packages/core/src/sardinequay_core/target_health.py
@@ -26,6 +26,11 @@
     GONE = "gone"
 
 
+SILENCE_WEIGHT = 0.5
+"""How much a request whose time ran out counts against its target: it may have been the
+request. A target that is gone shows by connections that cannot be opened."""
+
+
 @dataclass(frozen=True, slots=True)
 class HealthPolicy:
     """When a target is left out.
@@ -137,7 +142,8 @@
     def did_badly(self, record: TargetRecord, verdict: Verdict, now: Instant) -> bool:
         """Take a failure; return whether the target is now left out."""
         memory = self.policy.failure_memory
-        record.failure_rate = record.failure_rate * memory + (1 - memory)
+        weight = SILENCE_WEIGHT if verdict is Verdict.SILENT else 1.0
+        record.failure_rate = record.failure_rate * memory + (1 - memory) * weight
         is_certain = verdict in (Verdict.UNREACHABLE, Verdict.GONE)
         if not (
             is_certain
--- a/packages/daemon/src/sardinequay_daemon/fleet_task.py
+++ b/packages/daemon/src/sardinequay_daemon/fleet_task.py
@@ -27,8 +27,15 @@
 PERIOD_PER_HOST_S = 0.012
 """Added period for each host, so that a host sends some 80 digests a second at most."""
 
-ALIVE_FOR = seconds(1.2)
-"""A peer that was heard within this is alive; several periods and a lost connection."""
+FLUSH_S = 0.02
+FLUSH_PER_HOST_S = 0.004
+"""News is told to all peers at once, but not more often than this and a little more
+for each host: news of loads comes often, and each telling costs every peer."""
+
+ALIVE_FOR_S = 1.2
+ALIVE_PERIODS = 3
+"""A peer that was heard within this time, and as many periods, is alive: a few digests
+may be lost with a connection."""
 
 SEED_PERIOD_S = 0.5
 """How often seeds are asked while nobody answers, or fewer are known than seeds."""
@@ -71,7 +78,11 @@
 
 
 class FleetTask:
-    """Owns what is known of the other hosts."""
+    """Owns what is known of the other hosts.
+
+    Hosts of the own data centre are told more often than others: the one that reads the
+    store is among them.
+    """
 
     def __init__(
         self,
@@ -97,6 +108,7 @@
         self.again: set[HostId] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         self.is_leaving = False
+        self.news = asyncio.Event()
 
     def set_seeds(self, seeds: tuple[Address, ...]) -> None:
         """Take the addresses to find the others by."""
@@ -107,10 +119,17 @@
     def alive(self) -> tuple[Peer, ...]:
         """Return the peers heard of lately that do not leave."""
         now = self.clock.monotonic()
+        bound = self.alive_for()
         return tuple(
             p
             for p in self.peers.values()
-            if not p.is_leaving and p.heard_at and now - p.heard_at < ALIVE_FOR
+            if not p.is_leaving and p.heard_at and now - p.heard_at < bound
+        )
+
+    def alive_for(self) -> timedelta:
+        """Return how long a peer is alive after it was heard."""
+        return seconds(
+            ALIVE_FOR_S + ALIVE_PERIODS * PERIOD_PER_HOST_S * len(self.peers)
         )
 
     @property
@@ -184,21 +203,48 @@
 
     # Telling.
 
-    def period_s(self) -> float:
+    def period_s(self, is_near: bool) -> float:
         """Return the time between two digests to one peer."""
-        return PERIOD_S + PERIOD_PER_HOST_S * len(self.peers)
+        near = sum(1 for p in self.peers.values() if self.is_near(p))
+        hosts = near if is_near else len(self.peers)
+        return PERIOD_S + PERIOD_PER_HOST_S * hosts
+
+    def is_near(self, peer: Peer) -> bool:
+        """Return whether a peer is in the own data centre."""
+        return peer.contact.data_centre == self.me.data_centre
 
     async def run(self) -> None:
         """Tell peers, for good."""
-        next_seeds = self.clock.monotonic()
+        next_seeds = next_near = next_far = next_flush = self.clock.monotonic()
         while True:
             now = self.clock.monotonic()
             if now >= next_seeds:
                 next_seeds = now + seconds(SEED_PERIOD_S)
                 self.ask_seeds()
-            self.forget_silent(now)
-            self.tell_all()
-            await asyncio.sleep(self.period_s())
+                self.forget_silent(now)
+            if now >= next_near:
+                next_near = now + seconds(self.period_s(is_near=True))
+                self.tell(p for p in self.peers.values() if self.is_near(p))
+            if now >= next_far:
+                next_far = now + seconds(self.period_s(is_near=False))
+                self.tell(p for p in self.peers.values() if not self.is_near(p))
+            if self.news.is_set() and now >= next_flush:
+                next_flush = now + seconds(FLUSH_S + FLUSH_PER_HOST_S * len(self.peers))
+                self.news.clear()
+                self.tell_all()
+            await self.rest_until(min(next_seeds, next_near, next_far), next_flush)
+
+    async def rest_until(self, due: Instant, flush: Instant) -> None:
+        """Wait for the next thing due, or for news that may be told."""
+        now = self.clock.monotonic()
+        if self.news.is_set():
+            await asyncio.sleep(max(0.0, (min(due, flush) - now).total_seconds()))
+            return
+        try:
+            async with asyncio.timeout(max(0.0, (due - now).total_seconds())):
+                await self.news.wait()
+        except TimeoutError:
+            return
 
     def ask_seeds(self) -> None:
         """Exchange digests with seeds that are no known, live peers."""
@@ -207,12 +253,22 @@
             if str(seed) not in live:
                 self.start(HostId(f"seed {seed}"), seed)
 
-    def tell_all(self, everyone: bool = False) -> None:
-        """Exchange digests with the peers that this host calls."""
-        for host_id, peer in self.peers.items():
-            if everyone or self.me.host_id < host_id or peer.heard_at is None:
+    def tell(self, peers: Iterable[Peer]) -> None:
+        """Exchange digests with those of some peers that this host calls."""
+        for peer in tuple(peers):
+            host_id = peer.contact.host_id
+            if self.me.host_id < host_id or peer.heard_at is None:
                 self.start(host_id, parse_address(peer.contact.address).unwrap())
 
+    def tell_all(self) -> None:
+        """Exchange digests with all peers, also those that call this host."""
+        for host_id, peer in tuple(self.peers.items()):
+            self.start(host_id, parse_address(peer.contact.address).unwrap())
+
+    def tell_soon(self) -> None:
+        """Have all peers told, as soon as that is due."""
+        self.news.set()
+
     def start(self, host_id: HostId, address: Address) -> None:
         """Start one exchange, unless the last one is still under way."""
         if host_id in self.calling:
@@ -252,7 +308,8 @@
         if self.joined_at is None:
             self.joined_at = now
         known = self.peers.get(host_id)
-        if known is None or known.heard_at is None or now - known.heard_at > ALIVE_FOR:
+        bound = self.alive_for()
+        if known is None or known.heard_at is None or now - known.heard_at > bound:
             log.info("peer regained", extra={"peer": host_id})
         if digest.is_leaving and (known is None or not known.is_leaving):
             log.info("peer leaves", extra={"peer": host_id})
@@ -275,7 +332,7 @@
         known = self.peers.get(host_id)
         if known is None or known.heard_at is None:
             return
-        long_ago = self.clock.monotonic() - ALIVE_FOR
+        long_ago = self.clock.monotonic() - self.alive_for()
         self.peers[host_id] = replace(known, heard_at=min(known.heard_at, long_ago))
 
     def learn(self, contacts: Iterable[Contact], now: Instant) -> None:
@@ -291,14 +348,13 @@
 
     def forget_silent(self, now: Instant) -> None:
         """Log peers that fell silent, and forget those that stay so."""
+        bound = self.alive_for()
         for host_id, peer in tuple(self.peers.items()):
             last = peer.heard_at or peer.added_at
-            if now - last > self.remember or (
-                peer.is_leaving and now - last > ALIVE_FOR
-            ):
+            if now - last > self.remember or (peer.is_leaving and now - last > bound):
                 del self.peers[host_id]
                 self.lost.on_next(host_id)
-            elif peer.store_age_s != float("inf") and now - last > ALIVE_FOR:
+            elif peer.store_age_s != float("inf") and now - last > bound:
                 log.warning("peer lost", extra={"peer": host_id})
                 self.peers[host_id] = replace(peer, store_age_s=float("inf"))
                 self.lost.on_next(host_id)
@@ -306,4 +362,4 @@
     def leave(self) -> None:
         """Tell everyone at once that this host leaves."""
         self.is_leaving = True
-        self.tell_all(everyone=True)
+        self.tell_all()
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -24,6 +24,7 @@
 from .serving_messages import AdapterUse, EngineHoldings
 from .serving_ports import RequestTerms
 
+NO_USES: Mapping[AdapterRef, int] = {}
 FIRST_VERSION = "1"
 """The version of an adapter for which none was published."""
 
@@ -147,7 +148,13 @@
         usable = self.usable(pool, now)
         order = rank(terms.adapter, [t.target.target_id for t in usable])
         home = {target: place for place, target in enumerate(order)}
-        options = [self.engine_option(t, terms, home, now) for t in usable]
+        uses = self.uses.by_target()
+        options = [
+            self.engine_option(
+                t, terms, home, uses.get(t.target.target_id, NO_USES), now
+            )
+            for t in usable
+        ]
         return [
             replace(o, was_barred=o.target in barred, told_s=told.get(o.target))
             for o in options
@@ -157,7 +164,8 @@
         self,
         published: PublishedTarget,
         terms: RequestTerms,
-        home: dict[str, int],
+        home: Mapping[str, int],
+        in_use: Mapping[AdapterRef, int],
         now: Instant,
     ) -> EngineOption:
         """Return one engine as a model request may use it."""
@@ -168,7 +176,6 @@
         config = self.catalogue.config
         pool = config.pools[target.pool].engines if config else None
         places = pool.adapter_slots if pool else 0
-        in_use = self.uses.on(target_id)
         keeper = self.keeper_of(target.data_centre)
         idle = sum(1 for a in held.adapters if not in_use.get(a))
         return EngineOption(
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -159,7 +159,7 @@
         """Say which task hears of which change, and who answers which message."""
         self.store.catalogues.subscribe(self.state.take_catalogue)
         self.store.catalogues.subscribe(self.orders.take_catalogue)
-        self.store.catalogues.subscribe(lambda _: self.fleet.tell_all(everyone=False))
+        self.store.catalogues.subscribe(lambda _: self.fleet.tell_soon())
         self.fleet.digests.subscribe(self.state.take_digest)
         self.fleet.digests.subscribe(self.take_digest)
         self.fleet.lost.subscribe(self.state.lose_peer)
@@ -225,7 +225,7 @@
         now = self.clock.monotonic()
         for holdings in self.orders.holdings():
             self.state.hear_holdings(holdings, now)
-        self.fleet.tell_all(everyone=True)
+        self.fleet.tell_soon()
 
     def take_digest(self, heard: HeardDigest) -> None:
         """Fetch what a peer knows of the store and this host does not."""
