Split the long modules of the serving host by job

Relaying: exchange, target_picker, attempt, relay. Callers: caller_connection, caller_answer, relay_server. Orders: order_lease_task apart from the books; what an engine reports and is ordered apart from its book.

--- a/packages/core/src/sardinequay_core/engine_book.py
+++ b/packages/core/src/sardinequay_core/engine_book.py
@@ -11,6 +11,18 @@
 from dataclasses import dataclass, field
 
 from .clock import ZERO, Instant, seconds
+from .engine_orders import (
+    AskReport,
+    EngineStatus,
+    LoadAdapter,
+    LoadModel,
+    Order,
+    Rest,
+    Step,
+    UnloadAdapter,
+    Waiter,
+    Wanted,
+)
 from .names import AdapterRef, TargetId
 
 REPORT_LAG_S = 0.4
@@ -54,9 +66,6 @@
 RETIRE_AFTER_S = 0.2
 """How long a load waits for an idle adapter before one in use is closed to new work."""
 
-LATE_WORTH = 0.3
-"""Worth of a late answer against one on time; about what users give for it."""
-
 FIRST_TURNOVER_S = 0.1
 """Time between two loads of a full engine before any was seen, in seconds."""
 
@@ -76,100 +85,6 @@
 """Between reports while something is in doubt; about the lag of reports."""
 
 
-@dataclass(frozen=True, slots=True)
-class EngineStatus:
-    """An engine's report of itself, some hundred milliseconds old.
-
-    Parameters
-    ----------
-    orders : int
-        Orders accepted since it started.
-    """
-
-    models: frozenset[str]
-    adapters: frozenset[AdapterRef]
-    coming: frozenset[AdapterRef]
-    is_busy: bool
-    orders: int
-    waiting: int = 0
-    running: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class LoadModel:
-    """Order: load a base model."""
-
-    model: str
-
-
-@dataclass(frozen=True, slots=True)
-class LoadAdapter:
-    """Order: load an adapter, its newest version."""
-
-    adapter: AdapterRef
-
-
-@dataclass(frozen=True, slots=True)
-class UnloadAdapter:
-    """Order: drop an adapter."""
-
-    adapter: AdapterRef
-
-
-@dataclass(frozen=True, slots=True)
-class AskReport:
-    """Ask the engine for its report."""
-
-
-@dataclass(frozen=True, slots=True)
-class Rest:
-    """Nothing to do for a while, in seconds."""
-
-    for_s: float
-
-
-Order = LoadModel | LoadAdapter | UnloadAdapter
-Step = Order | AskReport | Rest
-
-
-@dataclass(frozen=True, slots=True)
-class Waiter:
-    """One request that waits for an adapter.
-
-    Parameters
-    ----------
-    worth : float
-        What its answer is worth on time.
-    goal_at : timedelta
-        Loading later than this, its answer is late.
-    until : timedelta
-        Loading later than this does not help it.
-    """
-
-    worth: float
-    goal_at: Instant
-    until: Instant
-    since: Instant
-
-
-@dataclass(slots=True)
-class Wanted:
-    """An adapter that requests wait for, by their tickets."""
-
-    waiters: dict[int, Waiter] = field(default_factory=dict)
-
-    def since(self) -> Instant:
-        """Return since when the longest waits."""
-        return min(w.since for w in self.waiters.values())
-
-    def score(self, now: Instant) -> float:
-        """Return what loading the adapter now is worth to all who wait."""
-        return sum(
-            w.worth if now <= w.goal_at else w.worth * LATE_WORTH
-            for w in self.waiters.values()
-        )
-
-
 @dataclass(slots=True)
 class EngineBook:
     """The record of one engine.
--- a/packages/core/tests/test_engine_book.py
+++ b/packages/core/tests/test_engine_book.py
@@ -3,9 +3,9 @@
 import pytest
 
 from sardinequay_core.clock import Instant, seconds
-from sardinequay_core.engine_book import (
+from sardinequay_core.engine_book import EngineBook
+from sardinequay_core.engine_orders import (
     AskReport,
-    EngineBook,
     EngineStatus,
     LoadAdapter,
     LoadModel,
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/caller_answer.py
@@ -0,0 +1,130 @@
+"""The answer to one caller: a target's, a refusal, or an end that shows as one."""
+
+import logging
+from http import HTTPStatus
+from typing import Protocol
+
+from aiohttp import web
+
+from sardinequay_core.clock import Clock, Instant
+from sardinequay_core.outcome import Outcome, Reason, Refusal
+
+from .exchange import AnswerHead, Sink
+from .relay_state import RelayState
+from .serving_metrics import ServingMetrics
+from .serving_ports import CallDialect
+
+log = logging.getLogger(__name__)
+
+
+class AnsweringServer(Protocol):
+    """What an answer needs of its listener."""
+
+    clock: Clock
+    dialect: CallDialect
+    metrics: ServingMetrics
+    state: RelayState
+    is_closing: bool
+
+
+class CallerAnswer:
+    """The answer to one request, as far as it has got."""
+
+    def __init__(
+        self, server: AnsweringServer, http: web.BaseRequest, arrived: Instant
+    ) -> None:
+        self.server = server
+        self.http = http
+        self.arrived = arrived
+        self.route = ""
+        self.response: web.StreamResponse | None = None
+        self.first_s = 0.0
+
+    def sink(self) -> Sink:
+        """Return where the relay puts an answer."""
+        return Sink(self.begin, self.write)
+
+    def taken_s(self) -> float:
+        """Return the time since the request came, in seconds."""
+        return (self.server.clock.monotonic() - self.arrived).total_seconds()
+
+    async def begin(self, head: AnswerHead) -> None:
+        """Send the head of a target's answer."""
+        headers = self.server.dialect.returned(head.answer.headers)
+        response = web.StreamResponse(
+            status=head.status, reason=head.answer.reason, headers=headers
+        )
+        if self.server.is_closing:
+            response.force_close()
+        self.response = response
+        self.first_s = self.taken_s()
+        self.server.metrics.first_byte.observe({"route": self.route}, self.first_s)
+        await response.prepare(self.http)
+
+    async def write(self, data: bytes) -> None:
+        """Pass bytes on."""
+        assert self.response is not None
+        if data:
+            await self.response.write(data)
+
+    async def end(self, request_id: str) -> web.StreamResponse:
+        """Complete the answer."""
+        assert self.response is not None
+        await self.response.write_eof()
+        self.note(request_id, "answered", str(self.response.status), "")
+        return self.response
+
+    def note(self, request_id: str, event: str, result: str, detail: str) -> None:
+        """Log and count how the request ended."""
+        metrics = self.server.metrics
+        metrics.requests.inc({"route": self.route, "status": result})
+        metrics.whole_answer.observe({"route": self.route}, self.taken_s())
+        config = self.server.state.catalogue.config
+        log.info(
+            event,
+            extra={
+                "request": request_id,
+                "route": self.route,
+                "result": result,
+                "detail": detail,
+                "first_s": round(self.first_s, 4),
+                "took_s": round(self.taken_s(), 4),
+                "version": config.version if config else 0,
+            },
+        )
+
+    async def refuse(self, request_id: str, refusal: Refusal) -> web.StreamResponse:
+        """Give the final answer to a request that no target answered."""
+        if self.response is not None:
+            return self.cut_off(request_id, refusal.message)
+        status = status_of(refusal)
+        self.server.metrics.refusals.inc({"reason": refusal.reason.value})
+        detail = f"{refusal.reason.value}, {refusal.outcome.value}: {refusal.message}"
+        self.note(request_id, "refused", str(status), detail)
+        headers = self.server.dialect.refusal_headers(request_id, refusal)
+        response = web.Response(
+            status=status, text=refusal.message + "\n", headers=headers
+        )
+        if self.server.is_closing:
+            response.force_close()
+        return response
+
+    def cut_off(self, request_id: str, detail: str) -> web.StreamResponse:
+        """End an answer that had begun so that nobody takes it for a whole one."""
+        self.note(request_id, "cut off", "cut_off", detail)
+        if self.http.transport is not None:
+            self.http.transport.abort()
+        return self.response or web.Response(status=HTTPStatus.BAD_GATEWAY)
+
+
+def status_of(refusal: Refusal) -> int:
+    """Return the status that says no more than what is known.
+
+    A request that has not run is told so by 503; of one that may have run nothing is
+    promised.
+    """
+    if refusal.outcome is Outcome.NOT_RUN:
+        if refusal.reason in (Reason.OVERLOADED, Reason.DEADLINE_EXPIRED):
+            return HTTPStatus.SERVICE_UNAVAILABLE
+        return refusal.status
+    return HTTPStatus.BAD_GATEWAY
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/caller_connection.py
@@ -0,0 +1,55 @@
+"""A caller's connection, and how long its caller may take."""
+
+import asyncio
+from typing import Any
+
+from aiohttp import web
+
+from sardinequay_core.clock import Clock, Instant, seconds
+from sardinequay_core.serving import CallerLimits
+
+CLOSING_IDLE = seconds(0.2)
+"""A stopping host closes connections that have been idle for this, so that requests of
+new connections are still read: several round trips to any caller."""
+
+
+class CallerConnection(web.RequestHandler):
+    """A caller's connection that knows how long it has kept us waiting."""
+
+    def __init__(self, server: web.Server, clock: Clock, **options: Any) -> None:
+        super().__init__(server, loop=asyncio.get_running_loop(), **options)
+        self.clock = clock
+        self.idle_since: Instant | None = clock.monotonic()
+        self.partial_since: Instant | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """Note when the head of a request began to come."""
+        if self.idle_since is not None and self.partial_since is None:
+            self.partial_since = self.clock.monotonic()
+        super().data_received(data)
+
+    def begin_request(self) -> None:
+        """Note that a request's head is complete."""
+        self.idle_since = None
+        self.partial_since = None
+
+    def end_request(self) -> None:
+        """Note that the answer is complete."""
+        self.idle_since = self.clock.monotonic()
+
+    def is_idle(self, now: Instant) -> bool:
+        """Return whether no request has been here, or on its way, for a while."""
+        since = self.idle_since
+        return (
+            since is not None
+            and self.partial_since is None
+            and now - since > CLOSING_IDLE
+        )
+
+    def keeps_waiting(self, limits: CallerLimits, now: Instant) -> bool:
+        """Return whether the caller takes longer than it may."""
+        if self.partial_since is not None:
+            return now - self.partial_since > limits.header_timeout
+        if self.idle_since is not None:
+            return now - self.idle_since > limits.idle_timeout
+        return False
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/exchange.py
@@ -0,0 +1,98 @@
+"""One request on its way, and where its answer goes."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import aiohttp
+from opentelemetry.trace import Span
+
+from sardinequay_core.after_attempt import AttemptsSoFar
+from sardinequay_core.clock import Instant, seconds
+from sardinequay_core.names import PoolName, TargetId
+from sardinequay_core.serving import Route
+
+from .errors import DaemonError
+from .serving_ports import Headers, RequestTerms
+
+FIRST_EVENT_FLOOR_S = 2.0
+FIRST_EVENT_GOALS = 4.0
+FIRST_EVENT_PAUSES = 8.0
+"""Callers leave a stream after a silence of the longest of: two seconds, four times the
+goal, eight times the longest pause. Waiting longer for a first event helps nobody."""
+
+ANSWER_MARGIN = seconds(0.03)
+"""Kept back of a request's time so that a refusal still reaches the caller."""
+
+
+@dataclass(slots=True)
+class Exchange:
+    """One request on its way.
+
+    Parameters
+    ----------
+    deadline : timedelta
+        The earlier of the caller's and the route's, on this host's monotonic clock.
+    tried : frozenset
+        Targets that failed or rejected the request.
+    """
+
+    terms: RequestTerms
+    route: Route
+    pool: PoolName
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    arrived: Instant
+    deadline: Instant
+    span: Span
+    so_far: AttemptsSoFar = field(default_factory=AttemptsSoFar)
+    tried: frozenset[TargetId] = frozenset()
+    last_event: str = ""
+    has_begun: bool = False
+
+    def left(self, now: Instant) -> timedelta:
+        """Return the time that is left for an answer of this host's own."""
+        return self.deadline - now - ANSWER_MARGIN
+
+    def waited_s(self, now: Instant) -> float:
+        """Return how long ago the request came, in seconds."""
+        return (now - self.arrived).total_seconds()
+
+    def first_event_left_s(self, now: Instant) -> float:
+        """Return how long waiting for a first event helps, in seconds."""
+        left_s = self.left(now).total_seconds()
+        if not self.route.repetition.is_stream or self.has_begun:
+            return left_s
+        pause = self.route.max_pause
+        patience_s = max(
+            FIRST_EVENT_FLOOR_S,
+            FIRST_EVENT_GOALS * self.route.goal.total_seconds(),
+            FIRST_EVENT_PAUSES * pause.total_seconds() if pause else 0.0,
+        )
+        return min(left_s, patience_s - self.waited_s(now))
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """The head of a target's answer, as the caller gets it."""
+
+    status: int
+    answer: aiohttp.ClientResponse
+
+
+Begin = Callable[[AnswerHead], Awaitable[None]]
+Write = Callable[[bytes], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class Sink:
+    """Where an answer goes: its head first, then its bytes as they come."""
+
+    begin: Begin
+    write: Write
+
+
+class BrokenOffError(DaemonError):
+    """An answer that had begun and cannot be completed."""
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/order_lease_task.py
@@ -0,0 +1,191 @@
+"""Stands for the right to order a data centre's engines, and votes on it."""
+
+import asyncio
+import logging
+from random import Random
+
+from returns.result import Success
+
+from sardinequay_core.catalogue import Catalogue
+from sardinequay_core.clock import Clock, seconds
+from sardinequay_core.names import HostId
+from sardinequay_core.order_lease import (
+    Ballot,
+    Candidate,
+    OrderPolicy,
+    Resign,
+    Vote,
+    Voter,
+)
+
+from .fleet_task import FleetTask
+from .peers import PeerCaller
+from .serving_messages import Noted
+
+RENEW_S = 0.3
+"""Between two rounds of ballots: three fit in a lease."""
+
+CAMPAIGN_STEP_S = 0.3
+"""How much later each further host stands, so that votes do not split."""
+
+STEP_BACK_SPREAD_S = 0.6
+"""Two round trips of a canvass: who steps back less far wins the next one."""
+
+BALLOT_S = 0.3
+"""Bound on a voter's answer within a data centre."""
+
+log = logging.getLogger(__name__)
+
+
+class OrderLeaseTask:
+    """Owns this host's vote and its candidacy.
+
+    Parameters
+    ----------
+    is_first_start : bool
+        Whether the whole system starts for the first time: nobody has voted before.
+    """
+
+    def __init__(
+        self,
+        me: HostId,
+        data_centre: str,
+        peers: PeerCaller,
+        fleet: FleetTask,
+        clock: Clock,
+        random: Random,
+        policy: OrderPolicy,
+        is_first_start: bool,
+    ) -> None:
+        self.me = me
+        self.data_centre = data_centre
+        self.peers = peers
+        self.fleet = fleet
+        self.clock = clock
+        self.random = random
+        self.policy = policy
+        now = clock.monotonic()
+        abstains_until = now if is_first_start else now + policy.lease
+        self.voter = Voter(policy, abstains_until, knows_tokens=is_first_start)
+        self.candidate = Candidate(me, policy)
+        self.no_holder_since = now
+        self.is_resigned = False
+
+    @property
+    def is_holder(self) -> bool:
+        """Return whether this host holds the lease now."""
+        self.candidate.refresh(self.clock.monotonic())
+        return self.candidate.is_holder
+
+    @property
+    def orders_in_s(self) -> float:
+        """Return in how long orders may be given, in seconds; infinite if never."""
+        if not self.is_holder:
+            return float("inf")
+        now = self.clock.monotonic()
+        return max(0.0, (self.candidate.may_order_from - now).total_seconds())
+
+    def take_catalogue(self, catalogue: Catalogue) -> None:
+        """Take the store's revision, which bounds forgotten tokens."""
+        if catalogue.revision:
+            self.voter.learn_revision(catalogue.revision)
+
+    async def step(self) -> None:
+        """Stand or renew, then wait until it is time to look again."""
+        if self.should_stand():
+            await self.canvass()
+            self.after_canvass()
+            await asyncio.sleep(RENEW_S)
+        else:
+            await asyncio.sleep(RENEW_S / 4)
+
+    def should_stand(self) -> bool:
+        """Return whether to ask for votes now."""
+        if self.is_resigned or not self.fleet.has_joined():
+            return False
+        if self.candidate.is_holder:
+            return True
+        now = self.clock.monotonic()
+        if self.voter.is_promised(self.me, now):
+            return False
+        if self.fleet.lease_holder() is not None:
+            self.no_holder_since = now
+            return False
+        # The host that started last goes first: where hosts are restarted one after
+        # the other, it is the one that stays.
+        mine = (round(self.fleet.up_s()), self.me)
+        place = sum(
+            1
+            for p in self.fleet.alive()
+            if p.contact.data_centre == self.data_centre
+            and (round(p.up_s), p.contact.host_id) < mine
+        )
+        return now - self.no_holder_since >= seconds(CAMPAIGN_STEP_S * place)
+
+    async def canvass(self) -> None:
+        """Ask all voters of the data centre at once, and again if a token was low."""
+        self.candidate.set_voters(self.fleet.voters())
+        await self.ask_all()
+        if self.candidate.must_ask_higher(self.clock.monotonic()):
+            await self.ask_all()
+
+    async def ask_all(self) -> None:
+        """Ask each voter once."""
+        ballot = self.candidate.ballot(self.data_centre)
+        now = self.clock.monotonic()
+        own = self.voter.vote(ballot, now)
+        self.candidate.take(self.me, own, now, now)
+        others = [v for v in sorted(self.candidate.voters) if v != self.me]
+        await asyncio.gather(*(self.ask_vote(v, ballot) for v in others))
+
+    def after_canvass(self) -> None:
+        """Step back after a split vote, so that votes lapse and one can win."""
+        now = self.clock.monotonic()
+        self.candidate.refresh(now)
+        if self.candidate.is_holder:
+            return
+        self.voter.withdraw(self.me, now)
+        spread_s = self.random.uniform(0, STEP_BACK_SPREAD_S)
+        self.no_holder_since = now + self.policy.lease + seconds(spread_s)
+
+    async def ask_vote(self, voter: HostId, ballot: Ballot) -> None:
+        """Ask one voter."""
+        address = self.fleet.address_of(voter)
+        if address is None:
+            return
+        asked_at = self.clock.monotonic()
+        answer = await self.peers.call(address, ballot, BALLOT_S)
+        if isinstance(answer, Success) and isinstance(answer.unwrap(), Vote):
+            self.candidate.take(
+                voter, answer.unwrap(), asked_at, self.clock.monotonic()
+            )
+
+    async def answer_ballot(self, ballot: Ballot) -> Vote:
+        """Answer a peer's ballot with this host's vote."""
+        if ballot.data_centre != self.data_centre:
+            return Vote(False, self.voter.holder, self.voter.highest_token, 0.0)
+        return self.voter.vote(ballot, self.clock.monotonic())
+
+    async def answer_resign(self, message: Resign) -> Noted:
+        """Take a holder's resignation."""
+        self.voter.resign(message, self.clock.monotonic())
+        return Noted()
+
+    def lost(self) -> None:
+        """Note that the lease was lost, so that another may stand first."""
+        self.no_holder_since = self.clock.monotonic()
+
+    async def resign(self) -> bool:
+        """Give the lease back, so that a successor need not wait it out.
+
+        Returns whether this host held it.
+        """
+        self.is_resigned = True
+        message = self.candidate.resign(self.data_centre, self.clock.monotonic())
+        if message is None:
+            return False
+        self.voter.resign(message, self.clock.monotonic())
+        addresses = [self.fleet.address_of(v) for v in self.fleet.voters()]
+        calls = [self.peers.call(a, message, BALLOT_S) for a in addresses if a]
+        await asyncio.gather(*calls)
+        return True
--- a/packages/daemon/src/sardinequay_daemon/order_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -1,4 +1,4 @@
-"""Orders the engines of this host's data centre, while its peers lend it the right.
+"""Orders the engines of this host's data centre, while it holds the lease for that.
 
 One task an engine carries out what its book decides, one order at a time. The lease is
 checked right before an order's bytes leave, with nothing awaited in between.
@@ -8,16 +8,14 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from datetime import timedelta
-from random import Random
 
 from returns.result import Success
 
 from sardinequay_core.catalogue import Catalogue, PublishedTarget
 from sardinequay_core.clock import Clock, seconds
-from sardinequay_core.engine_book import (
+from sardinequay_core.engine_book import EngineBook
+from sardinequay_core.engine_orders import (
     AskReport,
-    EngineBook,
     LoadAdapter,
     LoadModel,
     Order,
@@ -26,19 +24,10 @@
     Waiter,
 )
 from sardinequay_core.names import AdapterRef, HostId, TargetId
-from sardinequay_core.order_lease import (
-    Ballot,
-    Candidate,
-    OrderPolicy,
-    Resign,
-    Vote,
-    Voter,
-)
 from sardinequay_core.residency import AdapterUses
 from sardinequay_core.roster import Presence
 
-from .fleet_task import FleetTask
-from .peers import PeerCaller
+from .order_lease_task import OrderLeaseTask
 from .serving_messages import (
     AdapterMissing,
     EngineHoldings,
@@ -50,17 +39,14 @@
 from .serving_metrics import ServingMetrics
 from .serving_ports import EngineOrders, OrderAccepted, OrderTerms
 
-RENEW_S = 0.3
-"""Between two rounds of ballots: three fit in a lease."""
-
-CAMPAIGN_STEP_S = 0.3
-"""How much later each further host stands, so that votes do not split."""
+LEASE_LOOK_S = 0.08
+"""How often an order that waits for the lease looks at it."""
 
-STEP_BACK_SPREAD_S = 0.6
-"""Two round trips of a canvass: who steps back less far wins the next one."""
+REPORT_PAUSE_S = 0.3
+"""After an engine that gave no report, before it is asked again."""
 
-BALLOT_S = 0.3
-"""Bound on a voter's answer within a data centre."""
+LONGEST_WISH_S = 30.0
+"""Bound on how long a peer's wish is kept, whatever it says."""
 
 log = logging.getLogger(__name__)
 
@@ -77,146 +63,46 @@
 
 
 class OrderTask:
-    """Owns the lease and the books."""
+    """Owns the books of the engines."""
 
     def __init__(
         self,
         me: HostId,
         data_centre: str,
         engines: EngineOrders,
-        peers: PeerCaller,
-        fleet: FleetTask,
+        lease: OrderLeaseTask,
         clock: Clock,
         metrics: ServingMetrics,
-        policy: OrderPolicy,
-        is_first_start: bool,
-        random: Random,
         uses: AdapterUses,
         told: Callable[[], None],
     ) -> None:
         self.me = me
         self.data_centre = data_centre
         self.engines = engines
-        self.peers = peers
-        self.fleet = fleet
+        self.lease = lease
         self.clock = clock
         self.metrics = metrics
-        self.policy = policy
-        self.random = random
         self.uses = uses
         self.told = told
-        now = clock.monotonic()
-        abstains_until = now if is_first_start else now + policy.lease
-        self.voter = Voter(policy, abstains_until, knows_tokens=is_first_start)
-        self.candidate = Candidate(me, policy)
+        self.candidate = lease.candidate
         self.catalogue = Catalogue()
         self.ordered: dict[TargetId, OrderedEngine] = {}
         self.heard_holdings: dict[TargetId, EngineHoldings] = {}
-        self.no_holder_since = now
-        self.is_resigned = False
-
-    # The lease.
-
-    @property
-    def is_keeper(self) -> bool:
-        """Return whether this host holds the lease now."""
-        self.candidate.refresh(self.clock.monotonic())
-        return self.candidate.is_holder
 
     @property
     def orders_in_s(self) -> float:
         """Return in how long orders may be given here, in seconds."""
-        now = self.clock.monotonic()
-        if not self.ordered or not self.is_keeper:
-            return float("inf")
-        return max(0.0, (self.candidate.may_order_from - now).total_seconds())
+        return self.lease.orders_in_s if self.ordered else float("inf")
 
     async def run(self) -> None:
-        """Stand for the lease and renew it, for good."""
+        """Stand for the lease, and order engines while it is held, for good."""
         while True:
-            if self.should_stand():
-                await self.canvass()
-                self.after_canvass()
-                await asyncio.sleep(RENEW_S)
-            else:
-                await asyncio.sleep(RENEW_S / 4)
+            await self.lease.step()
             self.follow_lease()
 
-    def should_stand(self) -> bool:
-        """Return whether to ask for votes now."""
-        if self.is_resigned or not self.fleet.has_joined():
-            return False
-        if self.candidate.is_holder:
-            return True
-        now = self.clock.monotonic()
-        if self.voter.is_promised(self.me, now):
-            return False
-        if self.fleet.lease_holder() is not None:
-            self.no_holder_since = now
-            return False
-        # The host that started last goes first: where hosts are restarted one after
-        # the other, it is the one that stays.
-        mine = (round(self.fleet.up_s()), self.me)
-        place = sum(
-            1
-            for p in self.fleet.alive()
-            if p.contact.data_centre == self.data_centre
-            and (round(p.up_s), p.contact.host_id) < mine
-        )
-        return now - self.no_holder_since >= seconds(CAMPAIGN_STEP_S * place)
-
-    async def canvass(self) -> None:
-        """Ask all voters of the data centre at once, and again if a token was low."""
-        self.candidate.set_voters(self.fleet.voters())
-        await self.ask_all()
-        if self.candidate.must_ask_higher(self.clock.monotonic()):
-            await self.ask_all()
-
-    async def ask_all(self) -> None:
-        """Ask each voter once."""
-        ballot = self.candidate.ballot(self.data_centre)
-        now = self.clock.monotonic()
-        own = self.voter.vote(ballot, now)
-        self.candidate.take(self.me, own, now, now)
-        others = [v for v in sorted(self.candidate.voters) if v != self.me]
-        await asyncio.gather(*(self.ask_vote(v, ballot) for v in others))
-
-    def after_canvass(self) -> None:
-        """Step back after a split vote, so that votes lapse and one can win."""
-        now = self.clock.monotonic()
-        self.candidate.refresh(now)
-        if self.candidate.is_holder:
-            return
-        self.voter.withdraw(self.me, now)
-        spread_s = self.random.uniform(0, STEP_BACK_SPREAD_S)
-        self.no_holder_since = now + self.policy.lease + seconds(spread_s)
-
-    async def ask_vote(self, voter: HostId, ballot: Ballot) -> None:
-        """Ask one voter."""
-        address = self.fleet.address_of(voter)
-        if address is None:
-            return
-        asked_at = self.clock.monotonic()
-        answer = await self.peers.call(address, ballot, BALLOT_S)
-        if isinstance(answer, Success) and isinstance(answer.unwrap(), Vote):
-            self.candidate.take(
-                voter, answer.unwrap(), asked_at, self.clock.monotonic()
-            )
-
-    async def answer_ballot(self, ballot: Ballot) -> Vote:
-        """Answer a peer's ballot with this host's vote."""
-        if ballot.data_centre != self.data_centre:
-            return Vote(False, self.voter.holder, self.voter.highest_token, 0.0)
-        return self.voter.vote(ballot, self.clock.monotonic())
-
-    async def answer_resign(self, message: Resign) -> Noted:
-        """Take a holder's resignation."""
-        self.voter.resign(message, self.clock.monotonic())
-        return Noted()
-
     def follow_lease(self) -> None:
         """Begin or end to order, as the lease says."""
-        is_holder = self.is_keeper
+        is_holder = self.lease.is_holder
         if is_holder and not self.ordered:
             self.take_over()
         elif not is_holder and self.ordered:
@@ -242,19 +128,12 @@
         log.info("ordering ended", extra={"token": self.candidate.token})
         for target_id in tuple(self.ordered):
             self.close_book(target_id)
-        self.no_holder_since = self.clock.monotonic()
+        self.lease.lost()
 
     async def resign(self) -> None:
-        """Give the lease back, so that a successor need not wait it out."""
-        self.is_resigned = True
-        message = self.candidate.resign(self.data_centre, self.clock.monotonic())
-        if message is None:
-            return
-        self.stop_ordering()
-        self.voter.resign(message, self.clock.monotonic())
-        addresses = [self.fleet.address_of(v) for v in self.fleet.voters()]
-        calls = [self.peers.call(a, message, BALLOT_S) for a in addresses if a]
-        await asyncio.gather(*calls)
+        """Stop ordering for good, and give the lease back."""
+        if await self.lease.resign():
+            self.stop_ordering()
 
     # Books.
 
@@ -275,8 +154,7 @@
     def take_catalogue(self, catalogue: Catalogue) -> None:
         """Follow engines that come and go."""
         self.catalogue = catalogue
-        if catalogue.revision:
-            self.voter.learn_revision(catalogue.revision)
+        self.lease.take_catalogue(catalogue)
         if not self.candidate.is_holder:
             return
         here = self.engines_here()
@@ -330,7 +208,7 @@
             elif self.candidate.may_order(now):
                 await self.give(engine, step)
             else:
-                await self.rest(engine, RENEW_S / 4)
+                await self.rest(engine, LEASE_LOOK_S)
 
     async def rest(self, engine: OrderedEngine, for_s: float) -> None:
         """Wait until something is to be done, or for a while."""
@@ -368,7 +246,7 @@
             return
         detail = str(report.failure())
         log.info("no report", extra={"target": engine.book.target, "detail": detail})
-        await self.rest(engine, 0.3)
+        await self.rest(engine, REPORT_PAUSE_S)
 
     async def give(self, engine: OrderedEngine, order: Order) -> None:
         """Send one order and enter its result."""
@@ -539,8 +417,3 @@
         return order.model
     assert isinstance(order, LoadAdapter | UnloadAdapter)
     return str(order.adapter)
-
-
-def policy_for(quiet: timedelta) -> OrderPolicy:
-    """Return the lease's times with the deployment's bound between two holders."""
-    return OrderPolicy(quiet=quiet)
--- a/packages/daemon/src/sardinequay_daemon/relay_server.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_server.py
@@ -10,11 +10,14 @@
 from returns.result import Success
 
 from sardinequay_core.clock import Clock, Instant, seconds
-from sardinequay_core.outcome import Outcome, Reason, Refusal, not_run
+from sardinequay_core.outcome import Reason, Refusal, not_run
 from sardinequay_core.serving import CallerLimits, Route, ServingConfig
 
+from .caller_answer import CallerAnswer
+from .caller_connection import CallerConnection
+from .exchange import BrokenOffError, Exchange
 from .progress import Refused
-from .relay import AnswerHead, BrokenOffError, Exchange, Relay, Sink
+from .relay import Relay
 from .relay_state import RelayState
 from .serving_metrics import ServingMetrics
 from .serving_ports import CallDialect, RequestTerms
@@ -27,10 +30,6 @@
 BODIES_MEMORY_SHARE = 0.2
 """Part of the process's memory that request bodies may take together."""
 
-CLOSING_IDLE = seconds(0.2)
-"""A stopping host closes connections that have been idle for this, so that requests of
-new connections are still read: several round trips to any caller."""
-
 SWEEP_S = 0.25
 """How often connections that take too long are looked for."""
 
@@ -40,48 +39,6 @@
 log = logging.getLogger(__name__)
 
 
-class CallerConnection(web.RequestHandler):
-    """A caller's connection that knows how long it has kept us waiting."""
-
-    def __init__(self, server: "RelayServer", **options: object) -> None:
-        super().__init__(server, loop=asyncio.get_running_loop(), **options)  # type: ignore[arg-type]
-        self.server = server
-        self.idle_since: Instant | None = server.clock.monotonic()
-        self.partial_since: Instant | None = None
-
-    def data_received(self, data: bytes) -> None:
-        """Note when the head of a request began to come."""
-        if self.idle_since is not None and self.partial_since is None:
-            self.partial_since = self.server.clock.monotonic()
-        super().data_received(data)
-
-    def begin_request(self) -> None:
-        """Note that a request's head is complete."""
-        self.idle_since = None
-        self.partial_since = None
-
-    def end_request(self) -> None:
-        """Note that the answer is complete."""
-        self.idle_since = self.server.clock.monotonic()
-
-    def is_idle(self, now: Instant) -> bool:
-        """Return whether no request has been here, or on its way, for a while."""
-        since = self.idle_since
-        return (
-            since is not None
-            and self.partial_since is None
-            and now - since > CLOSING_IDLE
-        )
-
-    def keeps_waiting(self, limits: CallerLimits, now: Instant) -> bool:
-        """Return whether the caller takes longer than it may."""
-        if self.partial_since is not None:
-            return now - self.partial_since > limits.header_timeout
-        if self.idle_since is not None:
-            return now - self.idle_since > limits.idle_timeout
-        return False
-
-
 class RelayServer(web.Server):
     """The listener for callers."""
 
@@ -113,6 +70,7 @@
         idle_s = self.limits().idle_timeout.total_seconds()
         return CallerConnection(
             self,
+            self.clock,
             keepalive_timeout=idle_s + SWEEP_S,
             max_line_size=MAX_FIELD_BYTES,
             max_field_size=MAX_FIELD_BYTES,
@@ -286,114 +244,11 @@
             raise
 
 
-class CallerAnswer:
-    """The answer to one request, as far as it has got."""
-
-    def __init__(
-        self, server: RelayServer, http: web.BaseRequest, arrived: Instant
-    ) -> None:
-        self.server = server
-        self.http = http
-        self.arrived = arrived
-        self.route = ""
-        self.response: web.StreamResponse | None = None
-        self.first_s = 0.0
-
-    def sink(self) -> Sink:
-        """Return where the relay puts an answer."""
-        return Sink(self.begin, self.write)
-
-    def taken_s(self) -> float:
-        """Return the time since the request came, in seconds."""
-        return (self.server.clock.monotonic() - self.arrived).total_seconds()
-
-    async def begin(self, head: AnswerHead) -> None:
-        """Send the head of a target's answer."""
-        headers = self.server.dialect.returned(head.answer.headers)
-        response = web.StreamResponse(
-            status=head.status, reason=head.answer.reason, headers=headers
-        )
-        if self.server.is_closing:
-            response.force_close()
-        self.response = response
-        self.first_s = self.taken_s()
-        self.server.metrics.first_byte.observe({"route": self.route}, self.first_s)
-        await response.prepare(self.http)
-
-    async def write(self, data: bytes) -> None:
-        """Pass bytes on."""
-        assert self.response is not None
-        if data:
-            await self.response.write(data)
-
-    async def end(self, request_id: str) -> web.StreamResponse:
-        """Complete the answer."""
-        assert self.response is not None
-        await self.response.write_eof()
-        self.note(request_id, "answered", str(self.response.status), "")
-        return self.response
-
-    def note(self, request_id: str, event: str, result: str, detail: str) -> None:
-        """Log and count how the request ended."""
-        metrics = self.server.metrics
-        metrics.requests.inc({"route": self.route, "status": result})
-        metrics.whole_answer.observe({"route": self.route}, self.taken_s())
-        config = self.server.state.catalogue.config
-        log.info(
-            event,
-            extra={
-                "request": request_id,
-                "route": self.route,
-                "result": result,
-                "detail": detail,
-                "first_s": round(self.first_s, 4),
-                "took_s": round(self.taken_s(), 4),
-                "version": config.version if config else 0,
-            },
-        )
-
-    async def refuse(self, request_id: str, refusal: Refusal) -> web.StreamResponse:
-        """Give the final answer to a request that no target answered."""
-        if self.response is not None:
-            return self.cut_off(request_id, refusal.message)
-        status = status_of(refusal)
-        self.server.metrics.refusals.inc({"reason": refusal.reason.value})
-        detail = f"{refusal.reason.value}, {refusal.outcome.value}: {refusal.message}"
-        self.note(request_id, "refused", str(status), detail)
-        headers = self.server.dialect.refusal_headers(request_id, refusal)
-        response = web.Response(
-            status=status, text=refusal.message + "\n", headers=headers
-        )
-        if self.server.is_closing:
-            response.force_close()
-        return response
-
-    def cut_off(self, request_id: str, detail: str) -> web.StreamResponse:
-        """End an answer that had begun so that nobody takes it for a whole one."""
-        self.note(request_id, "cut off", "cut_off", detail)
-        if self.http.transport is not None:
-            self.http.transport.abort()
-        return self.response or web.Response(status=HTTPStatus.BAD_GATEWAY)
-
-
 def too_large(limit: int) -> Refusal:
     """Return the refusal of a body beyond the limit."""
     return not_run(Reason.TOO_LARGE, f"the body exceeds {limit} bytes")
 
 
-def status_of(refusal: Refusal) -> int:
-    """Return the status that says no more than what is known.
-
-    A request that has not run is told so by 503; of one that may have run nothing is
-    promised.
-    """
-    if refusal.outcome is Outcome.NOT_RUN:
-        if refusal.reason in (Reason.OVERLOADED, Reason.DEADLINE_EXPIRED):
-            return HTTPStatus.SERVICE_UNAVAILABLE
-        return refusal.status
-    return HTTPStatus.BAD_GATEWAY
-
-
 Ready = Callable[[], bool]
 
 
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -12,13 +12,15 @@
 
 from sardinequay_core.clock import Clock, Instant, seconds
 from sardinequay_core.names import Address, HostId
-from sardinequay_core.order_lease import Ballot, Resign
+from sardinequay_core.order_lease import Ballot, OrderPolicy, Resign
 from sardinequay_core.repeat_budget import RepeatPolicy
 
+from .attempt import RelayParts
 from .decision_log import BoundedOutput
 from .errors import StartError
 from .fleet_task import FleetTask, HeardDigest
-from .order_task import OrderTask, policy_for
+from .order_lease_task import OrderLeaseTask
+from .order_task import OrderTask
 from .peers import PeerCaller, PeerServer
 from .relay import Relay
 from .relay_server import RelayServer, readiness_app
@@ -94,7 +96,7 @@
         self.metrics = ServingMetrics(profile.host_id, profile.data_centre)
         self.peer_server = PeerServer(self.metrics)
         self.peers = PeerCaller(PEER_TIMING, self.metrics, profile.peers.ip)
-        order_policy = policy_for(bounds.order_quiet)
+        order_policy = OrderPolicy(quiet=bounds.order_quiet)
         self.fleet = FleetTask(
             self.me,
             profile.seeds,
@@ -115,29 +117,37 @@
             bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window
         )
         self.state = RelayState(profile.data_centre, clock, random, repeats, self.fleet)
-        self.orders = OrderTask(
+        self.lease = OrderLeaseTask(
             profile.host_id,
             profile.data_centre,
-            deployment.engines,
             self.peers,
             self.fleet,
             clock,
-            self.metrics,
+            random,
             order_policy,
             profile.is_first_start,
-            random,
+        )
+        self.orders = OrderTask(
+            profile.host_id,
+            profile.data_centre,
+            deployment.engines,
+            self.lease,
+            clock,
+            self.metrics,
             self.state.uses,
             self.tell_holdings,
         )
         self.state.orders = self.orders
         self.upstream = Upstream(profile.callers.ip)
         self.relay = Relay(
-            self.state,
-            deployment.dialect,
-            self.upstream,
-            WantBoard(self.state, self.peers),
-            self.metrics,
-            tracing,
+            RelayParts(
+                self.state,
+                deployment.dialect,
+                self.upstream,
+                WantBoard(self.state, self.peers),
+                self.metrics,
+                tracing,
+            )
         )
         self.server = RelayServer(
             self.relay,
@@ -166,8 +176,8 @@
         server = self.peer_server
         server.register(Digest, self.fleet.answer)
         server.register(FetchItems, self.store.answer_fetch)
-        server.register(Ballot, self.orders.answer_ballot)
-        server.register(Resign, self.orders.answer_resign)
+        server.register(Ballot, self.lease.answer_ballot)
+        server.register(Resign, self.lease.answer_resign)
         server.register(WantAdapter, self.orders.answer_want)
         server.register(AdapterMissing, self.orders.answer_telling)
         server.register(UseChanged, self.orders.answer_telling)
@@ -194,7 +204,7 @@
             shares=dict(self.state.loads.own),
             uses=self.state.adapter_uses(),
             holdings=self.untold_holdings(host_id),
-            holds_lease=self.orders.is_keeper,
+            holds_lease=self.lease.is_holder,
             orders_in_s=self.orders.orders_in_s,
             up_s=self.fleet.up_s(),
             store_revision=standing.revision,
@@ -343,7 +353,7 @@
             "store_revision": standing.revision,
             "store_age_s": min(standing.age_s, self.fleet.freshest_store_age_s(), 1e6),
             "reads_store": self.fleet.is_reader(),
-            "orders_engines": self.orders.is_keeper,
+            "orders_engines": self.lease.is_holder,
             "in_flight": self.server.in_flight,
             "peers": sorted(p.contact.host_id for p in self.fleet.alive()),
             "targets": {
--- a/packages/daemon/src/sardinequay_daemon/serving_ports.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_ports.py
@@ -12,7 +12,7 @@
 from returns.result import Result
 
 from sardinequay_core.catalogue import Change
-from sardinequay_core.engine_book import EngineStatus, Order
+from sardinequay_core.engine_orders import EngineStatus, Order
 from sardinequay_core.names import Address, DataCentre, HostId
 from sardinequay_core.outcome import Refusal
 from sardinequay_core.roster import Target
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/target_picker.py
@@ -0,0 +1,200 @@
+"""Finds the target for a request's next attempt, waiting for an adapter if need be."""
+
+import logging
+from datetime import timedelta
+from random import Random
+
+from sardinequay_core.catalogue import PublishedTarget
+from sardinequay_core.clock import seconds
+from sardinequay_core.names import AdapterRef, TargetId
+from sardinequay_core.outcome import Outcome, Reason, Refusal, not_run
+from sardinequay_core.service_choice import choose_service
+from sardinequay_core.serving import Route
+from sardinequay_core.target_choice import (
+    PATIENCE,
+    Load,
+    Nowhere,
+    Send,
+    TooBusy,
+    choose,
+)
+
+from .attempt import RelayParts
+from .exchange import Exchange
+from .progress import Refused
+from .serving_messages import WantAdapter, WantReply
+
+MAX_FAILED_ASKS = 4
+"""Wishes for an adapter that may fail before a request is refused."""
+
+UNKNOWN_WAIT_S = 2.0
+"""Taken for an engine's queue after a wish there failed without saying how long."""
+
+RETRY_SPREAD_S = 0.25
+"""Callers that are told to come back at one moment come spread over this."""
+
+NO_TARGET_RETRY = seconds(0.5)
+"""When to come back if no target is known: about a crashed one's restart."""
+
+log = logging.getLogger(__name__)
+
+
+class TargetPicker:
+    """Chooses by the state of this host and what keepers of engines answer."""
+
+    def __init__(self, parts: RelayParts) -> None:
+        self.state = parts.state
+        self.wants = parts.wants
+        self.metrics = parts.metrics
+        self.clock = parts.state.clock
+
+    async def choose(self, exchange: Exchange) -> PublishedTarget:
+        """Return the target for the next attempt, waiting for an adapter if need be."""
+        config = self.state.catalogue.config
+        pool = config.pools.get(exchange.pool) if config else None
+        if pool is None or pool.engines is None:
+            return self.choose_service(exchange)
+        return await self.choose_engine(exchange)
+
+    def choose_service(self, exchange: Exchange) -> PublishedTarget:
+        """Return the target of a plain service with the least to do."""
+        options = self.state.service_options(exchange.pool, exchange.tried)
+        found = choose_service(options)
+        if found is None:
+            raise Refused(self.no_target(exchange))
+        self.log_choice(exchange, found, "least filled", len(options))
+        return self.state.catalogue.targets[found]
+
+    def no_target(self, exchange: Exchange) -> Refusal:
+        """Return the refusal of a request for which there is no target."""
+        if exchange.so_far.runs:
+            return may_have_run()
+        text = "no target of the pool is live"
+        return not_run(
+            Reason.NO_TARGET, text, come_back(self.state.random, NO_TARGET_RETRY)
+        )
+
+    async def choose_engine(self, exchange: Exchange) -> PublishedTarget:
+        """Return the engine for the next attempt, with the adapter on it."""
+        told: dict[TargetId, float] = {}
+        failed_asks = 0
+        while True:
+            options = self.state.engine_options(
+                exchange.pool, exchange.terms, exchange.tried, told
+            )
+            left_s = exchange.first_event_left_s(self.clock.monotonic())
+            choice = choose(options, left_s)
+            if isinstance(choice, Send):
+                self.log_choice(
+                    exchange,
+                    choice.target,
+                    "resident",
+                    len(options),
+                    choice.expected_s,
+                )
+                return self.state.catalogue.targets[choice.target]
+            if not isinstance(choice, Load):
+                raise Refused(self.no_engine(exchange, choice, left_s))
+            reply = await self.wait_for_load(exchange, choice.target, left_s)
+            if reply.is_ready:
+                continue
+            told[choice.target] = reply.expected_s or UNKNOWN_WAIT_S
+            failed_asks += 1
+            if failed_asks >= MAX_FAILED_ASKS:
+                busy = TooBusy(min(told.values()))
+                raise Refused(self.no_engine(exchange, busy, left_s))
+
+    def no_engine(
+        self, exchange: Exchange, choice: TooBusy | Nowhere, left_s: float
+    ) -> Refusal:
+        """Return the refusal of a request that no engine can begin in time."""
+        if exchange.so_far.runs:
+            return may_have_run()
+        if isinstance(choice, TooBusy):
+            text = f"no engine can begin within {left_s:.2f} s"
+            wait = come_back(self.state.random, seconds(choice.wait_s))
+            return not_run(Reason.OVERLOADED, text, wait)
+        text = "no engine has the adapter, and none can be ordered to load it now"
+        return not_run(
+            Reason.NO_TARGET, text, come_back(self.state.random, NO_TARGET_RETRY)
+        )
+
+    async def wait_for_load(
+        self, exchange: Exchange, target: TargetId, left_s: float
+    ) -> WantReply:
+        """Have an adapter loaded; return whether that went well."""
+        began = self.clock.monotonic()
+        wanted = self.state.wanted(exchange.terms)
+        route = exchange.route
+        goal_s = (exchange.arrived + route.goal - began).total_seconds()
+        ask = WantAdapter(target, wanted, worth_of(route), goal_s, left_s * PATIENCE)
+        reply = await self.wants.ask(ask)
+        took = (self.clock.monotonic() - began).total_seconds()
+        self.metrics.load_wait.observe({}, took)
+        log.info(
+            "waited for adapter",
+            extra={
+                "request": exchange.terms.request_id,
+                "target": target,
+                "adapter": str(wanted),
+                "ready": reply.is_ready,
+                "detail": reply.detail,
+                "expected_s": round(reply.expected_s, 3),
+                "waited_s": round(took, 4),
+            },
+        )
+        if reply.is_ready:
+            self.assume_resident(target, wanted)
+        return reply
+
+    def assume_resident(self, target: TargetId, wanted: AdapterRef) -> None:
+        """Believe the host that orders an engine before its next digest comes."""
+        residency = self.state.residency
+        published = self.state.catalogue.targets.get(target)
+        if published is None:
+            return
+        if residency.resident(published, wanted) is None:
+            residency.add(published, wanted)
+
+    def log_choice(
+        self,
+        exchange: Exchange,
+        target: TargetId,
+        why: str,
+        options: int,
+        expected_s: float = 0.0,
+    ) -> None:
+        """Log where a request goes and from what that was decided."""
+        share = self.state.loads.share(target, self.clock.monotonic())
+        log.info(
+            "target chosen",
+            extra={
+                "request": exchange.terms.request_id,
+                "target": target,
+                "why": why,
+                "options": options,
+                "unread_tokens": share.unread_tokens,
+                "running": share.running,
+                "revision": self.state.catalogue.revision,
+                "store_age_s": round(self.state.fleet.freshest_store_age_s(), 2),
+                "attempt": exchange.so_far.runs + exchange.so_far.rejections + 1,
+                "expected_s": round(expected_s, 4),
+                "waited_s": round(exchange.waited_s(self.clock.monotonic()), 4),
+            },
+        )
+
+
+def worth_of(route: Route) -> float:
+    """Return what an answer is worth against another's: the more urgent, the more."""
+    return 1.0 + 1.0 / (1 + route.priority)
+
+
+def come_back(random: Random, after: timedelta) -> timedelta:
+    """Return when to come back, spread so that callers do not come at once."""
+    return after + seconds(random.uniform(0, RETRY_SPREAD_S))
+
+
+def may_have_run() -> Refusal:
+    """Return the end of a request that was sent and of which no answer came."""
+    text = "the target's answer was lost; it may have run the request"
+    return Refusal(Reason.TARGET_FAILED, Outcome.UNKNOWN, text)
