Keep vanished entries only around outages long enough for them to lapse

An entry lapses after three renewals that failed, so shorter troubles cannot be the reason; nor can a host that alone is turned away while its peers hear the store.

--- a/packages/daemon/src/sardinequay_daemon/fleet_task.py
+++ b/packages/daemon/src/sardinequay_daemon/fleet_task.py
@@ -164,7 +164,13 @@
 
     def freshest_store_age_s(self) -> float:
         """Return how long ago the freshest live peer heard the store."""
-        return min((p.store_age_s for p in self.alive()), default=float("inf"))
+        now = self.clock.monotonic()
+        ages = [
+            p.store_age_s + (now - p.heard_at).total_seconds()
+            for p in self.alive()
+            if p.heard_at is not None
+        ]
+        return min(ages, default=float("inf"))
 
     def address_of(self, host_id: HostId) -> Address | None:
         """Return where a peer is reached."""
--- a/packages/daemon/src/sardinequay_daemon/store_task.py
+++ b/packages/daemon/src/sardinequay_daemon/store_task.py
@@ -44,9 +44,10 @@
 IDLE_S = 0.1
 """How often a host that does not read looks whether it must."""
 
-TROUBLE_MEMORY = seconds(5)
-"""For so long after a failed read a vanished entry may be due to the store itself: its
-leases ran out while it was away. About three heartbeats of a target."""
+LAPSE_AFTER_S = 2.0
+"""Once nobody has heard the store for so long, entries may have lapsed in it: a target
+renews its own about every 1.2 s, and it lapses after three renewals that failed. After
+a shorter trouble an entry that vanished is one of a target that leaves."""
 
 MAX_RECENT_ITEMS = 512
 """Changed items kept for peers that lag; older ones cost a whole listing."""
@@ -84,7 +85,7 @@
         self.items: dict[str, StoreItem] = {}
         self.removed: dict[str, StoreItem] = {}
         self.heard_at: Instant | None = None
-        self.trouble_at: Instant | None = None
+        self.lapse_until: Instant | None = None
         self.failures = 0
         self.must_list = True
 
@@ -130,8 +131,8 @@
         now = self.clock.monotonic()
         if self.failures:
             log.info("store regained", extra={"failures": self.failures})
-        if self.failures and self.trouble_at is not None:
-            self.trouble_at = now
+        if self.failures and self.outage_s() >= LAPSE_AFTER_S:
+            self.lapse_until = now + self.entry_return
         self.failures = 0
         self.heard_at = now
         if read.revision < self.catalogue.revision:
@@ -157,7 +158,6 @@
             return
         if not self.failures:
             log.warning("store lost", extra={"detail": str(error)})
-        self.trouble_at = self.clock.monotonic()
         pause_s = RETRY_S[min(self.failures, len(RETRY_S) - 1)]
         self.failures += 1
         self.expire()
@@ -167,10 +167,16 @@
 
     def absence(self) -> Absence:
         """Return how a vanished entry is to be taken now."""
-        now, trouble = self.clock.monotonic(), self.trouble_at
-        if trouble is None or now - trouble > TROUBLE_MEMORY:
-            return Absence()
-        return Absence(now + self.entry_return)
+        now = self.clock.monotonic()
+        if self.failures and self.outage_s() >= LAPSE_AFTER_S:
+            return Absence(now + self.entry_return)
+        if self.lapse_until is not None and now < self.lapse_until:
+            return Absence(self.lapse_until)
+        return Absence()
+
+    def outage_s(self) -> float:
+        """Return for how long neither this host nor a peer has heard the store."""
+        return min(self.standing().age_s, self.freshest_peer_age_s())
 
     def take_whole(self, read: StoreRead) -> None:
         """Take a complete listing."""
--- a/packages/daemon/tests/test_store_task.py
+++ b/packages/daemon/tests/test_store_task.py
@@ -121,14 +121,42 @@
     assert not task.may_rely_on_peers()
 
 
-async def test_vanished_entries_are_kept_around_trouble(task, scripted, clock) -> None:
+async def test_entries_vanish_at_once_after_a_short_trouble(
+    task, scripted, clock
+) -> None:
     scripted.answers = [read(revision=1), REFUSED, read(revision=2)]
     await task.read_once()
+    clock.turn(1)
+    await task.read_once()
+    assert task.absence().keep_until is None
+    clock.turn(0.5)
+    await task.read_once()
     assert task.absence().keep_until is None
+
+
+async def test_vanished_entries_are_kept_around_a_long_outage(
+    task, scripted, clock
+) -> None:
+    scripted.answers = [read(revision=1), REFUSED, read(revision=2)]
     await task.read_once()
+    clock.turn(4)
+    await task.read_once()
+    assert task.absence().keep_until == clock.monotonic() + seconds(2)
+    await task.read_once()
+    clock.turn(1.9)
     assert task.absence().keep_until is not None
+    clock.turn(0.2)
+    assert task.absence().keep_until is None
+
+
+async def test_host_that_alone_is_turned_away_drops_what_peers_drop(
+    task, scripted, clock, peers
+) -> None:
+    scripted.answers = [read(revision=1), REFUSED]
+    await task.read_once()
+    clock.turn(8)
+    peers["age_s"] = 0.4
     await task.read_once()
-    clock.turn(6)
     assert task.absence().keep_until is None
 
 
