--- a/packages/daemon/src/sardinequay_daemon/target_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/target_picker.py
@@ -36,6 +36,10 @@
 NO_TARGET_RETRY = seconds(0.5)
 """When to come back if no target is known: about a crashed one's restart."""
 
+NO_KEEPER_RETRY = seconds(2)
+"""When to come back if nobody may order engines: a successor begins about four seconds
+after the last one was lost, and says when as soon as it is chosen, after one."""
+
 log = logging.getLogger(__name__)
 
 
@@ -116,7 +120,7 @@
             return not_run(Reason.OVERLOADED, text, wait)
         text = "no engine has the adapter, and none can be ordered to load it now"
         return not_run(
-            Reason.NO_TARGET, text, come_back(self.state.random, NO_TARGET_RETRY)
+            Reason.NO_TARGET, text, come_back(self.state.random, NO_KEEPER_RETRY)
         )
 
     async def wait_for_load(
