Look at how a peer's connection ended, so that no reset is logged as an error

Cause of the one failure of freeze_and_cut in a run of all tests beside load: a stream that is reset keeps the error in a future of its own, and when the collector takes that future before the stream, the event loop logs an error that was never looked at; the trial counts logged errors. Seen failing in test_reset_by_the_peer_leaves_no_error_behind.

--- a/packages/daemon/src/sardinequay_daemon/peers.py
+++ b/packages/daemon/src/sardinequay_daemon/peers.py
@@ -58,6 +58,15 @@
         with contextlib.suppress(OSError, RuntimeError):
             self.writer.transport.abort()
 
+    async def closed(self) -> None:
+        """Wait until the connection has ended, whatever ended it.
+
+        The stream keeps a reset for whoever waits here; if nobody does, the event loop
+        may log it as an error that was never looked at.
+        """
+        with contextlib.suppress(OSError):
+            await self.writer.wait_closed()
+
 
 class Link(Connection):
     """The calling end of one connection."""
@@ -105,6 +114,7 @@
             self.fail("closed by the peer")
         except (OSError, FrameError) as error:
             self.fail(str(error))
+        await self.closed()
 
     def take(self, frame: Frame) -> None:
         """Complete the call that a frame answers."""
@@ -245,6 +255,7 @@
                 task.cancel()
             self.connections.discard(connection)
             connection.close()
+            await connection.closed()
 
     def start_answer(
         self, connection: Connection, frame: Frame, running: set[asyncio.Task[None]]
--- a/packages/daemon/tests/test_peers.py
+++ b/packages/daemon/tests/test_peers.py
@@ -1,6 +1,9 @@
 """Calls between hosts: answered, refused, silent, and closed."""
 
 import asyncio
+import gc
+import socket
+import struct
 from collections.abc import AsyncIterator
 
 import pytest
@@ -113,3 +116,34 @@
     writer.write(b"GET / HTTP/1.1\r\n\r\n")
     assert await reader.read() == b""
     assert isinstance(await caller.call(address, FetchRoot()), Success)
+
+
+async def test_reset_by_the_peer_leaves_no_error_behind(
+    server, caller: PeerCaller
+) -> None:
+    """A stream that was reset keeps its error until somebody looks at it."""
+    made, address = server
+    complaints: list[dict[str, object]] = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: complaints.append(context))
+
+    async def answer(_: FetchRoot) -> RootReply:
+        return RootReply(b"root")
+
+    made.register(FetchRoot, answer)
+    await caller.call(address, FetchRoot())
+    link = caller.links[address]
+    (connection,) = made.connections
+    protocol = connection.writer.transport.get_protocol()
+    reset = link.writer.get_extra_info("socket")
+    reset.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    link.writer.transport.abort()
+    async with asyncio.timeout(5):
+        while made.connections:
+            await asyncio.sleep(0.01)
+    kept = protocol._closed
+    del protocol, connection
+    assert not kept._log_traceback
+    del kept
+    gc.collect()
+    assert complaints == []
