--- a/packages/core/src/sardinequay_core/catalogue.py
+++ b/packages/core/src/sardinequay_core/catalogue.py
@@ -28,8 +28,6 @@
         Adapters that it reported to hold; changes of adapters alone are not reported.
     models : frozenset of str
         Base models that it holds.
-    leaves_in_s : float or None
-        Time left until it is taken away, where that was announced.
     """
 
     target: Target
@@ -37,7 +35,6 @@
     revision: int
     models: frozenset[str] = frozenset()
     adapters: frozenset[AdapterRef] = frozenset()
-    leaves_in_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/sardinequay_daemon/order_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -7,7 +7,6 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from returns.result import Success
 
@@ -16,18 +15,16 @@
 from sardinequay_core.engine_book import EngineBook
 from sardinequay_core.engine_orders import (
     AskReport,
-    LoadAdapter,
-    LoadModel,
     Order,
     Rest,
-    UnloadAdapter,
     Waiter,
 )
-from sardinequay_core.names import AdapterRef, HostId, TargetId
+from sardinequay_core.names import AdapterRef, HostId, TargetId, parse_adapter_ref
 from sardinequay_core.residency import AdapterUses
 from sardinequay_core.roster import Presence
 
 from .order_lease_task import OrderLeaseTask
+from .ordered_engine import OrderedEngine, subject_of
 from .serving_messages import (
     AdapterMissing,
     EngineHoldings,
@@ -51,17 +48,6 @@
 log = logging.getLogger(__name__)
 
 
-@dataclass(slots=True)
-class OrderedEngine:
-    """An engine that this host orders: its book, and the task that carries it out."""
-
-    published: PublishedTarget
-    book: EngineBook
-    wake: asyncio.Event = field(default_factory=asyncio.Event)
-    ready: dict[AdapterRef, list[asyncio.Future[None]]] = field(default_factory=dict)
-    task: asyncio.Task[None] | None = None
-
-
 class OrderTask:
     """Owns the books of the engines."""
 
@@ -179,7 +165,9 @@
         book = EngineBook(target_id, pool.adapter_slots)
         heard = self.heard_holdings.get(target_id)
         if heard is not None:
-            book.recent = {parse_ref(text): None for text in heard.recent}
+            book.recent = {
+                parse_adapter_ref(text).unwrap(): None for text in heard.recent
+            }
         engine = self.ordered[target_id] = OrderedEngine(published, book)
         engine.task = asyncio.create_task(self.order_engine(engine))
 
@@ -403,17 +391,3 @@
     def hear_holdings(self, holdings: EngineHoldings) -> None:
         """Remember what another holder tells, to go on from it."""
         self.heard_holdings[holdings.target] = holdings
-
-
-def parse_ref(text: str) -> AdapterRef:
-    """Read ``name@version``."""
-    name, _, version = text.rpartition("@")
-    return AdapterRef(name, version)
-
-
-def subject_of(order: Order) -> str:
-    """Return what an order is about."""
-    if isinstance(order, LoadModel):
-        return order.model
-    assert isinstance(order, LoadAdapter | UnloadAdapter)
-    return str(order.adapter)
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -11,7 +11,13 @@
 from sardinequay_core.catalogue import Catalogue, PublishedTarget
 from sardinequay_core.clock import Clock, Instant, seconds
 from sardinequay_core.load_view import PEER_SHARE_LIFE, LoadView
-from sardinequay_core.names import AdapterRef, HostId, PoolName, TargetId
+from sardinequay_core.names import (
+    AdapterRef,
+    HostId,
+    PoolName,
+    TargetId,
+    parse_adapter_ref,
+)
 from sardinequay_core.rendezvous import rank
 from sardinequay_core.repeat_budget import RepeatBudget, RepeatPolicy
 from sardinequay_core.residency import AdapterUses, Held, Residency
@@ -20,7 +26,7 @@
 from sardinequay_core.target_health import TargetHealth
 
 from .fleet_task import FleetTask, HeardDigest
-from .order_task import OrderTask, parse_ref
+from .order_task import OrderTask
 from .serving_messages import AdapterUse, EngineHoldings
 from .serving_ports import RequestTerms
 
@@ -83,7 +89,7 @@
     def hear_holdings(self, holdings: EngineHoldings, now: Instant) -> None:
         """Take what an engine holds from the host that orders it."""
         coming = {
-            parse_ref(text): now + seconds(in_s)
+            parse_adapter_ref(text).unwrap(): now + seconds(in_s)
             for text, in_s in holdings.coming.items()
         }
         held = Held(
--- a/packages/daemon/src/sardinequay_daemon/serving_ports.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_ports.py
@@ -36,8 +36,6 @@
         Tokens to be read before the first event.
     wait : timedelta or None
         How long the caller waits, counted from the request's arrival.
-    prompt_parts : tuple of str
-        The prompt's parts in order, without the request's own part.
     """
 
     request_id: str
@@ -46,7 +44,6 @@
     prompt_tokens: int = 0
     wait: timedelta | None = None
     last_event: str = ""
-    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,19 +84,12 @@
     is_misdirected : bool
         Whether it states that the request was meant for another target, or for a model
         or adapter that it does not hold.
-    is_genuine : bool
-        Whether it carries the mark that all answers of targets' own carry.
-    running, slots : int or None
-        Requests in work and places, if it tells them.
     """
 
     request_id: str
     instance: str
     not_run: bool
     is_misdirected: bool
-    is_genuine: bool
-    running: int | None = None
-    slots: int | None = None
 
 
 class CallDialect(Protocol):
@@ -182,10 +172,6 @@
     expected_orders: int | None
 
 
-class OrderResult(Protocol):
-    """Marks the results of an order."""
-
-
 @dataclass(frozen=True, slots=True)
 class OrderAccepted:
     """The order is carried out, or already holds."""
@@ -199,7 +185,6 @@
 
     detail: str
     is_stale_token: bool = False
-    is_wrong_target: bool = False
 
 
 class EngineOrders(Protocol):
