--- /dev/null
+++ b/packages/daemon/tests/test_target_picker.py
@@ -0,0 +1,199 @@
+"""Choosing at the worst load: asked a bounded number of times, refused with a time."""
+
+from datetime import timedelta
+from random import Random
+
+import pytest
+from multidict import CIMultiDict, CIMultiDictProxy
+from opentelemetry.trace import INVALID_SPAN
+
+from sardinequay_core.catalogue import (
+    Absence,
+    Catalogue,
+    ConfigPublished,
+    PublishedTarget,
+    TargetPublished,
+    fold,
+)
+from sardinequay_core.clock import seconds
+from sardinequay_core.names import (
+    AdapterRef,
+    Address,
+    DataCentre,
+    HostId,
+    PoolName,
+    TargetId,
+)
+from sardinequay_core.outcome import Outcome, Reason
+from sardinequay_core.repeat_budget import RepeatPolicy
+from sardinequay_core.roster import Target, TargetKind
+from sardinequay_core.serving import (
+    CallerLimits,
+    EnginePool,
+    Pool,
+    Repetition,
+    Route,
+    ServedModel,
+    Share,
+    make_config,
+)
+from sardinequay_daemon.attempt import RelayParts
+from sardinequay_daemon.exchange import Exchange
+from sardinequay_daemon.progress import Refused
+from sardinequay_daemon.relay_state import Keeper, RelayState
+from sardinequay_daemon.serving_messages import WantAdapter, WantReply
+from sardinequay_daemon.serving_metrics import ServingMetrics
+from sardinequay_daemon.serving_ports import RequestTerms
+from sardinequay_daemon.target_picker import MAX_FAILED_ASKS, TargetPicker
+
+from .conftest import TurnedClock
+
+POOL = PoolName("lm")
+ROUTE = Route(
+    name="r",
+    host="h",
+    prefix="/",
+    repetition=Repetition.STREAM,
+    timeout=seconds(4),
+    goal=seconds(0.8),
+    priority=1,
+    max_runs=1,
+    shares=(Share(POOL, 1.0),),
+    max_pause=seconds(0.4),
+)
+
+
+def engine(name: str, *adapters: str) -> TargetPublished:
+    target = Target(
+        TargetId(name), POOL, TargetKind.ENGINE, DataCentre("za"), Address("::1", 1)
+    )
+    held = frozenset(AdapterRef(f"m/{a}", "1") for a in adapters)
+    return TargetPublished(PublishedTarget(target, 8, 1, frozenset({"m"}), held))
+
+
+def catalogue_of(*engines: TargetPublished) -> Catalogue:
+    pool = EnginePool(8, 10_000, 100, 2, 2, (ServedModel("m", 10, 9, 1),))
+    config = make_config(1, (ROUTE,), (Pool(POOL, 9, pool),), CallerLimits())
+    made = fold(ConfigPublished(config), Catalogue(), Absence())
+    for published in engines:
+        made = fold(published, made, Absence())
+    return made
+
+
+class Board:
+    """Answers wishes as a test prepared."""
+
+    def __init__(self) -> None:
+        self.reply = WantReply(True, "loaded")
+        self.asked: list[WantAdapter] = []
+
+    async def ask(self, message: WantAdapter) -> WantReply:
+        self.asked.append(message)
+        return self.reply
+
+
+class Fleet:
+    """Knows no other host."""
+
+    live_hosts = 1
+
+    def freshest_store_age_s(self) -> float:
+        return 0.1
+
+
+@pytest.fixture
+def board() -> Board:
+    return Board()
+
+
+@pytest.fixture
+def state(clock: TurnedClock, monkeypatch: pytest.MonkeyPatch) -> RelayState:
+    made = RelayState("za", clock, Random(1), RepeatPolicy(), Fleet())
+    keeper = Keeper(HostId("h1"), 0.0, is_self=True)
+    monkeypatch.setattr(RelayState, "keeper_of", lambda self, data_centre: keeper)
+    made.take_catalogue(catalogue_of(engine("e1", "a1"), engine("e2"), engine("e3")))
+    return made
+
+
+@pytest.fixture
+def picker(state: RelayState, board: Board) -> TargetPicker:
+    metrics = ServingMetrics("h1", "za")
+    return TargetPicker(RelayParts(state, None, None, board, metrics, None))
+
+
+FOUR_SECONDS = seconds(4)
+
+
+def exchange(clock: TurnedClock, adapter: str, wait: timedelta = FOUR_SECONDS):
+    now = clock.monotonic()
+    return Exchange(
+        terms=RequestTerms("r1", "m", f"m/{adapter}", 2000, wait),
+        route=ROUTE,
+        pool=POOL,
+        method="POST",
+        path="/",
+        headers=CIMultiDictProxy(CIMultiDict()),
+        body=b"",
+        arrived=now,
+        deadline=now + wait,
+        span=INVALID_SPAN,
+    )
+
+
+async def test_engine_that_has_the_adapter_is_not_asked_for(picker, board, clock):
+    chosen = await picker.choose(exchange(clock, "a1"))
+    assert chosen.target.target_id == "e1"
+    assert board.asked == []
+
+
+async def test_loaded_adapter_is_used_where_it_was_loaded(picker, board, clock):
+    chosen = await picker.choose(exchange(clock, "a9"))
+    assert [ask.target for ask in board.asked] == [chosen.target.target_id]
+
+
+async def test_wishes_that_fail_are_asked_a_few_times_only(picker, board, clock):
+    board.reply = WantReply(False, "no answer")
+    with pytest.raises(Refused) as refused:
+        await picker.choose(exchange(clock, "a9"))
+    refusal = refused.value.refusal
+    assert len(board.asked) <= MAX_FAILED_ASKS
+    assert refusal.outcome is Outcome.NOT_RUN
+    assert refusal.retry_after is not None
+
+
+async def test_queue_that_is_too_long_refuses_at_once_with_its_length(
+    picker, board, clock
+):
+    board.reply = WantReply(False, "expected too late", 9.0)
+    with pytest.raises(Refused) as refused:
+        await picker.choose(exchange(clock, "a9"))
+    refusal = refused.value.refusal
+    assert refusal.reason is Reason.OVERLOADED
+    assert len(board.asked) == 3
+    assert seconds(6) < refusal.retry_after < seconds(7)
+
+
+async def test_nobody_to_order_loads_says_when_a_successor_will(
+    picker, state, clock, monkeypatch
+):
+    monkeypatch.setattr(RelayState, "keeper_of", lambda self, data_centre: None)
+    with pytest.raises(Refused) as refused:
+        await picker.choose(exchange(clock, "a9"))
+    assert refused.value.refusal.reason is Reason.NO_TARGET
+    assert refused.value.refusal.retry_after >= seconds(2)
+
+
+async def test_keeper_that_may_order_soon_is_waited_for(picker, clock, monkeypatch):
+    soon = Keeper(HostId("h1"), 1.5, is_self=True)
+    monkeypatch.setattr(RelayState, "keeper_of", lambda self, data_centre: soon)
+    chosen = await picker.choose(exchange(clock, "a9"))
+    assert chosen is not None
+    with pytest.raises(Refused):
+        await picker.choose(exchange(clock, "a8", seconds(1)))
+
+
+async def test_waiting_helps_no_longer_than_callers_stay(picker, clock):
+    made = exchange(clock, "a9", seconds(15))
+    assert made.first_event_left_s(clock.monotonic()) == pytest.approx(3.2)
+    clock.turn(3)
+    assert made.first_event_left_s(clock.monotonic()) == pytest.approx(0.2)
