--- a/dev.py
+++ b/dev.py
@@ -24,6 +24,8 @@
 )
 TOOLS = ("hypothesis", "import-linter", "mypy", "pytest", "pytest-asyncio", "ruff")
 TEST_TOOLS = ("syrupy",)
+BUNDLE_DEMO = "sardinequay_lab.demo"
+PLATFORM_DEMO = "sardinequay_platform_lab.demo"
 
 
 def run(*command: str | Path, check: bool = True) -> int:
@@ -61,26 +63,29 @@
     return run(PYTHON, "-m", "pytest", check=False)
 
 
-def demo(*words: str) -> int:
+def demo(module: str, *words: str) -> int:
     """Run the whole system on loopback with real requests and show what happened.
 
     The demonstration takes this process's place, so that signals reach it.
     """
     os.chdir(ROOT)
-    os.execv(PYTHON, [str(PYTHON), "-m", "sardinequay_lab.demo", *words])
+    os.execv(PYTHON, [str(PYTHON), "-m", module, *words])
 
 
 def main() -> int:
     """Run the verb that the command line names."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    verbs = {"setup": lambda: 0, "demo": demo, "test": test}
-    parser.add_argument("verb", choices=sorted(verbs))
+    parser.add_argument("verb", choices=("demo", "setup", "test"))
     parser.add_argument("--stay", action="store_true", help="keep the demo running")
+    parser.add_argument(
+        "--platform", action="store_true", help="the demo on the users' machines"
+    )
     arguments = parser.parse_args()
     set_up()
-    if arguments.verb == "demo" and arguments.stay:
-        return demo("--stay")
-    return verbs[arguments.verb]()
+    if arguments.verb == "demo":
+        module = PLATFORM_DEMO if arguments.platform else BUNDLE_DEMO
+        return demo(module, *(["--stay"] if arguments.stay else []))
+    return test() if arguments.verb == "test" else 0
 
 
 if __name__ == "__main__":
