--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -216,8 +216,8 @@
         """Return what a peer was not told yet of the engines ordered here.
 
         All is told again now and then, for what was lost on the way. Telling only what
-        is new saves a tenth of the bytes between data centres (0.011 to 0.010 GB in a
-        day of 46 s).
+        is new saves a tenth of the bytes between data centres (0.24 to 0.22 MB a second
+        at eight hosts).
         """
         now = self.clock.monotonic()
         told = self.told.setdefault(host_id, {})
