Bound adapters by an engine's memory, and load them only where their model is

For deployments with several models or less memory than places: an engine ordered to hold more than its memory crashes, and a wish at an engine without the model waited for nothing.

--- a/packages/core/src/sardinequay_core/serving.py
+++ b/packages/core/src/sardinequay_core/serving.py
@@ -4,7 +4,7 @@
 version is immutable; a higher version replaces a lower one and nothing goes back.
 """
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
@@ -126,6 +126,27 @@
     loads_per_s: float
     models: tuple[ServedModel, ...]
 
+    def adapter_places(self, held: Collection[str]) -> int:
+        """Return how many adapters fit beside the models that an engine holds.
+
+        An engine that is ordered to hold more than its memory takes crashes, so memory
+        bounds the places where it is scarcer than they are.
+        """
+        models = [m for m in self.models if m.name in held]
+        largest_mb = max((m.adapter_mb for m in models), default=0.0)
+        if not self.weight_mb or not largest_mb:
+            return self.adapter_slots
+        left_mb = self.weight_mb - sum(m.weight_mb for m in models)
+        return max(0, min(self.adapter_slots, int(left_mb / largest_mb)))
+
+    def loadable(self) -> tuple[str, ...]:
+        """Return the models that fit on an engine that holds nothing."""
+        return tuple(
+            m.name
+            for m in self.models
+            if not self.weight_mb or m.weight_mb <= self.weight_mb
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Pool:
--- a/packages/core/tests/test_serving.py
+++ b/packages/core/tests/test_serving.py
@@ -8,8 +8,10 @@
 from sardinequay_core.names import PoolName
 from sardinequay_core.serving import (
     CallerLimits,
+    EnginePool,
     Repetition,
     Route,
+    ServedModel,
     Share,
     make_config,
 )
@@ -61,3 +63,24 @@
 def test_what_may_be_repeated(kind: Repetition, again: bool, stream: bool) -> None:
     assert kind.may_run_again is again
     assert kind.is_stream is stream
+
+
+@pytest.mark.parametrize(
+    ("weight_mb", "held", "places"),
+    [
+        (200.0, {"m"}, 6),
+        (130.0, {"m"}, 3),
+        (130.0, {"m", "n"}, 0),
+        (0.0, {"m"}, 6),
+        (200.0, set(), 6),
+    ],
+)
+def test_memory_bounds_the_places_for_adapters(weight_mb, held, places) -> None:
+    models = (ServedModel("m", 100, 9, 10), ServedModel("n", 40, 9, 10))
+    pool = EnginePool(8, 1000, weight_mb, 6, 2, models)
+    assert pool.adapter_places(held) == places
+
+
+def test_model_that_does_not_fit_is_never_loaded() -> None:
+    models = (ServedModel("m", 100, 9, 10), ServedModel("n", 40, 9, 10))
+    assert EnginePool(8, 1000, 60, 6, 2, models).loadable() == ("n",)
--- a/packages/daemon/src/sardinequay_daemon/order_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -22,6 +22,7 @@
 from sardinequay_core.names import AdapterRef, HostId, TargetId, parse_adapter_ref
 from sardinequay_core.residency import AdapterUses
 from sardinequay_core.roster import Presence
+from sardinequay_core.serving import EnginePool, Pool
 
 from .order_lease_task import OrderLeaseTask
 from .ordered_engine import OrderedEngine, subject_of
@@ -186,7 +187,7 @@
         while True:
             now = self.clock.monotonic()
             engine.wake.clear()
-            book.model_wanted = self.model_for(engine)
+            self.fit_to_memory(engine)
             step = book.next_step(self.uses.on(book.target), now)
             self.tell_ready(engine)
             if isinstance(step, Rest):
@@ -206,18 +207,23 @@
         except TimeoutError:
             return
 
-    def model_for(self, engine: OrderedEngine) -> str | None:
-        """Return the model that an engine without any is to load."""
+    def fit_to_memory(self, engine: OrderedEngine) -> None:
+        """Tell a book its places, and the model that it is to load if it has none."""
         config = self.catalogue.config
         pool = config.pools.get(engine.published.target.pool) if config else None
-        if pool is None or pool.engines is None or engine.book.models:
-            return None
-        if engine.book.orders is None:
-            return None
-        held: dict[str, int] = dict.fromkeys((m.name for m in pool.engines.models), 0)
+        if pool is None or pool.engines is None:
+            return
+        engine.book.places = pool.engines.adapter_places(engine.book.models)
+        engine.book.model_wanted = None
+        if not engine.book.models and engine.book.orders is not None:
+            engine.book.model_wanted = self.rarest_model(pool, pool.engines)
+
+    def rarest_model(self, pool: Pool, engines: EnginePool) -> str | None:
+        """Return the model that the fewest engines of a pool hold."""
+        held = dict.fromkeys(engines.loadable(), 0)
         for other in self.catalogue.live(pool.name):
-            for model in other.models:
-                held[model] = held.get(model, 0) + 1
+            for model in other.models & held.keys():
+                held[model] += 1
         return min(held, key=lambda m: (held[m], m), default=None)
 
     async def ask_report(self, engine: OrderedEngine) -> None:
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -182,7 +182,7 @@
         holding, ready_in_s = self.holding(published, held, terms, now)
         config = self.catalogue.config
         pool = config.pools[target.pool].engines if config else None
-        places = pool.adapter_slots if pool else 0
+        places = pool.adapter_places(published.models) if pool else 0
         keeper = self.keeper_of(target.data_centre)
         idle = sum(1 for a in held.adapters if not in_use.get(a))
         return EngineOption(
@@ -196,7 +196,11 @@
             queued=held.queued,
             turnover_s=held.turnover_s,
             home_rank=home[target_id],
-            may_load=keeper is not None,
+            # An adapter goes onto an engine that has its model; a request without an
+            # adapter waits for no load.
+            may_load=keeper is not None
+            and bool(terms.adapter)
+            and terms.model in published.models,
             opens_in_s=keeper.orders_in_s if keeper else 0.0,
             is_full=self.health.is_full(target_id, now),
         )
--- a/packages/daemon/tests/test_target_picker.py
+++ b/packages/daemon/tests/test_target_picker.py
@@ -1,5 +1,6 @@
 """Choosing at the worst load: asked a bounded number of times, refused with a time."""
 
+from dataclasses import replace
 from datetime import timedelta
 from random import Random
 
@@ -197,3 +198,13 @@
     assert made.first_event_left_s(clock.monotonic()) == pytest.approx(3.2)
     clock.turn(3)
     assert made.first_event_left_s(clock.monotonic()) == pytest.approx(0.2)
+
+
+async def test_adapter_is_loaded_only_where_its_model_is(picker, board, clock, state):
+    other = engine("e4")
+    published = other.published
+    lacking = TargetPublished(replace(published, models=frozenset({"n"})))
+    state.take_catalogue(catalogue_of(lacking))
+    with pytest.raises(Refused):
+        await picker.choose(exchange(clock, "a9"))
+    assert board.asked == []
