--- a/packages/cli/src/sardinequay_cli/fleet_verbs.py
+++ b/packages/cli/src/sardinequay_cli/fleet_verbs.py
@@ -3,15 +3,25 @@
 import asyncio
 from argparse import Namespace
 from dataclasses import dataclass
+from importlib.metadata import entry_points
+from pathlib import Path
 from typing import Any
 
 import aiohttp
-
-from .errors import EXIT_FINDINGS, EXIT_UNREACHABLE
+from returns.result import Success
+
+from .errors import (
+    EXIT_FINDINGS,
+    EXIT_UNREACHABLE,
+    EXIT_USAGE,
+    CommandError,
+)
 from .files import read_host_settings
 from .output import Output
 
 TIMEOUT_S = 5.0
+READERS = "sardinequay.settings"
+"""Entry points that read settings files, named by the files' ending."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,10 +50,27 @@
 
 
 def settings_check(arguments: Namespace) -> Output:
-    """Check a host's settings."""
-    settings = read_host_settings(arguments.settings)
-    line = f"settings of {settings.host_id} are good"
-    return Output((line,), {"host": settings.host_id, "good": True})
+    """Check a host's settings, in JSON or in the form of an installed deployment."""
+    host_id = checked_host_id(arguments.settings)
+    line = f"settings of {host_id} are good"
+    return Output((line,), {"host": host_id, "good": True})
+
+
+def checked_host_id(path: Path) -> str:
+    """Check a settings file and return whose it is.
+
+    Deployments whose settings have another form register a reader for the file's
+    ending; the command itself knows none of them.
+    """
+    ending = path.suffix.removeprefix(".")
+    for reader in entry_points(group=READERS):
+        if reader.name != ending:
+            continue
+        read = reader.load()(path)
+        if isinstance(read, Success):
+            return str(read.unwrap().host_id)
+        raise CommandError(str(read.failure()), EXIT_USAGE)
+    return str(read_host_settings(path).host_id)
 
 
 def status(arguments: Namespace) -> Output:
--- a/packages/cli/src/sardinequay_cli/main.py
+++ b/packages/cli/src/sardinequay_cli/main.py
@@ -101,7 +101,7 @@
     group = groups.add_parser("settings", help=text, description=text)
     verbs = group.add_subparsers(dest="name", required=True, metavar="VERB")
     made = add_verb(verbs, "check", fleet_verbs.settings_check)
-    made.add_argument("settings", type=Path, help="a settings file, in JSON")
+    made.add_argument("settings", type=Path, help="a settings file")
 
 
 def add_fleet(
