Let waiting requests look again, and adapters in demand stay

Adapters were evicted by recency, so one asked for once displaced those in steady demand; and a request that no load could bring to its goal any more still went before one that it could.

The places for adapters still bind.

--- a/packages/core/src/sardinequay_core/engine_book.py
+++ b/packages/core/src/sardinequay_core/engine_book.py
@@ -3,14 +3,15 @@
 The book counts places from the engine's own report and from the orders that the report
 cannot show yet. An order whose answer was lost may have been accepted, so nothing more
 is ordered until a report shows. Adapters in use are not evicted: the engine refuses
-that, and an adapter that has been idle longest makes way first, so that the ones in
-steady demand stay.
+that, and the adapter asked for least lately makes way first, so that the ones in steady
+demand stay.
 """
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from .clock import ZERO, Instant, seconds
+from .demand import DemandTable
 from .engine_orders import (
     AskReport,
     EngineStatus,
@@ -54,6 +55,10 @@
 waited for it are on their way, and their uses are told as they begin. Without
 it, two of three refused attempts met an adapter that was dropped as it came."""
 
+EVICTION_HALF_LIFE = seconds(6)
+"""Half-life of the demand by which adapters stay: popularity shifts within seconds, and
+by recency alone an adapter asked for once displaced those in steady demand."""
+
 JUST_USED_S = 0.02
 """The same after an adapter's last known use."""
 
@@ -107,6 +112,7 @@
     doubt_since: Instant | None = None
     models: set[str] = field(default_factory=set)
     used_at: dict[AdapterRef, Instant] = field(default_factory=dict)
+    demand: DemandTable = field(default_factory=lambda: DemandTable(EVICTION_HALF_LIFE))
     coming: dict[AdapterRef, Instant] = field(default_factory=dict)
     recent: dict[AdapterRef, None] = field(default_factory=dict)
     wanted: dict[AdapterRef, Wanted] = field(default_factory=dict)
@@ -151,21 +157,29 @@
         if not wanted.waiters:
             del self.wanted[adapter]
 
-    def expected_wait_s(self, adapter: AdapterRef, worth: float, now: Instant) -> float:
+    def expected_wait_s(
+        self, adapter: AdapterRef, waiter: Waiter, now: Instant
+    ) -> float:
         """Return how long one more request would wait for an adapter, in seconds."""
         coming_s = self.ready_in_s(adapter, now)
         if coming_s is not None:
             return coming_s
-        load_s = WARM_S if adapter in self.recent else self.cold_s
         free = self.places - len(self.used_at) - len(self.coming)
         known = self.wanted.get(adapter)
-        mine = worth + (known.score(now) if known else 0.0)
+        others = tuple(known.waiters.values()) if known else ()
+        mine = Wanted(dict(enumerate((*others, waiter)))).score(
+            now, self.takes_s(adapter)
+        )
         ahead = sum(
             1
             for other, wanted in self.wanted.items()
-            if other != adapter and wanted.score(now) >= mine
+            if other != adapter and wanted.score(now, self.takes_s(other)) >= mine
         )
-        return load_s + max(0, ahead + 1 - free) * self.turnover_s
+        return self.takes_s(adapter) + max(0, ahead + 1 - free) * self.turnover_s
+
+    def takes_s(self, adapter: AdapterRef) -> float:
+        """Return how long a load would take, in seconds."""
+        return WARM_S if adapter in self.recent else self.cold_s
 
     def is_ready(self, adapter: AdapterRef) -> bool:
         """Return whether an adapter takes requests, in this version or a later one."""
@@ -182,6 +196,12 @@
         at = self.coming.get(adapter)
         return None if at is None else max(0.0, (at - now).total_seconds())
 
+    def begin_use(self, adapter: AdapterRef, now: Instant) -> None:
+        """Take that a request begins to use an adapter."""
+        self.demand.add(adapter, now)
+        self.demand.forget_idle(now)
+        self.use({adapter: 1}, now)
+
     def use(self, in_use: Mapping[AdapterRef, int], now: Instant) -> None:
         """Take which adapters requests use."""
         for adapter, count in in_use.items():
@@ -370,7 +390,11 @@
         """Return the order that serves the adapter with the most waiting for it."""
         ranked = sorted(
             self.wanted.items(),
-            key=lambda item: (-item[1].score(now), item[1].since(), item[0]),
+            key=lambda item: (
+                -item[1].score(now, self.takes_s(item[0])),
+                item[1].since(),
+                item[0],
+            ),
         )
         for adapter, wanted in ranked:
             if self.is_ready(adapter):
@@ -416,8 +440,9 @@
         evictable = [
             a for a in self.used_at if a not in self.wanted and a not in self.dropping
         ]
-        idle = [a for a in evictable if not in_use.get(a) and self.is_quiet(a, now)]
-        for adapter in sorted(idle, key=lambda a: (self.used_at[a], a)):
+        evictable.sort(key=lambda a: self.staying_rank(a, in_use, now))
+        idle = (a for a in evictable if not in_use.get(a) and self.is_quiet(a, now))
+        for adapter in idle:
             order = self.unload(adapter, now)
             if order is not None:
                 return order
@@ -425,11 +450,17 @@
             self.full_since = now
         waited_s = (now - wanted.since()).total_seconds()
         if self.retiring is None and waited_s > RETIRE_AFTER_S and evictable:
-            least = min(evictable, key=lambda a: (in_use.get(a, 0), self.used_at[a], a))
-            self.retiring = least
+            self.retiring = evictable[0]
             self.changed()
         return None
 
+    def staying_rank(
+        self, adapter: AdapterRef, in_use: Mapping[AdapterRef, int], now: Instant
+    ) -> tuple[float, int, Instant, AdapterRef]:
+        """Return what adapters are ranked by; the least makes way first."""
+        demand = self.demand.value(adapter, now)
+        return demand, in_use.get(adapter, 0), self.used_at[adapter], adapter
+
     def rest_s(self, now: Instant) -> float:
         """Return how long nothing can change by itself."""
         if self.wanted:
--- a/packages/core/src/sardinequay_core/engine_orders.py
+++ b/packages/core/src/sardinequay_core/engine_orders.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from .clock import Instant
+from .clock import Instant, seconds
 from .names import AdapterRef
 
 LATE_WORTH = 0.3
@@ -74,7 +74,7 @@
     worth : float
         What its answer is worth on time.
     goal_at : timedelta
-        Loading later than this, its answer is late.
+        With its adapter there later than this, its answer is late.
     until : timedelta
         Loading later than this does not help it.
     """
@@ -95,9 +95,17 @@
         """Return since when the longest waits."""
         return min(w.since for w in self.waiters.values())
 
-    def score(self, now: Instant) -> float:
-        """Return what loading the adapter now is worth to all who wait."""
+    def score(self, now: Instant, load_s: float) -> float:
+        """Return what loading the adapter now is worth to all who wait.
+
+        Parameters
+        ----------
+        load_s : float
+            How long the load takes. An answer that it makes late counts as late: else
+            a request near its goal took the place of one that could still meet it.
+        """
+        ready_at = now + seconds(load_s)
         return sum(
-            w.worth if now <= w.goal_at else w.worth * LATE_WORTH
+            w.worth if ready_at <= w.goal_at else w.worth * LATE_WORTH
             for w in self.waiters.values()
         )
--- a/packages/core/tests/test_engine_book.py
+++ b/packages/core/tests/test_engine_book.py
@@ -158,7 +158,7 @@
 def test_expected_wait_grows_with_the_queue(book) -> None:
     waits = []
     for name in "uvw":
-        waits.append(book.expected_wait_s(ref(name), 1.0, later(1)))
+        waits.append(book.expected_wait_s(ref(name), waiter(later(1)), later(1)))
         book.want(ref(name), waiter(later(1)))
     assert waits[0] < waits[1] < waits[2]
 
@@ -184,3 +184,40 @@
             made.accepted(step, holds_already=True, now=now)
         assert len(held) <= 3
     assert orders > 40
+
+
+def test_load_that_makes_an_answer_late_yields_to_one_that_does_not(book) -> None:
+    book.used_at.clear()
+    nearly_late = Waiter(1.5, later(1.1), later(4), later(0.3))
+    book.want(ref("u"), nearly_late)
+    book.want(ref("v"), waiter(later(1)))
+    assert book.next_step({}, later(1)) == LoadAdapter(ref("v"))
+
+
+def test_adapters_in_steady_demand_outlast_those_asked_for_once() -> None:
+    """Replay four adapters asked for in turn among twice as many asked for once.
+
+    By recency alone, eleven others come between two requests for one of the four, and
+    each of its requests finds it evicted.
+    """
+    made = EngineBook(TargetId("e"), places=6)
+    made.take_report(status(), NOW, NOW)
+    loads = {ref(f"hot{n}"): 0 for n in range(4)}
+    now = NOW
+    for n in range(300):
+        is_hot = n % 3 == 0
+        wanted = ref(f"hot{n // 3 % 4}" if is_hot else f"once{n}")
+        until = now + seconds(0.07)
+        if not made.is_ready(wanted):
+            made.want(wanted, waiter(now))
+        while now < until:
+            step = made.next_step({}, now)
+            if isinstance(step, LoadAdapter):
+                loads[step.adapter] = loads.get(step.adapter, 0) + 1
+                made.accepted(step, holds_already=False, now=now)
+                made.coming[step.adapter] = now
+            elif isinstance(step, UnloadAdapter):
+                made.accepted(step, holds_already=True, now=now)
+            now += seconds(0.005)
+        made.begin_use(wanted, now)
+    assert sum(loads[ref(f"hot{n}")] for n in range(4)) <= 12
--- a/packages/daemon/src/sardinequay_daemon/order_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -277,6 +277,9 @@
                 "subject": subject_of(order),
                 "token": self.candidate.token,
                 "resident": [str(a) for a in engine.book.residents()],
+                "in_use": len(self.uses.on(engine.book.target)),
+                "coming": len(engine.book.coming),
+                "wanted": len(engine.book.wanted),
                 "outcome": outcome,
             },
         )
@@ -305,23 +308,26 @@
         book.settle(now)
         if book.is_ready(adapter):
             return WantReply(True, "resident")
-        expected_s = opens_in_s + book.expected_wait_s(adapter, message.worth, now)
+        until = now + seconds(message.wait_s)
+        goal_at = now + seconds(message.goal_s)
+        since = now - seconds(message.waited_s)
+        waiter = Waiter(message.worth, goal_at, until, since)
+        expected_s = opens_in_s + book.expected_wait_s(adapter, waiter, now)
         if expected_s > message.wait_s:
             return WantReply(False, "expected too late", expected_s)
-        until = now + seconds(message.wait_s)
         ticket = 0
         if adapter not in book.coming:
-            goal_at = now + seconds(message.goal_s)
-            ticket = book.want(adapter, Waiter(message.worth, goal_at, until, now))
+            ticket = book.want(adapter, waiter)
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         engine.ready.setdefault(adapter, []).append(future)
         engine.wake.set()
         try:
-            async with asyncio.timeout(message.wait_s):
+            async with asyncio.timeout(min(message.wait_s, message.look_s)):
                 await future
             return WantReply(True, "loaded")
         except TimeoutError:
-            return WantReply(False, "not loaded in time")
+            book.cancel(adapter, ticket)
+            return self.still_queued(book, adapter, waiter)
         except asyncio.CancelledError:
             if future.cancelled() and message.target not in self.ordered:
                 return WantReply(False, "ordering ended")
@@ -330,6 +336,17 @@
             book.cancel(adapter, ticket)
             self.drop_waiter(engine, adapter, future)
 
+    def still_queued(
+        self, book: EngineBook, adapter: AdapterRef, waiter: Waiter
+    ) -> WantReply:
+        """Return how long a request that has waited would still wait."""
+        opens_in_s = self.orders_in_s
+        if opens_in_s == float("inf"):
+            return WantReply(False, "ordering ended")
+        now = self.clock.monotonic()
+        expected_s = opens_in_s + book.expected_wait_s(adapter, waiter, now)
+        return WantReply(False, "queued", expected_s, is_queued=True)
+
     def drop_waiter(
         self, engine: OrderedEngine, adapter: AdapterRef, future: asyncio.Future[None]
     ) -> None:
@@ -363,6 +380,8 @@
             return Noted()
         if isinstance(message, AdapterMissing):
             engine.book.missing(message.adapter, self.clock.monotonic())
+        elif message.use.count:
+            engine.book.begin_use(message.use.adapter, self.clock.monotonic())
         else:
             engine.book.use({message.use.adapter: 1}, self.clock.monotonic())
         engine.wake.set()
--- a/packages/daemon/src/sardinequay_daemon/serving_messages.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_messages.py
@@ -114,9 +114,13 @@
     worth : float
         What the answer is worth to the request that waits.
     goal_s : float
-        Within this time its answer is still on time, in seconds.
+        With the adapter there within this time, its answer is on time, in seconds.
     wait_s : float
         How long waiting for it helps, in seconds.
+    waited_s : float
+        How long the request has waited already, in seconds.
+    look_s : float
+        An answer is wanted after so long in any case, in seconds.
     """
 
     target: TargetId
@@ -124,6 +128,8 @@
     worth: float
     goal_s: float
     wait_s: float
+    waited_s: float
+    look_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,12 +139,15 @@
     Parameters
     ----------
     expected_s : float
-        For one that would take too long: how long, in seconds.
+        How long it would still take, in seconds.
+    is_queued : bool
+        Whether it was waiting for a place until now and may go on to.
     """
 
     is_ready: bool
     detail: str
     expected_s: float = 0.0
+    is_queued: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/sardinequay_daemon/target_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/target_picker.py
@@ -1,11 +1,12 @@
 """Finds the target for a request's next attempt, waiting for an adapter if need be."""
 
 import logging
+from collections.abc import Mapping
 from datetime import timedelta
 from random import Random
 
 from sardinequay_core.catalogue import PublishedTarget
-from sardinequay_core.clock import seconds
+from sardinequay_core.clock import Instant, seconds
 from sardinequay_core.names import AdapterRef, TargetId
 from sardinequay_core.outcome import Outcome, Reason, Refusal, not_run
 from sardinequay_core.service_choice import choose_service
@@ -24,6 +25,11 @@
 from .progress import Refused
 from .serving_messages import WantAdapter, WantReply
 
+LOOK_AGAIN_S = 0.4
+"""How long a request waits for one engine before all are compared anew, in seconds: a
+little longer than a load takes. A request bound to its first choice waited up to 2.7 s
+for a place while other engines had some."""
+
 MAX_FAILED_ASKS = 4
 """Wishes for an adapter that may fail before a request is refused."""
 
@@ -80,13 +86,14 @@
 
     async def choose_engine(self, exchange: Exchange) -> PublishedTarget:
         """Return the engine for the next attempt, with the adapter on it."""
-        told: dict[TargetId, float] = {}
+        told: dict[TargetId, Instant] = {}
         failed_asks = 0
         while True:
+            now = self.clock.monotonic()
             options = self.state.engine_options(
-                exchange.pool, exchange.terms, exchange.tried, told
+                exchange.pool, exchange.terms, exchange.tried, time_left(told, now)
             )
-            left_s = exchange.first_event_left_s(self.clock.monotonic())
+            left_s = exchange.first_event_left_s(now)
             choice = choose(options, left_s)
             if isinstance(choice, Send):
                 self.log_choice(
@@ -102,10 +109,14 @@
             reply = await self.wait_for_load(exchange, choice.target, left_s)
             if reply.is_ready:
                 continue
-            told[choice.target] = reply.expected_s or UNKNOWN_WAIT_S
+            now = self.clock.monotonic()
+            if reply.is_queued:
+                told[choice.target] = now + seconds(reply.expected_s)
+                continue
+            told[choice.target] = now + seconds(reply.expected_s or UNKNOWN_WAIT_S)
             failed_asks += 1
             if failed_asks >= MAX_FAILED_ASKS:
-                busy = TooBusy(min(told.values()))
+                busy = TooBusy(min(time_left(told, now).values()))
                 raise Refused(self.no_engine(exchange, busy, left_s))
 
     def no_engine(
@@ -130,8 +141,18 @@
         began = self.clock.monotonic()
         wanted = self.state.wanted(exchange.terms)
         route = exchange.route
-        goal_s = (exchange.arrived + route.goal - began).total_seconds()
-        ask = WantAdapter(target, wanted, worth_of(route), goal_s, left_s * PATIENCE)
+        loads, terms = self.state.loads, exchange.terms
+        reading_s = loads.first_event_s(target, terms.prompt_tokens, began)
+        goal_s = (exchange.arrived + route.goal - began).total_seconds() - reading_s
+        ask = WantAdapter(
+            target,
+            wanted,
+            worth_of(route),
+            goal_s,
+            left_s * PATIENCE,
+            exchange.waited_s(began),
+            LOOK_AGAIN_S,
+        )
         reply = await self.wants.ask(ask)
         took = (self.clock.monotonic() - began).total_seconds()
         self.metrics.load_wait.observe({}, took)
@@ -175,6 +196,7 @@
             extra={
                 "request": exchange.terms.request_id,
                 "target": target,
+                "adapter": exchange.terms.adapter,
                 "why": why,
                 "options": options,
                 "unread_tokens": share.unread_tokens,
@@ -188,6 +210,11 @@
         )
 
 
+def time_left(due: Mapping[TargetId, Instant], now: Instant) -> dict[TargetId, float]:
+    """Return how long it is until each of some moments, in seconds."""
+    return {t: max(0.0, (at - now).total_seconds()) for t, at in due.items()}
+
+
 def worth_of(route: Route) -> float:
     """Return what an answer is worth against another's: the more urgent, the more."""
     return 1.0 + 1.0 / (1 + route.priority)
--- a/packages/daemon/src/sardinequay_daemon/wants.py
+++ b/packages/daemon/src/sardinequay_daemon/wants.py
@@ -41,7 +41,8 @@
         address = self.state.fleet.address_of(keeper.host_id)
         if address is None:
             return WantReply(False, "nobody orders the engine")
-        answer = await self.peers.call(address, message, message.wait_s + REPLY_SLACK_S)
+        patience_s = min(message.wait_s, message.look_s) + REPLY_SLACK_S
+        answer = await self.peers.call(address, message, patience_s)
         reply = answer.value_or(None)
         if isinstance(reply, WantReply):
             return reply
--- a/packages/daemon/tests/test_target_picker.py
+++ b/packages/daemon/tests/test_target_picker.py
@@ -1,5 +1,6 @@
 """Choosing at the worst load: asked a bounded number of times, refused with a time."""
 
+from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
 from random import Random
@@ -86,11 +87,14 @@
 
     def __init__(self) -> None:
         self.reply = WantReply(True, "loaded")
+        self.replies: list[WantReply] = []
         self.asked: list[WantAdapter] = []
+        self.on_ask: Callable[[], None] = lambda: None
 
     async def ask(self, message: WantAdapter) -> WantReply:
         self.asked.append(message)
-        return self.reply
+        self.on_ask()
+        return self.replies.pop(0) if self.replies else self.reply
 
 
 class Fleet:
@@ -208,3 +212,41 @@
     with pytest.raises(Refused):
         await picker.choose(exchange(clock, "a9"))
     assert board.asked == []
+
+
+async def test_request_that_waits_moves_to_an_engine_that_has_room_now(
+    picker, board, clock
+):
+    """Replay a queue that got longer: the first engine asked says so after a while."""
+    board.replies = [WantReply(False, "queued", 2.0, is_queued=True)]
+    chosen = await picker.choose(exchange(clock, "a9"))
+    first, second = (ask.target for ask in board.asked)
+    assert second != first
+    assert chosen.target.target_id == second
+
+
+async def test_request_that_waits_stays_where_it_is_next(picker, board, clock):
+    queued = WantReply(False, "queued", 0.05, is_queued=True)
+    board.replies = [queued] * (MAX_FAILED_ASKS + 1)
+    await picker.choose(exchange(clock, "a9"))
+    assert len({ask.target for ask in board.asked}) == 1
+
+
+async def test_queue_that_grew_too_long_refuses_before_the_wait_is_over(
+    picker, board, clock
+):
+    board.replies = [WantReply(False, "queued", 30.0, is_queued=True)] * 3
+    with pytest.raises(Refused) as refused:
+        await picker.choose(exchange(clock, "a9"))
+    assert refused.value.refusal.reason is Reason.OVERLOADED
+    assert len(board.asked) == 3
+    assert all(ask.look_s < ask.wait_s for ask in board.asked)
+
+
+async def test_request_that_looks_again_keeps_its_place_in_the_queue(
+    picker, board, clock
+):
+    board.replies = [WantReply(False, "queued", 0.05, is_queued=True)]
+    board.on_ask = lambda: clock.turn(0.4)
+    await picker.choose(exchange(clock, "a9"))
+    assert [ask.waited_s for ask in board.asked] == pytest.approx([0.0, 0.4])
