Open a closed adapter again rather than load it where it is

Cause: an adapter that is closed to new requests, to make way, and is then wanted more than what waits was ordered to be loaded; the engine said that it has it, and those who waited were not told, as the adapter stayed closed.

Ruled out: an engine that holds more than it can (the stand-in counted one adapter twice; mended).

Before: the new test fails, the adapter stays closed. After: it opens at once, and nothing else is decided until its requests have begun.

--- a/packages/core/src/sardinequay_core/engine_book.py
+++ b/packages/core/src/sardinequay_core/engine_book.py
@@ -397,6 +397,14 @@
             ),
         )
         for adapter, wanted in ranked:
+            if adapter == self.retiring:
+                # Worth more than what it was to make way for: a load would only be told
+                # that the engine has it, and those who wait would go on waiting. Its
+                # requests begin before anything else is decided.
+                self.retiring = None
+                self.changed()
+                del self.wanted[adapter]
+                return None
             if self.is_ready(adapter):
                 del self.wanted[adapter]
                 continue
--- a/packages/core/tests/test_engine_book.py
+++ b/packages/core/tests/test_engine_book.py
@@ -106,6 +106,16 @@
     assert book.residents() == (ref("x"),)
 
 
+def test_closed_adapter_that_is_worth_most_opens_again(book) -> None:
+    book.want(ref("z"), waiter(later(1)))
+    in_use = {ref("x"): 3, ref("y"): 1}
+    book.next_step(in_use, later(1.4))
+    assert not book.is_ready(ref("y"))
+    book.want(ref("y"), waiter(later(1.5), worth=9.0))
+    assert not isinstance(book.next_step(in_use, later(1.5)), LoadAdapter)
+    assert book.is_ready(ref("y"))
+
+
 def test_most_worth_is_loaded_first(book) -> None:
     book.used_at.clear()
     book.want(ref("u"), waiter(later(1)))
