--- a/packages/lab/src/sardinequay_lab/cut_relay.py
+++ b/packages/lab/src/sardinequay_lab/cut_relay.py
@@ -2,7 +2,8 @@
 
 It tells who connects by the source's IP number, and looks up in a file which pairs of
 networks are cut: ``reset`` refuses and resets connections, ``silent`` goes on accepting
-them and passes nothing on, in either direction.
+them and passes nothing on, in either direction, ``one_way`` holds back answers, and
+``slow`` passes everything on late.
 """
 
 import argparse
@@ -10,6 +11,9 @@
 import contextlib
 import ipaddress
 import json
+import socket
+import struct
+from collections.abc import Set
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -17,6 +21,11 @@
 READ_BYTES = 65_536
 RESET = "reset"
 SILENT = "silent"
+ONE_WAY = "one_way"
+SLOW = "slow"
+LINGER_NOT = struct.pack("ii", 1, 0)
+SLOW_S = 0.06
+"""Delay of each piece on a slow link: some tens of times a data centre's round trip."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +46,14 @@
     return ipaddress.ip_address(ip) in ipaddress.ip_network(network)
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection: closing it alone may look like a clean end."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and not writer.is_closing():
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT)
+    writer.transport.abort()
+
+
 class Cuts:
     """The cuts in force, as a file names them."""
 
@@ -71,17 +88,17 @@
         """Relay one connection."""
         source = writer.get_extra_info("peername")[0]
         if self.cuts.mode(source, self.ip) == RESET:
-            writer.transport.abort()
+            reset(writer)
             return
         try:
             far_reader, far_writer = await asyncio.open_connection(self.ip, self.port)
         except OSError:
-            writer.transport.abort()
+            reset(writer)
             return
         ends = (writer, far_writer)
         await asyncio.gather(
-            self.copy(source, reader, far_writer, ends),
-            self.copy(source, far_reader, writer, ends),
+            self.copy(source, reader, far_writer, ends, {SILENT}),
+            self.copy(source, far_reader, writer, ends, {SILENT, ONE_WAY}),
             self.watch(source, ends),
             return_exceptions=True,
         )
@@ -93,7 +110,7 @@
         while not any(end.is_closing() for end in ends):
             if self.cuts.mode(source, self.ip) == RESET:
                 for end in ends:
-                    end.transport.abort()
+                    reset(end)
             await asyncio.sleep(POLL_S)
 
     async def copy(
@@ -102,16 +119,21 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         ends: tuple[asyncio.StreamWriter, asyncio.StreamWriter],
+        held_by: Set[str],
     ) -> None:
-        """Copy one direction; what comes while the link is silent is held back."""
+        """Copy one direction; what comes under a mode of `held_by` is held back."""
         try:
             while data := await reader.read(READ_BYTES):
-                while self.cuts.mode(source, self.ip) == SILENT:
+                while self.cuts.mode(source, self.ip) in held_by:
                     await asyncio.sleep(POLL_S)
+                if self.cuts.mode(source, self.ip) == SLOW:
+                    await asyncio.sleep(SLOW_S)
                 writer.write(data)
                 await writer.drain()
         except OSError:
-            pass
+            # A reset stays one: a clean end would complete an answer without a length.
+            for end in ends:
+                reset(end)
         for end in ends:
             end.close()
 
