--- a/packages/core/src/sardinequay_core/engine_book.py
+++ b/packages/core/src/sardinequay_core/engine_book.py
@@ -24,6 +24,7 @@
     Waiter,
     Wanted,
 )
+from .load_times import LoadTimes
 from .names import AdapterRef, TargetId
 
 REPORT_LAG_S = 0.4
@@ -33,17 +34,6 @@
 MAX_COMING = 4
 """Adapters that may be on their way to one engine at a time; a bound of engines."""
 
-RECENT_KEPT = 32
-"""Adapters remembered as loading fast again; engines keep somewhat more in memory."""
-
-COLD_S = 0.265
-"""A load from the weight store at full speed, in seconds, with the order's way."""
-
-SLOWEST_COLD_S = 1.5
-COLD_GROWTH = 1.15
-COLD_DECAY = 0.97
-"""How the expected load time follows a weight store that many load from at once."""
-
 STILL_COMING_S = 0.08
 """Until a request is sent again to an engine whose load took longer than expected."""
 
@@ -62,24 +52,12 @@
 JUST_USED_S = 0.02
 """The same after an adapter's last known use."""
 
-WARM_S = 0.03
-"""A load from the engine's memory, in seconds."""
-
 RETRY_UNLOAD_S = 0.05
 """Until an unload that met a running request is tried again, in seconds."""
 
 RETIRE_AFTER_S = 0.2
 """How long a load waits for an idle adapter before one in use is closed to new work."""
 
-FIRST_TURNOVER_S = 0.1
-"""Time between two loads of a full engine before any was seen, in seconds."""
-
-TURNOVER_MEMORY = 0.8
-"""Weight of the past in the time between two loads; about five loads."""
-
-LONGEST_TURNOVER_S = 1.0
-"""Bound on the time between two loads: a pause without wishes is none."""
-
 REPORT_EVERY_S = 10.0
 """How often an engine is asked although nothing is in doubt, in seconds."""
 
@@ -114,7 +92,6 @@
     used_at: dict[AdapterRef, Instant] = field(default_factory=dict)
     demand: DemandTable = field(default_factory=lambda: DemandTable(EVICTION_HALF_LIFE))
     coming: dict[AdapterRef, Instant] = field(default_factory=dict)
-    recent: dict[AdapterRef, None] = field(default_factory=dict)
     wanted: dict[AdapterRef, Wanted] = field(default_factory=dict)
     retiring: AdapterRef | None = None
     dropping: set[AdapterRef] = field(default_factory=set)
@@ -122,10 +99,8 @@
     refused_unload: dict[AdapterRef, Instant] = field(default_factory=dict)
     model_wanted: str | None = None
     is_busy: bool = False
-    turnover_s: float = FIRST_TURNOVER_S
-    full_since: Instant | None = None
+    times: LoadTimes = field(default_factory=LoadTimes)
     tickets: int = 0
-    cold_s: float = COLD_S
     reported_at: Instant = ZERO
     asked_at: Instant = ZERO
 
@@ -168,18 +143,17 @@
         known = self.wanted.get(adapter)
         others = tuple(known.waiters.values()) if known else ()
         mine = Wanted(dict(enumerate((*others, waiter)))).score(
-            now, self.takes_s(adapter)
+            now, self.times.takes_s(adapter)
         )
         ahead = sum(
             1
             for other, wanted in self.wanted.items()
-            if other != adapter and wanted.score(now, self.takes_s(other)) >= mine
+            if other != adapter and wanted.score(now, self.times.takes_s(other)) >= mine
+        )
+        return (
+            self.times.takes_s(adapter)
+            + max(0, ahead + 1 - free) * self.times.turnover_s
         )
-        return self.takes_s(adapter) + max(0, ahead + 1 - free) * self.turnover_s
-
-    def takes_s(self, adapter: AdapterRef) -> float:
-        """Return how long a load would take, in seconds."""
-        return WARM_S if adapter in self.recent else self.cold_s
 
     def is_ready(self, adapter: AdapterRef) -> bool:
         """Return whether an adapter takes requests, in this version or a later one."""
@@ -243,7 +217,7 @@
             if adapter not in status.coming:
                 del self.coming[adapter]
         for adapter in status.coming:
-            self.coming.setdefault(adapter, now + seconds(self.cold_s))
+            self.coming.setdefault(adapter, now + seconds(self.times.cold_s))
         if self.retiring not in self.used_at:
             self.retiring = None
         self.dropping &= set(self.used_at)
@@ -253,14 +227,7 @@
         if self.coming.pop(adapter, None) is not None:
             self.arrived_at[adapter] = now
         self.wanted.pop(adapter, None)
-        self.remember(adapter)
-
-    def remember(self, adapter: AdapterRef) -> None:
-        """Remember an adapter as one that the engine loads fast."""
-        self.recent.pop(adapter, None)
-        self.recent[adapter] = None
-        while len(self.recent) > RECENT_KEPT:
-            del self.recent[next(iter(self.recent))]
+        self.times.remember(adapter)
 
     def settle(self, now: Instant) -> None:
         """Let loads arrive whose time has come; a request then finds out."""
@@ -300,28 +267,12 @@
             self.used_at[adapter] = now
             self.arrived(adapter, now)
         else:
-            takes_s = self.load_time_s(adapter)
+            takes_s = self.times.begin(adapter)
             self.coming[adapter] = now + seconds(takes_s)
             self.wanted.pop(adapter, None)
-            self.learn_turnover(now)
+            self.times.took_place(bool(self.wanted), now)
         self.changed()
 
-    def load_time_s(self, adapter: AdapterRef) -> float:
-        """Return how long a load takes, in seconds, and forget slow ones a little."""
-        if adapter in self.recent:
-            return WARM_S
-        self.cold_s = max(COLD_S, self.cold_s * COLD_DECAY)
-        return self.cold_s
-
-    def learn_turnover(self, now: Instant) -> None:
-        """Learn how often a full engine takes another adapter."""
-        since, self.full_since = self.full_since, now if self.wanted else None
-        if since is None:
-            return
-        seen = min(LONGEST_TURNOVER_S, (now - since).total_seconds())
-        old = self.turnover_s * TURNOVER_MEMORY
-        self.turnover_s = old + seen * (1 - TURNOVER_MEMORY)
-
     def refused(self, order: Order, now: Instant) -> None:
         """Take that an order was refused: in use, or the count of orders differs."""
         if isinstance(order, UnloadAdapter):
@@ -343,8 +294,7 @@
         self.changed()
         arrived_at = self.arrived_at.pop(adapter, None)
         if arrived_at is not None and now - arrived_at < seconds(LATE_LOAD_S):
-            self.cold_s = min(SLOWEST_COLD_S, self.cold_s * COLD_GROWTH)
-            self.recent.pop(adapter, None)
+            self.times.was_late(adapter)
             self.coming[adapter] = now + seconds(STILL_COMING_S)
         else:
             self.in_doubt(now)
@@ -391,7 +341,7 @@
         ranked = sorted(
             self.wanted.items(),
             key=lambda item: (
-                -item[1].score(now, self.takes_s(item[0])),
+                -item[1].score(now, self.times.takes_s(item[0])),
                 item[1].since(),
                 item[0],
             ),
@@ -454,8 +404,7 @@
             order = self.unload(adapter, now)
             if order is not None:
                 return order
-        if self.full_since is None:
-            self.full_since = now
+        self.times.found_full(now)
         waited_s = (now - wanted.since()).total_seconds()
         if self.retiring is None and waited_s > RETIRE_AFTER_S and evictable:
             self.retiring = evictable[0]
--- a/packages/daemon/src/sardinequay_daemon/order_lease_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_lease_task.py
@@ -85,6 +85,10 @@
         now = self.clock.monotonic()
         return max(0.0, (self.candidate.may_order_from - now).total_seconds())
 
+    def take_policy(self, policy: OrderPolicy) -> None:
+        """Take other times; they hold for what comes."""
+        self.policy = self.voter.policy = self.candidate.policy = policy
+
     def take_catalogue(self, catalogue: Catalogue) -> None:
         """Take the store's revision, which bounds forgotten tokens."""
         if catalogue.revision:
--- a/packages/daemon/src/sardinequay_daemon/order_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -163,9 +163,7 @@
         book = EngineBook(target_id, pool.adapter_slots)
         heard = self.heard_holdings.get(target_id)
         if heard is not None:
-            book.recent = {
-                parse_adapter_ref(text).unwrap(): None for text in heard.recent
-            }
+            book.times.inherit(parse_adapter_ref(t).unwrap() for t in heard.recent)
         engine = self.ordered[target_id] = OrderedEngine(published, book)
         engine.task = asyncio.create_task(self.order_engine(engine))
 
@@ -402,9 +400,9 @@
                     str(a): e.book.ready_in_s(a, now) or 0.0
                     for a in sorted(e.book.coming)
                 },
-                tuple(str(a) for a in e.book.recent),
+                tuple(str(a) for a in e.book.times.recent),
                 len(e.book.wanted),
-                e.book.turnover_s,
+                e.book.times.turnover_s,
             )
             for e in self.ordered.values()
             if e.book.orders is not None or e.book.number
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -113,6 +113,12 @@
         """Return this host's uses of adapters, for its peers."""
         return tuple(AdapterUse(t, a, n) for (t, a), n in self.uses.own.items())
 
+    def take_repeat_policy(self, policy: RepeatPolicy) -> None:
+        """Take another bound on further attempts; what was counted stays."""
+        self.repeat_policy = policy
+        for budget in self.budgets.values():
+            budget.policy = policy
+
     # What a request sees.
 
     def budget(self, pool: PoolName) -> RepeatBudget:
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -8,7 +8,6 @@
 from random import Random
 
 from aiohttp import web
-from aioprometheus.renderer import render
 
 from sardinequay_core.catalogue import Catalogue
 from sardinequay_core.clock import Clock, Instant, seconds
@@ -20,6 +19,7 @@
 from .decision_log import BoundedOutput
 from .errors import StartError
 from .fleet_task import FleetTask, HeardDigest
+from .host_pages import pages_app
 from .order_lease_task import OrderLeaseTask
 from .order_task import OrderTask
 from .peers import PeerCaller, PeerServer
@@ -37,7 +37,13 @@
     WantAdapter,
 )
 from .serving_metrics import ServingMetrics
-from .serving_ports import CallDialect, EngineOrders, HostProfile, MetadataStore
+from .serving_ports import (
+    CallDialect,
+    EngineOrders,
+    HostProfile,
+    MetadataStore,
+    ServingBounds,
+)
 from .settings import TimingSettings
 from .store_task import StoreTask
 from .tracing import Tracing
@@ -75,6 +81,11 @@
     engines: EngineOrders
 
 
+def repeat_policy(bounds: ServingBounds) -> RepeatPolicy:
+    """Return the bound on further attempts that the settings name."""
+    return RepeatPolicy(bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window)
+
+
 class ServingHost:
     """One entry host before engines and plain services of any deployment."""
 
@@ -114,10 +125,9 @@
             self.fleet.is_reader,
             self.fleet.freshest_store_age_s,
         )
-        repeats = RepeatPolicy(
-            bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window
+        self.state = RelayState(
+            profile.data_centre, clock, random, repeat_policy(bounds), self.fleet
         )
-        self.state = RelayState(profile.data_centre, clock, random, repeats, self.fleet)
         self.lease = OrderLeaseTask(
             profile.host_id,
             profile.data_centre,
@@ -187,6 +197,8 @@
         """Take settings that changed: seeds and bounds; addresses stay."""
         self.profile = replace(self.profile, seeds=profile.seeds, bounds=profile.bounds)
         self.fleet.set_seeds(profile.seeds)
+        self.state.take_repeat_policy(repeat_policy(profile.bounds))
+        self.lease.take_policy(OrderPolicy(quiet=profile.bounds.order_quiet))
         log.info("settings reloaded", extra={"seeds": [str(s) for s in profile.seeds]})
 
     # Digests.
@@ -313,7 +325,9 @@
                 readiness_app(profile.readiness_path, self.is_ready), access_log=None
             )
             await self.serve_http(ready, profile.readiness)
-            metrics = web.AppRunner(self.metrics_app(), access_log=None)
+            metrics = web.AppRunner(
+                pages_app(self.metrics.registry, self.status), access_log=None
+            )
             await self.serve_http(metrics, profile.metrics)
             await self.serve_http(web.ServerRunner(self.server), profile.callers)
         except OSError as error:
@@ -330,21 +344,6 @@
         self.runners.append(runner)
         await web.TCPSite(runner, address.ip, address.port).start()
 
-    def metrics_app(self) -> web.Application:
-        """Return the page of metrics."""
-
-        async def page(request: web.Request) -> web.Response:
-            content, headers = render(self.metrics.registry, [])
-            return web.Response(body=content, headers=headers)
-
-        async def status(request: web.Request) -> web.Response:
-            return web.json_response(self.status())
-
-        app = web.Application()
-        app.router.add_get("/metrics", page)
-        app.router.add_get("/v1/status", status)
-        return app
-
     def status(self) -> dict[str, object]:
         """Return what is in force on this host, for operators."""
         catalogue = self.store.catalogue
