Count live peers once a choice, not once an engine

By a profile of one choice among 30 engines with 76 peers, three quarters went to asking who orders each engine, and for that to the silence bound of each peer. Behaviour is unchanged.

Ruled out as the larger part: reading a digest (20 us), encoding it (some 100 us).

Before: 5.6 ms a choice; after: 1.6 ms (one process, 50 choices, same machine and load).

--- a/packages/daemon/src/sardinequay_daemon/fleet_task.py
+++ b/packages/daemon/src/sardinequay_daemon/fleet_task.py
@@ -124,18 +124,26 @@
 
     def alive(self) -> tuple[Peer, ...]:
         """Return the peers heard of lately that do not leave."""
+        # The bounds once for all peers: with 76 of them, counted for each, they took
+        # three quarters of the time of choosing an engine (5.6 ms, now 1.6 ms).
         now = self.clock.monotonic()
+        near_since = now - self.silence_bound(is_near=True)
+        far_since = now - self.silence_bound(is_near=False)
         return tuple(
             p
             for p in self.peers.values()
             if not p.is_leaving
             and p.heard_at is not None
-            and now - p.heard_at < self.alive_for(p)
+            and p.heard_at > (near_since if self.is_near(p) else far_since)
         )
 
     def alive_for(self, peer: Peer) -> timedelta:
         """Return how long a peer is alive after it was heard."""
-        period_s = self.period_s(self.is_near(peer))
+        return self.silence_bound(self.is_near(peer))
+
+    def silence_bound(self, is_near: bool) -> timedelta:
+        """Return how long peers near or far may be silent and count as alive."""
+        period_s = self.period_s(is_near)
         return seconds(ALIVE_FOR_S + ALIVE_PERIODS * (period_s - PERIOD_S))
 
     @property
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -160,9 +160,16 @@
         order = rank(terms.adapter, [t.target.target_id for t in usable])
         home = {target: place for place, target in enumerate(order)}
         uses = self.uses.by_target()
+        here = {t.target.data_centre for t in usable}
+        keepers = {data_centre: self.keeper_of(data_centre) for data_centre in here}
         options = [
             self.engine_option(
-                t, terms, home, uses.get(t.target.target_id, NO_USES), now
+                t,
+                terms,
+                home,
+                uses.get(t.target.target_id, NO_USES),
+                keepers[t.target.data_centre],
+                now,
             )
             for t in usable
         ]
@@ -177,6 +184,7 @@
         terms: RequestTerms,
         home: Mapping[str, int],
         in_use: Mapping[AdapterRef, int],
+        keeper: Keeper | None,
         now: Instant,
     ) -> EngineOption:
         """Return one engine as a model request may use it."""
@@ -187,7 +195,6 @@
         config = self.catalogue.config
         pool = config.pools[target.pool].engines if config else None
         places = pool.adapter_places(published.models) if pool else 0
-        keeper = self.keeper_of(target.data_centre)
         idle = sum(1 for a in held.adapters if not in_use.get(a))
         return EngineOption(
             target=target_id,
