Let a host that slept look for the voters anew before it orders

By its logs: the two other hosts of a data centre were leaving, so the third held the lease by its own vote alone; it was frozen for four seconds, in which the two came back and chose another holder; woken, it took its own vote again at once, and both ordered, under one token, as both had bounded forgotten tokens by one revision.

Ruled out: counting forgotten votes from when a process begins (the hosts that voted had waited their lease), and requests that look again (no part in the lease).

Change: a task that finds that more than one and a half leases went by between two steps forgets that it has joined, and stands only a second after it heard a peer, or after ten seconds alone. Both new tests fail without.

--- a/packages/daemon/src/sardinequay_daemon/fleet_task.py
+++ b/packages/daemon/src/sardinequay_daemon/fleet_task.py
@@ -107,6 +107,7 @@
         self.digests: Subject[HeardDigest] = Subject()
         self.lost: Subject[HostId] = Subject()
         self.started_at = clock.monotonic()
+        self.looking_since = self.started_at
         self.joined_at: Instant | None = None
         self.calling: set[HostId] = set()
         self.again: set[HostId] = set()
@@ -162,10 +163,15 @@
     def has_joined(self) -> bool:
         """Return whether the hosts here are known well enough to vote."""
         now = self.clock.monotonic()
-        if not self.seeds or now - self.started_at > ALONE_AFTER:
+        if not self.seeds or now - self.looking_since > ALONE_AFTER:
             return True
         return self.joined_at is not None and now - self.joined_at > seconds(1)
 
+    def rejoin(self) -> None:
+        """Look for the hosts here anew: while this one slept, they may have changed."""
+        self.looking_since = self.clock.monotonic()
+        self.joined_at = None
+
     def is_reader(self) -> bool:
         """Return whether this host reads the store for its data centre."""
         here = [p.contact.host_id for p in self.alive() if self.is_near(p)]
--- a/packages/daemon/src/sardinequay_daemon/order_lease_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_lease_task.py
@@ -31,6 +31,10 @@
 STEP_BACK_SPREAD_S = 0.6
 """Two round trips of a canvass: who steps back less far wins the next one."""
 
+SLEPT_LEASES = 1.5
+"""Leases between two steps after which a host was frozen: a slow canvass takes under
+one, and hosts that restart are chosen after two at the earliest."""
+
 BALLOT_S = 0.3
 """Bound on a voter's answer within a data centre."""
 
@@ -74,6 +78,7 @@
         self.voter = Voter(policy, abstains_until, knows_tokens=is_first_start)
         self.candidate = Candidate(me, policy)
         self.no_holder_since = now
+        self.stepped_at = now
         self.is_resigned = False
 
     @property
@@ -101,6 +106,7 @@
 
     async def step(self) -> None:
         """Stand or renew, then wait until it is time to look again."""
+        self.notice_sleep()
         if self.should_stand():
             await self.canvass()
             self.after_canvass()
@@ -108,6 +114,18 @@
         else:
             await asyncio.sleep(RENEW_S / 4)
 
+    def notice_sleep(self) -> None:
+        """Look for the voters anew after this host was frozen.
+
+        Hosts that were leaving when it fell asleep, and so no voters, may have come
+        back and chosen another holder: alone in its own eyes, it ordered beside that.
+        """
+        now = self.clock.monotonic()
+        slept_since, self.stepped_at = self.stepped_at, now
+        if now - slept_since > SLEPT_LEASES * self.policy.lease:
+            log.warning("slept", extra={"for_s": (now - slept_since).total_seconds()})
+            self.fleet.rejoin()
+
     def should_stand(self) -> bool:
         """Return whether to ask for votes now."""
         if self.is_resigned or not self.fleet.has_joined():
--- a/packages/daemon/tests/test_fleet_task.py
+++ b/packages/daemon/tests/test_fleet_task.py
@@ -138,3 +138,17 @@
         told[n] = len(fleet.peers) / fleet.period_s(is_near=False)
     assert max(told.values()) < 60
     assert told[399] < told[30]
+
+
+def test_host_that_looks_anew_has_joined_a_second_after_it_heard_one(fleet, clock):
+    fleet.hear(digest("h2"))
+    clock.turn(12)
+    assert fleet.has_joined()
+    fleet.rejoin()
+    clock.turn(5)
+    assert not fleet.has_joined()
+    fleet.hear(digest("h2"))
+    clock.turn(0.9)
+    assert not fleet.has_joined()
+    clock.turn(0.2)
+    assert fleet.has_joined()
--- a/packages/daemon/tests/test_order_lease_task.py
+++ b/packages/daemon/tests/test_order_lease_task.py
@@ -9,6 +9,34 @@
 
 from .conftest import TurnedClock
 
+
+class Fleet:
+    """Hosts as a test has them: none that stays."""
+
+    def __init__(self) -> None:
+        self.has_joined_now = True
+        self.rejoined = 0
+
+    def has_joined(self) -> bool:
+        return self.has_joined_now
+
+    def rejoin(self) -> None:
+        self.rejoined += 1
+        self.has_joined_now = False
+
+    def lease_holder(self):
+        return None
+
+    def alive(self):
+        return ()
+
+    def voters(self):
+        return ()
+
+    def up_s(self) -> float:
+        return 50.0
+
+
 LEASE_S = 1.0
 QUIET_S = 3.1
 POLICY = OrderPolicy(lease=seconds(LEASE_S), quiet=seconds(QUIET_S))
@@ -19,7 +47,7 @@
     clock.turn(imports_s)
     me = HostId("h1")
     made = OrderLeaseTask(
-        me, "za", None, None, clock, Random(1), POLICY, is_first_start, began
+        me, "za", None, Fleet(), clock, Random(1), POLICY, is_first_start, began
     )
     made.voter.learn_revision(1)
     return made
@@ -41,3 +69,27 @@
     vote = task.voter.vote(Ballot(HostId("h2"), "za", 1), clock.monotonic())
     assert vote.granted
     assert vote.quiet_s == float("inf")
+
+
+async def test_host_that_slept_looks_for_the_voters_before_it_stands(
+    clock, monkeypatch
+) -> None:
+    """Its neighbours were leaving, so it held the lease by its own vote alone."""
+
+    async def at_once(_: float) -> None:
+        return
+
+    monkeypatch.setattr("asyncio.sleep", at_once)
+    task = started(clock, imports_s=0.1, is_first_start=True)
+    await task.step()
+    assert task.is_holder
+    clock.turn(0.9)
+    await task.step()
+    assert task.is_holder
+    clock.turn(4.0)
+    await task.step()
+    assert task.fleet.rejoined == 1
+    assert not task.is_holder
+    task.fleet.has_joined_now = True
+    await task.step()
+    assert task.is_holder
