Tell starts of a target under one id apart; let unreadable entries spoil only themselves

Cause: an engine may start again under its id, and the store may hold entries of other writers. The book of orders ignored every report after such a start, as its count of orders begins anew; holdings, health, pace and uses of the start before were kept. An entry of another shape ended the task that follows the store.

Catalogue, book, holdings and denials carry the start that they speak of; later starts replace, earlier ones are not believed; an order given to the start before is not counted, and no report is believed that may be older than such an order.

--- a/packages/core/src/sardinequay_core/catalogue.py
+++ b/packages/core/src/sardinequay_core/catalogue.py
@@ -28,6 +28,9 @@
         Adapters that it reported to hold; changes of adapters alone are not reported.
     models : frozenset of str
         Base models that it holds.
+    incarnation : int
+        When its process started, in Unix milliseconds as the target says; 0 if it does
+        not say. A target may start again under its id, and holds nothing then.
     """
 
     target: Target
@@ -35,6 +38,7 @@
     revision: int
     models: frozenset[str] = frozenset()
     adapters: frozenset[AdapterRef] = frozenset()
+    incarnation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +62,14 @@
     target_id: TargetId
 
 
+@dataclass(frozen=True, slots=True)
+class TargetUnreadable:
+    """A target's entry cannot be understood, so it names no target to use."""
+
+    target_id: TargetId
+    detail: str
+
+
 @dataclass(frozen=True, slots=True)
 class VersionPublished:
     """A newer version of an adapter exists; `name` is ``model/adapter``."""
@@ -66,7 +78,13 @@
     version: str
 
 
-Change = ConfigPublished | TargetPublished | TargetRemoved | VersionPublished
+Change = (
+    ConfigPublished
+    | TargetPublished
+    | TargetRemoved
+    | TargetUnreadable
+    | VersionPublished
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +154,9 @@
     known = catalogue.targets.get(target_id)
     if known is not None and known.revision > published.revision:
         return catalogue
+    if known is not None and known.incarnation > published.incarnation:
+        # A late entry of an earlier start: what it says of holdings is void.
+        return catalogue
     return replace(
         catalogue,
         targets={**catalogue.targets, target_id: published},
@@ -162,6 +183,15 @@
     )
 
 
+@fold.register
+def _(change: TargetUnreadable, catalogue: Catalogue, absence: Absence) -> Catalogue:
+    return replace(
+        catalogue,
+        targets=without(catalogue.targets, change.target_id),
+        unconfirmed=without(catalogue.unconfirmed, change.target_id),
+    )
+
+
 @fold.register
 def _(change: VersionPublished, catalogue: Catalogue, absence: Absence) -> Catalogue:
     known = catalogue.newest.get(change.name)
--- a/packages/core/src/sardinequay_core/engine_book.py
+++ b/packages/core/src/sardinequay_core/engine_book.py
@@ -81,10 +81,13 @@
         places until a report no longer shows them.
     used_at : dict
         When each resident adapter was last known to be used.
+    incarnation : int
+        The start of the engine that the record is of; a later start has another record.
     """
 
     target: TargetId
     places: int
+    incarnation: int = 0
     number: int = 0
     orders: int | None = None
     doubt_since: Instant | None = None
@@ -190,6 +193,8 @@
         A report that counts fewer orders than were accepted is older than the last of
         them and says nothing; nor does one that may be older than an open order.
         """
+        if status.incarnation < self.incarnation:
+            return
         if self.orders is not None and status.orders < self.orders:
             return
         doubt = self.doubt_since
--- a/packages/core/src/sardinequay_core/engine_orders.py
+++ b/packages/core/src/sardinequay_core/engine_orders.py
@@ -17,6 +17,8 @@
     ----------
     orders : int
         Orders accepted since it started.
+    incarnation : int
+        When it started, in Unix milliseconds; 0 if it does not say.
     """
 
     models: frozenset[str]
@@ -26,6 +28,7 @@
     orders: int
     waiting: int = 0
     running: int = 0
+    incarnation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/sardinequay_core/load_view.py
+++ b/packages/core/src/sardinequay_core/load_view.py
@@ -104,6 +104,10 @@
         pace = self.pace.get(target, 1.0)
         return BASE_S + pace * unread / DEFAULT_TOKENS_PER_S
 
+    def forget_target(self, target: TargetId) -> None:
+        """Drop what was measured of a target that started again."""
+        self.pace.pop(target, None)
+
     def measured(self, target: TargetId, expected_s: float, took_s: float) -> None:
         """Learn an engine's pace from one request's first event."""
         old = self.pace.get(target, 1.0)
--- a/packages/core/src/sardinequay_core/residency.py
+++ b/packages/core/src/sardinequay_core/residency.py
@@ -24,6 +24,12 @@
     recent: frozenset[str] = frozenset()
     queued: int = 0
     turnover_s: float = 0.0
+    incarnation: int = 0
+
+    @property
+    def age_key(self) -> tuple[int, int, int]:
+        """Return what later news of an engine has more of."""
+        return self.incarnation, self.token, self.number
 
 
 @dataclass(slots=True)
@@ -37,27 +43,29 @@
     """
 
     told: dict[TargetId, Held] = field(default_factory=dict)
-    missing: dict[tuple[TargetId, AdapterRef], tuple[int, int]] = field(
+    missing: dict[tuple[TargetId, AdapterRef], tuple[int, int, int]] = field(
         default_factory=dict
     )
 
     def hear(self, target: TargetId, held: Held) -> bool:
         """Take news of an engine; return whether they are later than what was known."""
         known = self.told.get(target)
-        if known is not None and (known.token, known.number) > (
-            held.token,
-            held.number,
-        ):
+        if known is not None and known.age_key > held.age_key:
             return False
         self.told[target] = held
         return True
 
     def held(self, published: PublishedTarget) -> Held:
-        """Return what an engine holds."""
+        """Return what an engine holds, since its last start that is known."""
         told = self.told.get(published.target.target_id)
-        if told is not None:
+        if told is not None and told.incarnation >= published.incarnation:
             return told
-        return Held(0, published.revision, published.adapters)
+        return Held(
+            0,
+            published.revision,
+            published.adapters,
+            incarnation=published.incarnation,
+        )
 
     def resident(
         self, published: PublishedTarget, wanted: AdapterRef
@@ -67,7 +75,7 @@
         for adapter in held.adapters:
             if adapter.is_at_least(wanted):
                 denied = self.missing.get((published.target.target_id, adapter))
-                if denied is None or denied < (held.token, held.number):
+                if denied is None or denied < held.age_key:
                     return adapter
         return None
 
@@ -91,7 +99,7 @@
         """Take that an engine does not have an adapter after all."""
         held = self.held(published)
         key = (published.target.target_id, adapter)
-        self.missing[key] = (held.token, held.number)
+        self.missing[key] = held.age_key
 
     def forget(self, known: frozenset[TargetId]) -> None:
         """Drop engines that are no longer listed."""
@@ -132,6 +140,12 @@
         else:
             uses.pop((target, adapter), None)
 
+    def forget_target(self, target: TargetId) -> None:
+        """Drop all uses on an engine that started again."""
+        for uses in (self.own, *self.peers.values()):
+            for key in [k for k in uses if k[0] == target]:
+                del uses[key]
+
     def on(self, target: TargetId) -> dict[AdapterRef, int]:
         """Return how many requests use each adapter on an engine."""
         return self.by_target().get(target, {})
--- a/packages/core/src/sardinequay_core/target_health.py
+++ b/packages/core/src/sardinequay_core/target_health.py
@@ -163,6 +163,10 @@
         record.pauses = min(record.pauses + 1, 8)
         record.is_on_trial = True
 
+    def forget_target(self, target: TargetId) -> None:
+        """Drop the record of a target that started again."""
+        self.records.pop(target, None)
+
     def forget(self, known: frozenset[TargetId]) -> None:
         """Drop the records of targets that are no longer listed."""
         for target in tuple(self.records):
--- a/packages/core/tests/test_catalogue.py
+++ b/packages/core/tests/test_catalogue.py
@@ -1,5 +1,7 @@
 """What the store publishes: never back, and patient with entries that vanish."""
 
+from dataclasses import replace
+
 import pytest
 
 from sardinequay_core.catalogue import (
@@ -9,6 +11,7 @@
     PublishedTarget,
     TargetPublished,
     TargetRemoved,
+    TargetUnreadable,
     VersionPublished,
     expire,
     fold,
@@ -92,3 +95,29 @@
     first = fold(VersionPublished("m/a", "10"), Catalogue(), PROMPT)
     assert fold(VersionPublished("m/a", "9"), first, PROMPT).newest == {"m/a": "10"}
     assert fold(VersionPublished("m/a", "11"), first, PROMPT).newest == {"m/a": "11"}
+
+
+def started(revision: int, incarnation: int) -> TargetPublished:
+    made = published("a", revision).published
+    return TargetPublished(replace(made, incarnation=incarnation))
+
+
+def test_entry_of_an_earlier_start_says_nothing(one: Catalogue) -> None:
+    later = fold(started(6, incarnation=2_000), one, PROMPT)
+    late = fold(started(7, incarnation=1_000), later, PROMPT)
+    assert late.targets[TargetId("a")].incarnation == 2_000
+    again = fold(started(8, incarnation=3_000), late, PROMPT)
+    assert again.targets[TargetId("a")].incarnation == 3_000
+
+
+def test_entry_that_is_not_understood_names_no_target(one: Catalogue) -> None:
+    spoiled = TargetUnreadable(TargetId("a"), "no address")
+    assert not fold(spoiled, one, PATIENT).targets
+    other = fold(published("b", 6), one, PROMPT)
+    assert set(fold(spoiled, other, PROMPT).targets) == {"b"}
+
+
+def test_listing_drops_a_target_whose_entry_is_not_understood(one: Catalogue) -> None:
+    changes = (TargetUnreadable(TargetId("a"), "spoiled"), published("b", 8))
+    listed = replace_listing(one, changes, 9, PATIENT)
+    assert set(listed.targets) == {"b"}
--- a/packages/core/tests/test_engine_book.py
+++ b/packages/core/tests/test_engine_book.py
@@ -231,3 +231,12 @@
             now += seconds(0.005)
         made.begin_use(wanted, now)
     assert sum(loads[ref(f"hot{n}")] for n in range(4)) <= 12
+
+
+def test_report_of_an_earlier_start_is_not_believed() -> None:
+    made = EngineBook(TargetId("e"), places=2, incarnation=2_000)
+    made.take_report(status(ref("x"), orders=7, incarnation=1_000), NOW, NOW)
+    assert made.orders is None
+    assert not made.residents()
+    made.take_report(status(orders=0, incarnation=2_000), NOW, NOW)
+    assert made.orders == 0
--- a/packages/core/tests/test_relay_decisions.py
+++ b/packages/core/tests/test_relay_decisions.py
@@ -1,5 +1,6 @@
 """What a failed attempt permits, the budget of repeats, loads and services."""
 
+from dataclasses import replace
 from datetime import timedelta
 
 import pytest
@@ -155,3 +156,25 @@
     uses.hear(HostId("p"), E, a, 0)
     uses.change(E, a, -1)
     assert uses.on(E) == {}
+
+
+def test_what_an_engine_held_before_it_started_again_is_void(published) -> None:
+    residency = Residency()
+    a = AdapterRef("m/a", "1")
+    assert residency.hear(E, Held(10, 9, frozenset({a}), incarnation=1_000))
+    anew = replace(published, incarnation=2_000, adapters=frozenset())
+    assert residency.resident(anew, a) is None
+    assert residency.hear(E, Held(10, 0, frozenset({a}), incarnation=2_000))
+    assert residency.resident(anew, a) == a
+    assert not residency.hear(E, Held(11, 99, frozenset(), incarnation=1_000))
+
+
+def test_uses_of_an_engine_that_started_again_are_void() -> None:
+    uses = AdapterUses()
+    a = AdapterRef("m/a", "1")
+    uses.change(E, a, 1)
+    uses.hear(HostId("h2"), E, a, 2)
+    uses.forget_target(E)
+    assert not uses.on(E)
+    assert uses.change(E, a, -1) <= 0
+    assert not uses.on(E)
--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -87,11 +87,16 @@
     def leave(self) -> None:
         """Count the attempt out."""
         self.state.loads.end(self.target_id, self.tokens, self.has_first)
-        if self.adapter is not None:
+        if self.adapter is not None and self.is_same_start():
             count = self.state.uses.change(self.target_id, self.adapter, -1)
             if not count:
                 self.parts.wants.tell_use(self.target_id, self.adapter, count)
 
+    def is_same_start(self) -> bool:
+        """Return whether the target has not started again since it was chosen."""
+        now = self.state.catalogue.targets.get(self.target_id)
+        return now is None or now.incarnation == self.published.incarnation
+
     def first_event(self) -> None:
         """Count the prompt as read."""
         if not self.has_first:
@@ -174,9 +179,9 @@
             end = AttemptEnd.MISDIRECTED
             if facts.instance and facts.instance != self.target_id:
                 self.judge(Verdict.GONE)
-            elif self.adapter is not None:
+            elif self.adapter is not None and self.is_same_start():
                 self.state.residency.deny(self.published, self.adapter)
-                self.parts.wants.tell_missing(self.target_id, self.adapter)
+                self.parts.wants.tell_missing(self.published, self.adapter)
         else:
             self.judge(Verdict.REJECTED)
         log.info(
--- a/packages/daemon/src/sardinequay_daemon/order_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -7,6 +7,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from dataclasses import replace
 
 from returns.result import Success
 
@@ -149,10 +150,34 @@
             engine = self.ordered.get(target_id)
             if engine is None:
                 self.open_book(published)
+            elif engine.book.incarnation < published.incarnation:
+                self.reopen_book(engine, published)
             else:
                 engine.published = published
                 engine.wake.set()
 
+    def reopen_book(self, engine: OrderedEngine, published: PublishedTarget) -> None:
+        """Begin anew with an engine that started again under its id.
+
+        Nothing of the start before holds. Reports lag, so none is believed that may be
+        older than an order of the start before that reached this one.
+        """
+        old = engine.book
+        log.info(
+            "engine started again",
+            extra={
+                "target": old.target,
+                "before": old.incarnation,
+                "after": published.incarnation,
+            },
+        )
+        engine.published = published
+        engine.book = EngineBook(
+            old.target, old.places, published.incarnation, old.number + 1
+        )
+        engine.book.in_doubt(self.clock.monotonic())
+        engine.wake.set()
+
     def open_book(self, published: PublishedTarget) -> None:
         """Begin to order one engine."""
         target_id = published.target.target_id
@@ -160,9 +185,10 @@
         pool = config.pools[published.target.pool].engines if config else None
         if pool is None or target_id in self.ordered:
             return
-        book = EngineBook(target_id, pool.adapter_slots)
+        book = EngineBook(target_id, pool.adapter_slots, published.incarnation)
         heard = self.heard_holdings.get(target_id)
-        if heard is not None:
+        if heard is not None and heard.incarnation >= book.incarnation:
+            book.incarnation = heard.incarnation
             book.times.inherit(parse_adapter_ref(t).unwrap() for t in heard.recent)
         engine = self.ordered[target_id] = OrderedEngine(published, book)
         engine.task = asyncio.create_task(self.order_engine(engine))
@@ -178,8 +204,8 @@
 
     async def order_engine(self, engine: OrderedEngine) -> None:
         """Carry out what one engine's book decides, for as long as it is open."""
-        book = engine.book
         while True:
+            book = engine.book
             now = self.clock.monotonic()
             engine.wake.clear()
             self.fit_to_memory(engine)
@@ -227,8 +253,14 @@
         report = await self.engines.report(engine.published.target)
         now = self.clock.monotonic()
         if isinstance(report, Success):
+            status = report.unwrap()
+            if status.incarnation > engine.book.incarnation:
+                self.reopen_book(
+                    engine, replace(engine.published, incarnation=status.incarnation)
+                )
+                return
             number = engine.book.number
-            engine.book.take_report(report.unwrap(), asked_at, now)
+            engine.book.take_report(status, asked_at, now)
             if engine.book.number != number:
                 self.log_holdings(engine, "report")
                 self.told()
@@ -246,6 +278,10 @@
         result = await self.engines.order(target, order, terms)
         now = self.clock.monotonic()
         self.candidate.ordered(now)
+        if book is not engine.book:
+            # The engine has started again meanwhile: the order was the last start's.
+            self.note_order(engine, order, "void: the engine started again")
+            return
         if isinstance(result, Success):
             answer = result.unwrap()
             if isinstance(answer, OrderAccepted):
@@ -377,6 +413,8 @@
         if engine is None:
             return Noted()
         if isinstance(message, AdapterMissing):
+            if message.incarnation < engine.book.incarnation:
+                return Noted()
             engine.book.missing(message.adapter, self.clock.monotonic())
         elif message.use.count:
             engine.book.begin_use(message.use.adapter, self.clock.monotonic())
@@ -403,6 +441,7 @@
                 tuple(str(a) for a in e.book.times.recent),
                 len(e.book.wanted),
                 e.book.times.turnover_s,
+                e.book.incarnation,
             )
             for e in self.ordered.values()
             if e.book.orders is not None or e.book.number
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -71,11 +71,21 @@
 
     def take_catalogue(self, catalogue: Catalogue) -> None:
         """Take what the store publishes, and forget targets that are gone."""
-        self.catalogue = catalogue
+        before, self.catalogue = self.catalogue, catalogue
+        for target_id, published in catalogue.targets.items():
+            was = before.targets.get(target_id)
+            if was is not None and was.incarnation < published.incarnation:
+                self.forget_start(target_id)
         known = frozenset(catalogue.targets)
         self.health.forget(known)
         self.residency.forget(known)
 
+    def forget_start(self, target_id: TargetId) -> None:
+        """Drop what was learned of an earlier start of a target."""
+        self.health.forget_target(target_id)
+        self.loads.forget_target(target_id)
+        self.uses.forget_target(target_id)
+
     def take_digest(self, heard: HeardDigest) -> None:
         """Take a peer's share of load, its uses of adapters, and what engines hold."""
         digest = heard.digest
@@ -100,6 +110,7 @@
             frozenset(holdings.recent),
             holdings.queued,
             holdings.turnover_s,
+            holdings.incarnation,
         )
         if self.residency.hear(holdings.target, held) and self.orders is not None:
             self.orders.hear_holdings(holdings)
--- a/packages/daemon/src/sardinequay_daemon/serving_messages.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_messages.py
@@ -35,6 +35,8 @@
         Adapters that wait for a place there.
     turnover_s : float
         Time between two loads while it is full, in seconds.
+    incarnation : int
+        The engine's start of which this is told, in Unix milliseconds.
     """
 
     target: TargetId
@@ -45,6 +47,7 @@
     recent: tuple[str, ...]
     queued: int = 0
     turnover_s: float = 0.0
+    incarnation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,10 +155,11 @@
 
 @dataclass(frozen=True, slots=True)
 class AdapterMissing:
-    """Tells that an engine said it does not hold an adapter."""
+    """Tells that an engine said it does not hold an adapter, and in which start."""
 
     target: TargetId
     adapter: AdapterRef
+    incarnation: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/sardinequay_daemon/store_task.py
+++ b/packages/daemon/src/sardinequay_daemon/store_task.py
@@ -19,6 +19,7 @@
     Absence,
     Catalogue,
     Change,
+    TargetUnreadable,
     expire,
     fold,
     replace_listing,
@@ -52,6 +53,9 @@
 MAX_RECENT_ITEMS = 512
 """Changed items kept for peers that lag; older ones cost a whole listing."""
 
+MAX_UNREADABLE_LOGGED = 200
+"""Items not understood that are logged; a writer gone wrong must not fill the log."""
+
 log = logging.getLogger(__name__)
 
 
@@ -88,6 +92,7 @@
         self.lapse_until: Instant | None = None
         self.failures = 0
         self.must_list = True
+        self.unreadable: set[str] = set()
 
     @property
     def catalogue(self) -> Catalogue:
@@ -217,12 +222,22 @@
     def decode(self, item: StoreItem) -> Change | None:
         """Decode an item; one that is not understood is logged and left out."""
         try:
-            return self.store.decode(item)
+            change = self.store.decode(item)
         except PlatformError as error:
-            log.error(
-                "item not understood", extra={"key": item.key, "detail": str(error)}
-            )
+            self.log_unreadable(item.key, str(error))
             return None
+        if isinstance(change, TargetUnreadable):
+            self.log_unreadable(item.key, change.detail)
+        else:
+            self.unreadable.discard(item.key)
+        return change
+
+    def log_unreadable(self, key: str, detail: str) -> None:
+        """Log an item that is not understood: once until it is, for so many items."""
+        if key in self.unreadable or len(self.unreadable) >= MAX_UNREADABLE_LOGGED:
+            return
+        self.unreadable.add(key)
+        log.error("item not understood", extra={"key": key, "detail": detail})
 
     def publish(self, catalogue: Catalogue) -> None:
         """Make a catalogue known if it says anything new."""
--- a/packages/daemon/src/sardinequay_daemon/wants.py
+++ b/packages/daemon/src/sardinequay_daemon/wants.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass, field
 
+from sardinequay_core.catalogue import PublishedTarget
 from sardinequay_core.names import AdapterRef, TargetId
 
 from .peers import PeerCaller
@@ -57,9 +58,11 @@
         use = AdapterUse(target, adapter, count)
         self.tell_soon(target, UseChanged(orders.me, use))
 
-    def tell_missing(self, target: TargetId, adapter: AdapterRef) -> None:
+    def tell_missing(self, published: PublishedTarget, adapter: AdapterRef) -> None:
         """Tell that an engine denies to have an adapter."""
-        self.tell_soon(target, AdapterMissing(target, adapter))
+        target = published.target.target_id
+        missing = AdapterMissing(target, adapter, published.incarnation)
+        self.tell_soon(target, missing)
 
     def tell_soon(self, target: TargetId, message: AdapterMissing | UseChanged) -> None:
         """Tell whoever orders an engine, without waiting for the answer."""
