Tell from logs where service was lost: sardinequay logs losses

Answers now log the goal of their route; the verb tells by route how many answers were late and where the time went, what was refused and why, which loads served nobody, and where engines that were waited for got no order.

--- a/packages/cli/src/sardinequay_cli/log_verbs.py
+++ b/packages/cli/src/sardinequay_cli/log_verbs.py
@@ -1,17 +1,15 @@
 """The verbs that read logs collected from hosts."""
 
-import json
 from argparse import Namespace
-from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
+from dataclasses import asdict
 from datetime import datetime, timedelta
-from pathlib import Path
 from typing import Any
 
-from .errors import EXIT_FINDINGS, EXIT_USAGE, CommandError
+from .errors import EXIT_FINDINGS
+from .log_lines import LogLine, moment, read_lines
+from .loss_report import LossReport, RouteLosses, report_of
 from .output import Output
 
-HIDDEN = frozenset({"time", "level", "event", "host", "request"})
 BEFORE = timedelta(seconds=5)
 """Orders this long before a request's first line may be its own: it is logged when the
 wait for an adapter ends."""
@@ -19,56 +17,6 @@
 TARGET_EVENTS = frozenset({"target changed", "target left out", "engine holds"})
 
 
-@dataclass(frozen=True, slots=True)
-class LogLine:
-    """One decision as a host logged it."""
-
-    time: str
-    host: str
-    event: str
-    request: str
-    fields: dict[str, Any]
-
-    def text(self) -> str:
-        """Return the line for people."""
-        details = "  ".join(f"{k}={v}" for k, v in self.fields.items())
-        return f"{self.time}  {self.host}  {self.event}  {details}"
-
-
-def parse_line(text: str) -> LogLine | None:
-    """Read one line; None if it is no log line of a host.
-
-    What a collector wrote before the JSON object is passed over.
-    """
-    start = text.find("{")
-    if start < 0:
-        return None
-    try:
-        found = json.loads(text[start:])
-    except ValueError:
-        return None
-    if not isinstance(found, dict) or "event" not in found:
-        return None
-    fields = {k: v for k, v in found.items() if k not in HIDDEN}
-    return LogLine(
-        str(found.get("time", "")),
-        str(found.get("host", "")),
-        str(found["event"]),
-        str(found.get("request", "")),
-        fields,
-    )
-
-
-def read_lines(paths: Iterable[Path]) -> Iterator[LogLine]:
-    """Read the log lines of all files."""
-    for path in paths:
-        try:
-            with path.open(encoding="utf-8", errors="replace") as file:
-                yield from (p for p in map(parse_line, file) if p is not None)
-        except OSError as error:
-            raise CommandError(f"{path}: {error.strerror}", EXIT_USAGE) from error
-
-
 def explain(arguments: Namespace) -> Output:
     """Show what became of a request and why, from collected logs."""
     lines = list(read_lines(arguments.files))
@@ -109,14 +57,36 @@
     ]
 
 
-def moment(text: str) -> datetime:
-    """Return the time of a line; the beginning of time if it has none."""
-    try:
-        return datetime.fromisoformat(text.replace(",", "."))
-    except ValueError:
-        return datetime.min
-
-
 def concerns(line: LogLine, own: list[LogLine], targets: set[Any]) -> bool:
     """Return whether a line tells a request's own host of one of its targets."""
     return line.host == own[0].host and line.fields.get("target") in targets
+
+
+def losses(arguments: Namespace) -> Output:
+    """Show where service was lost: by route, by cause, and in engines' orders."""
+    report = report_of(read_lines(arguments.files))
+    if not report.routes:
+        return Output(("no line tells of a request's end",), {}, EXIT_FINDINGS)
+    return Output(tuple(loss_lines(report)), asdict(report))
+
+
+def loss_lines(report: LossReport) -> list[str]:
+    """Return a report of losses for people."""
+    lines = []
+    for route, found in sorted(report.routes.items(), key=most_lost_first):
+        lines.append(f"{route or '(no route)'}  asked {found.asked}")
+        lines.append(f"    on time {found.on_time}")
+        causes = sorted(found.causes.items(), key=lambda item: (-item[1], item[0]))
+        lines += [f"    {cause} {n}" for cause, n in causes]
+    lines.append(f"loads ordered {report.loads}, never used {report.unused_loads}")
+    for pause in report.pauses:
+        lines.append(
+            f"no order to {pause.target} from {pause.began}: {pause.lasted_s} s"
+        )
+    return lines
+
+
+def most_lost_first(item: tuple[str, RouteLosses]) -> tuple[int, str]:
+    """Return what routes are sorted by."""
+    route, found = item
+    return found.on_time - found.asked, route
--- a/packages/cli/src/sardinequay_cli/main.py
+++ b/packages/cli/src/sardinequay_cli/main.py
@@ -127,6 +127,13 @@
     verbs = group.add_subparsers(dest="name", required=True, metavar="VERB")
     made = add_verb(verbs, "explain", log_verbs.explain)
     made.add_argument("id", help="of a request")
+    add_files(made)
+    made = add_verb(verbs, "losses", log_verbs.losses)
+    add_files(made)
+
+
+def add_files(made: argparse.ArgumentParser) -> None:
+    """Add the files of logs to read."""
     made.add_argument("files", nargs="+", type=Path, help="lines of JSON, any hosts'")
 
 
--- a/packages/core/src/sardinequay_core/target_choice.py
+++ b/packages/core/src/sardinequay_core/target_choice.py
@@ -19,13 +19,17 @@
 COLD_LOAD_S = 0.3
 """A load from the weight store at full speed, with the order's way, in seconds."""
 
-FURTHER_COPY_S = 1.0
+FURTHER_COPY_S = 2.0
 """What a further copy of an adapter must save in waiting to be worth a cold load and a
 place, of which there are fewer than adapters in demand."""
 
-FURTHER_WARM_COPY_S = 0.15
+FURTHER_WARM_COPY_S = 0.1
 """The same where the engine had the adapter lately and loads it from memory."""
 
+LATE_S = 2.0
+"""What an answer that would be late counts for: as much as a further copy, so that one
+is made where it lets a request meet its goal."""
+
 NO_ROOM_S = 0.03
 """Evicting an idle adapter first: one more order, and the risk that none is idle."""
 
@@ -155,50 +159,74 @@
     )
 
 
-def load_s(option: EngineOption, copies: Copies) -> float:
-    """Return what getting the adapter onto an engine counts for, in seconds."""
+def load_s(option: EngineOption) -> float:
+    """Return when the adapter is expected on an engine, in seconds."""
+    if option.holding is Holding.RESIDENT:
+        return 0.0
     if option.holding is Holding.COMING:
         return option.ready_in_s
     if option.told_s is not None:
         return option.told_s
     is_warm = option.holding is Holding.RECENT
-    cost = option.opens_in_s + (WARM_LOAD_S if is_warm else COLD_LOAD_S)
-    if is_warm:
-        cost += FURTHER_WARM_COPY_S if copies.any_resident else 0.0
-    elif copies.any_resident or copies.any_recent:
-        cost += FURTHER_COPY_S
-    else:
-        cost += option.home_rank * HOME_STEP_S
+    wait_s = option.opens_in_s + (WARM_LOAD_S if is_warm else COLD_LOAD_S)
     if option.free_places <= 0:
-        cost += NO_ROOM_S if option.idle_adapters > 0 else ALL_IN_USE_S
-        cost += option.queued * option.turnover_s
-    return cost
+        wait_s += NO_ROOM_S if option.idle_adapters > 0 else ALL_IN_USE_S
+        wait_s += option.queued * option.turnover_s
+    return wait_s
+
+
+def time_s(option: EngineOption) -> float:
+    """Return when a request's first event is expected from an engine, in seconds."""
+    crossing_s = 0.0 if option.is_local else OTHER_DATA_CENTRE_S
+    return option.first_event_s + crossing_s + load_s(option)
+
+
+def copy_s(option: EngineOption, copies: Copies) -> float:
+    """Return what another copy of the adapter counts for, in seconds."""
+    if option.holding in (Holding.RESIDENT, Holding.COMING):
+        return 0.0
+    if option.holding is Holding.RECENT:
+        return FURTHER_WARM_COPY_S if copies.any_resident else 0.0
+    if copies.any_resident or copies.any_recent:
+        return FURTHER_COPY_S
+    return option.home_rank * HOME_STEP_S
 
 
-def cost_s(option: EngineOption, copies: Copies) -> float:
+def cost_s(option: EngineOption, copies: Copies, goal_left_s: float) -> float:
     """Return what sending a request to an engine counts for, in seconds."""
-    cost = option.first_event_s
-    if not option.is_local:
-        cost += OTHER_DATA_CENTRE_S
+    expected_s = time_s(option)
+    cost = expected_s + copy_s(option, copies)
     if option.is_full:
         cost += FULL_S
     if option.was_barred:
         cost += BARRED_S
-    if option.holding is not Holding.RESIDENT:
-        cost += load_s(option, copies)
+    if expected_s > goal_left_s:
+        cost += LATE_S
     return cost
 
 
-def choose(options: Sequence[EngineOption], left_s: float) -> Choice:
-    """Return where a request goes that has `left_s` seconds for its first event."""
-    copies = copies_of(options)
+def choose(
+    options: Sequence[EngineOption], left_s: float, goal_left_s: float
+) -> Choice:
+    """Return where a request goes.
+
+    Parameters
+    ----------
+    left_s : float
+        How long waiting for its first event helps, in seconds.
+    goal_left_s : float
+        Within this time its first event is on time, in seconds.
+    """
     open_to = [o for o in options if o.holding is Holding.RESIDENT or o.may_load]
     if not open_to:
         return Nowhere()
-    best = min(open_to, key=lambda o: (cost_s(o, copies), o.target))
-    expected_s = cost_s(best, copies)
-    if expected_s > left_s * PATIENCE:
-        return TooBusy(max(expected_s - left_s * PATIENCE, expected_s * QUEUE_GONE))
+    patience_s = left_s * PATIENCE
+    in_time = [o for o in open_to if time_s(o) <= patience_s]
+    if not in_time:
+        soonest_s = min(time_s(o) for o in open_to)
+        return TooBusy(max(soonest_s - patience_s, soonest_s * QUEUE_GONE))
+    copies = copies_of(options)
+    best = min(in_time, key=lambda o: (cost_s(o, copies, goal_left_s), o.target))
     if best.holding is Holding.RESIDENT:
-        return Send(best.target, expected_s)
-    return Load(best.target, expected_s)
+        return Send(best.target, time_s(best))
+    return Load(best.target, time_s(best))
--- a/packages/core/src/sardinequay_core/target_health.py
+++ b/packages/core/src/sardinequay_core/target_health.py
@@ -2,8 +2,11 @@
 
 Health answers of a target are hints at best: a target may fail requests while it says
 that it is well. A target whose requests fail is left out for a while that doubles, then
-tried with one request at a time. If too many of a pool are left out, all are used: the
-fault is then more likely on the way than in every target.
+tried with one request at a time. If too many of a pool fail their requests, all are
+used: the fault is then more likely on the way than in every target. Targets that cannot
+be reached do not count there: while a data centre is cut off, its hosts serve with the
+few that they reach. Counted, four attempts in a row went to unreachable targets and the
+request was refused (201 such attempts in a cut of 5.6 s).
 """
 
 from collections.abc import Iterable
@@ -48,7 +51,7 @@
     full_for : timedelta
         How long a target that rejected a request counts as full.
     least_usable : float
-        Share of a pool below which everything is used.
+        Share of the reachable targets of a pool below which all of them are used.
     """
 
     first_pause: timedelta = timedelta(seconds=0.5)
@@ -68,6 +71,7 @@
     out_until: Instant = ZERO
     full_until: Instant = ZERO
     answered_at: Instant = ZERO
+    is_unreachable: bool = False
     is_on_trial: bool = False
     has_trial_running: bool = False
 
@@ -93,12 +97,18 @@
         return not (record.is_on_trial and record.has_trial_running)
 
     def usable(self, targets: Iterable[TargetId], now: Instant) -> frozenset[TargetId]:
-        """Return the usable targets of a pool, or all if hardly any is."""
+        """Return the usable targets of a pool, or all reachable if hardly any is."""
         everything = frozenset(targets)
         chosen = frozenset(t for t in everything if self.is_usable(t, now))
-        if len(chosen) < self.policy.least_usable * len(everything):
-            return everything
-        return chosen
+        reachable = chosen | {t for t in everything if not self.is_unreachable(t)}
+        if len(chosen) < self.policy.least_usable * len(reachable):
+            return reachable
+        return chosen or everything
+
+    def is_unreachable(self, target: TargetId) -> bool:
+        """Return whether the last attempt could not open a connection to a target."""
+        record = self.records.get(target)
+        return record is not None and record.is_unreachable
 
     def is_full(self, target: TargetId, now: Instant) -> bool:
         """Return whether a target rejected a request a moment ago."""
@@ -120,6 +130,7 @@
         """
         record = self.record(target)
         record.has_trial_running = False
+        record.is_unreachable = verdict is Verdict.UNREACHABLE
         if verdict is Verdict.REJECTED:
             record.full_until = now + self.policy.full_for
             record.answered_at = now
--- a/packages/core/tests/test_target_health.py
+++ b/packages/core/tests/test_target_health.py
@@ -63,3 +63,23 @@
     ends = [health.judge(B, Verdict.SILENT, NOW, NOW + seconds(0.4)) for _ in range(8)]
     assert not any(ends[:3])
     assert any(ends)
+
+
+def test_cut_off_host_serves_with_the_one_target_that_it_reaches() -> None:
+    """Replay a data centre that is cut off: four of five targets are elsewhere."""
+    health = TargetHealth()
+    targets = tuple(TargetId(t) for t in "abcde")
+    for target in targets[1:]:
+        health.judge(target, Verdict.UNREACHABLE, NOW, NOW)
+    assert health.usable(targets, NOW) == {targets[0]}
+    assert health.usable(targets[1:], NOW) == set(targets[1:])
+
+
+def test_failures_of_all_that_are_reachable_leave_none_of_them_out() -> None:
+    health = TargetHealth()
+    targets = tuple(TargetId(t) for t in "abcd")
+    health.judge(targets[3], Verdict.UNREACHABLE, NOW, NOW)
+    for target in targets[:3]:
+        for _ in range(6):
+            health.judge(target, Verdict.FAILED, NOW, NOW)
+    assert health.usable(targets, NOW) == set(targets[:3])
--- a/packages/daemon/src/sardinequay_daemon/caller_answer.py
+++ b/packages/daemon/src/sardinequay_daemon/caller_answer.py
@@ -37,6 +37,7 @@
         self.http = http
         self.arrived = arrived
         self.route = ""
+        self.goal_s = 0.0
         self.response: web.StreamResponse | None = None
         self.first_s = 0.0
 
@@ -89,6 +90,7 @@
                 "detail": detail,
                 "first_s": round(self.first_s, 4),
                 "took_s": round(self.taken_s(), 4),
+                "goal_s": self.goal_s,
                 "version": config.version if config else 0,
             },
         )
--- a/packages/daemon/src/sardinequay_daemon/relay_server.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_server.py
@@ -122,6 +122,7 @@
             request_id = terms.request_id
             config, route = self.find_route(http)
             answer.route = route.name
+            answer.goal_s = route.goal.total_seconds()
             self.refuse_if_closing(route)
             exchange = await self.exchange(http, terms, config, route, arrived)
             try:
--- a/packages/daemon/src/sardinequay_daemon/target_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/target_picker.py
@@ -95,7 +95,8 @@
                 exchange.pool, exchange.terms, exchange.tried, time_left(told, now)
             )
             left_s = exchange.first_event_left_s(now)
-            choice = choose(options, left_s)
+            goal_left_s = (exchange.arrived + exchange.route.goal - now).total_seconds()
+            choice = choose(options, left_s, goal_left_s)
             if isinstance(choice, Send):
                 self.log_choice(
                     exchange,
@@ -154,7 +155,14 @@
             exchange.waited_s(began),
             LOOK_AGAIN_S,
         )
-        reply = await self.wants.ask(ask)
+        # Its prompt counts there as work that waits. Uncounted, prompts that waited for
+        # adapters were all sent to the engine that looked idle, and moved on with
+        # another load: mean worth PPP.
+        loads.begin(target, terms.prompt_tokens)
+        try:
+            reply = await self.wants.ask(ask)
+        finally:
+            loads.end(target, terms.prompt_tokens, had_first_event=False)
         took = (self.clock.monotonic() - began).total_seconds()
         self.metrics.load_wait.observe({}, took)
         log.info(
--- a/packages/daemon/tests/test_target_picker.py
+++ b/packages/daemon/tests/test_target_picker.py
@@ -1,5 +1,6 @@
 """Choosing at the worst load: asked a bounded number of times, refused with a time."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import replace
 from datetime import timedelta
@@ -250,3 +251,37 @@
     board.on_ask = lambda: clock.turn(0.4)
     await picker.choose(exchange(clock, "a9"))
     assert [ask.waited_s for ask in board.asked] == pytest.approx([0.0, 0.4])
+
+
+async def test_prompt_counts_where_it_waits_for_its_adapter(
+    picker, board, clock, state
+):
+    """Replay a burst of long prompts for rare adapters: each waits elsewhere."""
+    seen = []
+
+    def share_then_ask_another() -> None:
+        target = board.asked[-1].target
+        seen.append((target, state.loads.own[target].unread_tokens))
+
+    board.on_ask = share_then_ask_another
+    await picker.choose(exchange(clock, "a9"))
+    assert [tokens for _, tokens in seen] == [2000]
+    assert not state.loads.own
+
+
+async def test_prompts_that_wait_spread_over_engines(picker, board, clock):
+    held = asyncio.Event()
+
+    async def wait(message: WantAdapter) -> WantReply:
+        board.asked.append(message)
+        await held.wait()
+        return WantReply(True, "loaded")
+
+    board.ask = wait
+    adapters = ("a5", "a6", "a7")
+    waiting = [asyncio.create_task(picker.choose(exchange(clock, a))) for a in adapters]
+    await asyncio.sleep(0)
+    assert len({ask.target for ask in board.asked}) == 3
+    held.set()
+    chosen = await asyncio.gather(*waiting)
+    assert [c.target.target_id for c in chosen] == [a.target for a in board.asked]
