Judge targets by what all hosts saw of them

Cause, on sixty machines with the code untouched: 397 of 3,099 rigging-book and 879 of 6,526 quote-blurb failed; each host sends an engine one request in ten seconds and a service one in three, so each had to meet a target's failures by itself.

Hosts tell in their digests how requests ended at targets that fail, the good answers too once they hear of failures. Several failures at two hosts or more, and over 0.3 of the answers, leave a target out for all; hosts try it in turn, one a second over all. Broken paths (no connection) are not told. A target that started again begins anew.

--- a/packages/core/src/sardinequay_core/target_choice.py
+++ b/packages/core/src/sardinequay_core/target_choice.py
@@ -26,10 +26,6 @@
 FURTHER_WARM_COPY_S = 0.1
 """The same where the engine had the adapter lately and loads it from memory."""
 
-LATE_S = 2.0
-"""What an answer that would be late counts for: as much as a further copy, so that one
-is made where it lets a request meet its goal."""
-
 NO_ROOM_S = 0.03
 """Evicting an idle adapter first: one more order, and the risk that none is idle."""
 
@@ -192,31 +188,18 @@
     return option.home_rank * HOME_STEP_S
 
 
-def cost_s(option: EngineOption, copies: Copies, goal_left_s: float) -> float:
+def cost_s(option: EngineOption, copies: Copies) -> float:
     """Return what sending a request to an engine counts for, in seconds."""
-    expected_s = time_s(option)
-    cost = expected_s + copy_s(option, copies)
+    cost = time_s(option) + copy_s(option, copies)
     if option.is_full:
         cost += FULL_S
     if option.was_barred:
         cost += BARRED_S
-    if expected_s > goal_left_s:
-        cost += LATE_S
     return cost
 
 
-def choose(
-    options: Sequence[EngineOption], left_s: float, goal_left_s: float
-) -> Choice:
-    """Return where a request goes.
-
-    Parameters
-    ----------
-    left_s : float
-        How long waiting for its first event helps, in seconds.
-    goal_left_s : float
-        Within this time its first event is on time, in seconds.
-    """
+def choose(options: Sequence[EngineOption], left_s: float) -> Choice:
+    """Return where a request goes that has `left_s` seconds for its first event."""
     open_to = [o for o in options if o.holding is Holding.RESIDENT or o.may_load]
     if not open_to:
         return Nowhere()
@@ -226,7 +209,7 @@
         soonest_s = min(time_s(o) for o in open_to)
         return TooBusy(max(soonest_s - patience_s, soonest_s * QUEUE_GONE))
     copies = copies_of(options)
-    best = min(in_time, key=lambda o: (cost_s(o, copies, goal_left_s), o.target))
+    best = min(in_time, key=lambda o: (cost_s(o, copies), o.target))
     if best.holding is Holding.RESIDENT:
         return Send(best.target, time_s(best))
     return Load(best.target, time_s(best))
--- a/packages/core/src/sardinequay_core/target_health.py
+++ b/packages/core/src/sardinequay_core/target_health.py
@@ -13,9 +13,17 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
+from hashlib import blake2b
 
 from .clock import ZERO, Instant
-from .names import TargetId
+from .names import HostId, TargetId
+from .shared_outcomes import OutcomeTally
+
+
+def turn_of(host: HostId) -> float:
+    """Return a number from 0 to 1 that parts the turns of hosts."""
+    digest = blake2b(host.encode(), digest_size=4).digest()
+    return int.from_bytes(digest, "big") / (1 << 32)
 
 
 class Verdict(Enum):
@@ -50,6 +58,8 @@
         Rate of failures above which a target is left out.
     full_for : timedelta
         How long a target that rejected a request counts as full.
+    shared_pause : timedelta
+        How often one host after the other tries a target that hosts together left out.
     least_usable : float
         Share of the reachable targets of a pool below which all of them are used.
     """
@@ -59,6 +69,7 @@
     failure_memory: float = 0.8
     tolerated: float = 0.35
     full_for: timedelta = timedelta(seconds=0.1)
+    shared_pause: timedelta = timedelta(seconds=1)
     least_usable: float = 0.34
 
 
@@ -74,14 +85,24 @@
     is_unreachable: bool = False
     is_on_trial: bool = False
     has_trial_running: bool = False
+    shared_trial_at: Instant | None = None
 
 
 @dataclass(slots=True)
 class TargetHealth:
-    """Records of all targets."""
+    """Records of all targets.
+
+    Parameters
+    ----------
+    turn : float
+        From 0 to 1, where this host comes among those that try a target in turn.
+    """
 
     policy: HealthPolicy = field(default_factory=HealthPolicy)
     records: dict[TargetId, TargetRecord] = field(default_factory=dict)
+    tally: OutcomeTally = field(default_factory=OutcomeTally)
+    turn: float = 0.0
+    hosts: int = 1
 
     def record(self, target: TargetId) -> TargetRecord:
         """Return the record of a target."""
@@ -89,6 +110,8 @@
 
     def is_usable(self, target: TargetId, now: Instant) -> bool:
         """Return whether a request may go to a target now."""
+        if not self.is_shared_turn(target, now):
+            return False
         record = self.records.get(target)
         if record is None:
             return True
@@ -96,6 +119,18 @@
             return False
         return not (record.is_on_trial and record.has_trial_running)
 
+    def is_shared_turn(self, target: TargetId, now: Instant) -> bool:
+        """Return whether hosts together trust a target, or it is this one's to try."""
+        if not self.tally.condemns(target, now):
+            if target in self.records:
+                self.records[target].shared_trial_at = None
+            return True
+        record = self.record(target)
+        if record.shared_trial_at is None:
+            round_s = self.policy.shared_pause * self.hosts
+            record.shared_trial_at = now + round_s * self.turn
+        return now >= record.shared_trial_at
+
     def usable(self, targets: Iterable[TargetId], now: Instant) -> frozenset[TargetId]:
         """Return the usable targets of a pool, or all reachable if hardly any is."""
         everything = frozenset(targets)
@@ -119,6 +154,8 @@
         """Note that a request goes to a target."""
         record = self.record(target)
         record.has_trial_running = record.is_on_trial
+        if record.shared_trial_at is not None:
+            record.shared_trial_at += self.policy.shared_pause * self.hosts
 
     def judge(
         self, target: TargetId, verdict: Verdict, sent_at: Instant, now: Instant
@@ -136,10 +173,15 @@
             record.answered_at = now
             return False
         if verdict is Verdict.GOOD:
+            self.tally.note(target, now, good=1.0)
             self.did_well(record, now)
             return False
         if verdict is Verdict.SILENT and record.answered_at > sent_at:
             return False
+        if verdict is Verdict.FAILED:
+            self.tally.note(target, now, failed=1.0)
+        elif verdict is Verdict.SILENT:
+            self.tally.note(target, now, failed=SILENCE_WEIGHT)
         return self.did_badly(record, verdict, now)
 
     def did_well(self, record: TargetRecord, now: Instant) -> None:
@@ -177,9 +219,10 @@
     def forget_target(self, target: TargetId) -> None:
         """Drop the record of a target that started again."""
         self.records.pop(target, None)
+        self.tally.forget_target(target)
 
     def forget(self, known: frozenset[TargetId]) -> None:
         """Drop the records of targets that are no longer listed."""
         for target in tuple(self.records):
             if target not in known:
-                del self.records[target]
+                self.forget_target(target)
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -91,6 +91,8 @@
         digest = heard.digest
         host_id = digest.host.host_id
         self.loads.hear(host_id, digest.shares, heard.at)
+        self.health.tally.hear(host_id, digest.outcomes, heard.at)
+        self.health.hosts = self.fleet.live_hosts
         self.loads.peer_life = max(PEER_SHARE_LIFE, self.fleet.longest_silence())
         self.uses.peers[host_id] = {(u.target, u.adapter): u.count for u in digest.uses}
         for holdings in digest.holdings:
@@ -118,6 +120,7 @@
     def lose_peer(self, host_id: HostId) -> None:
         """Drop the share of a peer that is gone."""
         self.loads.forget(host_id)
+        self.health.tally.forget(host_id)
         self.uses.peers.pop(host_id, None)
 
     def adapter_uses(self) -> tuple[AdapterUse, ...]:
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -13,6 +13,7 @@
 from sardinequay_core.clock import Clock, Instant, seconds
 from sardinequay_core.names import Address, HostId
 from sardinequay_core.order_lease import Ballot, OrderPolicy, Resign
+from sardinequay_core.target_health import turn_of
 
 from .attempt import RelayParts
 from .decision_log import BoundedOutput
@@ -128,6 +129,7 @@
         self.state = RelayState(
             profile.data_centre, clock, random, bounds.repeats, self.fleet
         )
+        self.state.health.turn = turn_of(profile.host_id)
         self.lease = OrderLeaseTask(
             profile.host_id,
             profile.data_centre,
@@ -223,6 +225,7 @@
             up_s=self.fleet.up_s(),
             store_revision=standing.revision,
             store_age_s=standing.age_s,
+            outcomes=self.state.health.tally.to_tell(self.clock.monotonic()),
         )
 
     def greet(self, host_id: HostId) -> None:
--- a/packages/daemon/src/sardinequay_daemon/serving_messages.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_messages.py
@@ -3,11 +3,12 @@
 Durations travel as seconds.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from sardinequay_core.load_view import EngineShare
 from sardinequay_core.names import AdapterRef, HostId, TargetId
 from sardinequay_core.order_lease import Ballot, Resign, Vote
+from sardinequay_core.shared_outcomes import Outcomes
 
 from .serving_ports import StoreItem
 
@@ -77,6 +78,8 @@
         Up to where the sender knows the store.
     store_age_s : float
         How long ago it last heard the store itself; infinite if never.
+    outcomes : dict
+        How the sender's requests ended at targets at which requests fail.
     """
 
     host: Contact
@@ -90,6 +93,7 @@
     up_s: float
     store_revision: int
     store_age_s: float
+    outcomes: dict[TargetId, Outcomes] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/sardinequay_daemon/target_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/target_picker.py
@@ -95,8 +95,7 @@
                 exchange.pool, exchange.terms, exchange.tried, time_left(told, now)
             )
             left_s = exchange.first_event_left_s(now)
-            goal_left_s = (exchange.arrived + exchange.route.goal - now).total_seconds()
-            choice = choose(options, left_s, goal_left_s)
+            choice = choose(options, left_s)
             if isinstance(choice, Send):
                 self.log_choice(
                     exchange,
