--- a/packages/core/src/sardinequay_core/engine_book.py
+++ b/packages/core/src/sardinequay_core/engine_book.py
@@ -40,6 +40,10 @@
 LATE_LOAD_S = 0.3
 """An engine that denies an adapter this soon after it was due is still loading it."""
 
+LONGEST_LATE_S = 1.0
+"""How long an adapter that the engine denies counts as still loading. Then its load is
+in doubt: an engine that started again unnoticed has lost it for good."""
+
 JUST_LOADED_S = 0.1
 """How long a loaded adapter is kept although no use of it is known yet: those who
 waited for it are on their way, and their uses are told as they begin. Without
@@ -99,6 +103,7 @@
     retiring: AdapterRef | None = None
     dropping: set[AdapterRef] = field(default_factory=set)
     arrived_at: dict[AdapterRef, Instant] = field(default_factory=dict)
+    late_since: dict[AdapterRef, Instant] = field(default_factory=dict)
     refused_unload: dict[AdapterRef, Instant] = field(default_factory=dict)
     model_wanted: str | None = None
     is_busy: bool = False
@@ -221,6 +226,7 @@
         for adapter in tuple(self.coming):
             if adapter not in status.coming:
                 del self.coming[adapter]
+        self.late_since.clear()
         for adapter in status.coming:
             self.coming.setdefault(adapter, now + seconds(self.times.cold_s))
         if self.retiring not in self.used_at:
@@ -273,6 +279,7 @@
             self.arrived(adapter, now)
         else:
             takes_s = self.times.begin(adapter)
+            self.late_since.pop(adapter, None)
             self.coming[adapter] = now + seconds(takes_s)
             self.wanted.pop(adapter, None)
             self.times.took_place(bool(self.wanted), now)
@@ -298,7 +305,9 @@
         del self.used_at[adapter]
         self.changed()
         arrived_at = self.arrived_at.pop(adapter, None)
-        if arrived_at is not None and now - arrived_at < seconds(LATE_LOAD_S):
+        late_for = now - self.late_since.setdefault(adapter, now)
+        is_recent = arrived_at is not None and now - arrived_at < seconds(LATE_LOAD_S)
+        if is_recent and late_for < seconds(LONGEST_LATE_S):
             self.times.was_late(adapter)
             self.coming[adapter] = now + seconds(STILL_COMING_S)
         else:
--- a/packages/core/tests/test_engine_book.py
+++ b/packages/core/tests/test_engine_book.py
@@ -240,3 +240,17 @@
     assert not made.residents()
     made.take_report(status(orders=0, incarnation=2_000), NOW, NOW)
     assert made.orders == 0
+
+
+def test_load_that_is_denied_again_and_again_is_in_doubt(book) -> None:
+    """Replay an engine that started again unnoticed: it has lost what was coming."""
+    book.want(ref("z"), waiter(later(1)))
+    drop = book.next_step({}, later(1))
+    book.accepted(drop, holds_already=True, now=later(1))
+    book.accepted(LoadAdapter(ref("z")), holds_already=False, now=later(1))
+    for tenth in range(13, 40):
+        now = later(tenth / 10)
+        book.settle(now)
+        book.missing(ref("z"), now)
+    assert book.orders is None
+    assert not book.is_ready(ref("z"))
