Keep adapters that are in use open while others wait for their places

A closed adapter's place stood half empty, and its requests had it loaded elsewhere.

A host that drains gives the lease back half a second before its grace ends, also with requests still in flight: it was killed while it waited for the voters' answers.

--- a/packages/core/src/sardinequay_core/engine_book.py
+++ b/packages/core/src/sardinequay_core/engine_book.py
@@ -59,9 +59,6 @@
 RETRY_UNLOAD_S = 0.05
 """Until an unload that met a running request is tried again, in seconds."""
 
-RETIRE_AFTER_S = 0.2
-"""How long a load waits for an idle adapter before one in use is closed to new work."""
-
 REPORT_EVERY_S = 10.0
 """How often an engine is asked although nothing is in doubt, in seconds."""
 
@@ -100,7 +97,6 @@
     demand: DemandTable = field(default_factory=lambda: DemandTable(EVICTION_HALF_LIFE))
     coming: dict[AdapterRef, Instant] = field(default_factory=dict)
     wanted: dict[AdapterRef, Wanted] = field(default_factory=dict)
-    retiring: AdapterRef | None = None
     dropping: set[AdapterRef] = field(default_factory=set)
     arrived_at: dict[AdapterRef, Instant] = field(default_factory=dict)
     late_since: dict[AdapterRef, Instant] = field(default_factory=dict)
@@ -171,7 +167,7 @@
 
     def is_open(self, adapter: AdapterRef) -> bool:
         """Return whether an adapter takes new requests."""
-        return adapter != self.retiring and adapter not in self.dropping
+        return adapter not in self.dropping
 
     def ready_in_s(self, adapter: AdapterRef, now: Instant) -> float | None:
         """Return when an adapter that is coming is expected."""
@@ -229,8 +225,6 @@
         self.late_since.clear()
         for adapter in status.coming:
             self.coming.setdefault(adapter, now + seconds(self.times.cold_s))
-        if self.retiring not in self.used_at:
-            self.retiring = None
         self.dropping &= set(self.used_at)
 
     def arrived(self, adapter: AdapterRef, now: Instant) -> None:
@@ -251,9 +245,6 @@
             for ticket, waiter in tuple(wanted.waiters.items()):
                 if now >= waiter.until:
                     self.cancel(adapter, ticket)
-        if self.retiring is not None and not self.wanted:
-            self.retiring = None
-            self.changed()
 
     def accepted(self, order: Order, holds_already: bool, now: Instant) -> None:
         """Take that an order was accepted, or held already."""
@@ -267,8 +258,6 @@
         adapter = order.adapter
         if isinstance(order, UnloadAdapter):
             self.refused_unload.pop(adapter, None)
-            if self.retiring == adapter:
-                self.retiring = None
             if holds_already:
                 self.used_at.pop(adapter, None)
                 self.arrived_at.pop(adapter, None)
@@ -360,15 +349,7 @@
                 item[0],
             ),
         )
-        for adapter, wanted in ranked:
-            if adapter == self.retiring:
-                # Worth more than what it was to make way for: a load would only be told
-                # that the engine has it, and those who wait would go on waiting. Its
-                # requests begin before anything else is decided.
-                self.retiring = None
-                self.changed()
-                del self.wanted[adapter]
-                return None
+        for adapter, _ in ranked:
             if self.is_ready(adapter):
                 del self.wanted[adapter]
                 continue
@@ -381,7 +362,7 @@
                 return None
             if len(self.used_at) + len(self.coming) < self.places:
                 return LoadAdapter(adapter)
-            return self.make_way(wanted, in_use, now)
+            return self.make_way(in_use, now)
         return None
 
     def older_version(self, adapter: AdapterRef) -> AdapterRef | None:
@@ -405,32 +386,32 @@
             return False
         return now - self.used_at[adapter] >= seconds(JUST_USED_S)
 
-    def make_way(
-        self, wanted: Wanted, in_use: Mapping[AdapterRef, int], now: Instant
-    ) -> Order | None:
-        """Return the order that frees a place, if an adapter can go."""
-        evictable = [
-            a for a in self.used_at if a not in self.wanted and a not in self.dropping
+    def make_way(self, in_use: Mapping[AdapterRef, int], now: Instant) -> Order | None:
+        """Return the order that frees a place, if an adapter can go.
+
+        What is in use stays open to new requests until it falls idle by itself: closed
+        to them, it stood half empty, and they had it loaded elsewhere.
+        """
+        idle = [
+            a
+            for a in self.used_at
+            if a not in self.wanted
+            and a not in self.dropping
+            and not in_use.get(a)
+            and self.is_quiet(a, now)
         ]
-        evictable.sort(key=lambda a: self.staying_rank(a, in_use, now))
-        idle = (a for a in evictable if not in_use.get(a) and self.is_quiet(a, now))
-        for adapter in idle:
+        for adapter in sorted(idle, key=lambda a: self.staying_rank(a, now)):
             order = self.unload(adapter, now)
             if order is not None:
                 return order
         self.times.found_full(now)
-        waited_s = (now - wanted.since()).total_seconds()
-        if self.retiring is None and waited_s > RETIRE_AFTER_S and evictable:
-            self.retiring = evictable[0]
-            self.changed()
         return None
 
     def staying_rank(
-        self, adapter: AdapterRef, in_use: Mapping[AdapterRef, int], now: Instant
-    ) -> tuple[float, int, Instant, AdapterRef]:
+        self, adapter: AdapterRef, now: Instant
+    ) -> tuple[float, Instant, AdapterRef]:
         """Return what adapters are ranked by; the least makes way first."""
-        demand = self.demand.value(adapter, now)
-        return demand, in_use.get(adapter, 0), self.used_at[adapter], adapter
+        return self.demand.value(adapter, now), self.used_at[adapter], adapter
 
     def rest_s(self, now: Instant) -> float:
         """Return how long nothing can change by itself."""
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -65,6 +65,10 @@
 TELL_AGAIN = seconds(1)
 """How long a peer that lost a message believes something old of an engine, at most."""
 
+RESIGN_AHEAD_S = 0.5
+"""How long before its end a host that drains gives the lease back at the latest, in
+seconds: its voters' answers are waited for, and it is killed when its grace is over."""
+
 CLOSE_POLL_S = 0.05
 AnyRunner = web.AppRunner | web.ServerRunner
 log = logging.getLogger(__name__)
@@ -396,6 +400,8 @@
         self.server.is_closing = True
         while self.server.in_flight or self.open_connections():
             taken_s = (self.clock.monotonic() - began).total_seconds()
+            if taken_s > grace_s - RESIGN_AHEAD_S:
+                await self.orders.resign()
             if taken_s > grace_s:
                 left = self.server.in_flight
                 log.error("stopped with requests in flight", extra={"in_flight": left})
