Let a holder keep its lease past the end of its voters' abstention; log each takeover

A voter that was asked by a holder while it abstained now waits for that holder a little longer than two renewals take. A host whose books were opened by the catalogue before its next look did not log that it orders engines.

Seen failing first: the test of the abstention's end, with two and three hosts.

--- a/packages/core/src/sardinequay_core/order_lease.py
+++ b/packages/core/src/sardinequay_core/order_lease.py
@@ -51,6 +51,10 @@
     margin: timedelta = timedelta(seconds=0.15)
     quiet: timedelta = timedelta(seconds=3.1)
     remember: timedelta = timedelta(seconds=30)
+    waits: timedelta = timedelta(seconds=0.5)
+    """How long a voter, once it may vote again, waits for the holder that asked it
+    before: more than the time between two renewals, so that the holder lacks no vote
+    between them."""
     returns: timedelta = timedelta(seconds=1.5)
     """How long voters keep their votes for a holder that has stopped: a process that is
     restarted is back after about half of it, and a successor has to be quiet longer."""
@@ -65,12 +69,15 @@
     is_return : bool
         Whether only votes that are still the candidate's are asked for: it has just
         started, and does not know all hosts yet.
+    is_holder : bool
+        Whether the candidate holds the lease and asks for votes to be renewed.
     """
 
     candidate: HostId
     data_centre: str
     token: int
     is_return: bool = False
+    is_holder: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +141,8 @@
     quiet_since : dict
         Since when each earlier holder has given no order; `NOBODY` stands for those
         that were forgotten.
+    asked_by : HostId
+        The holder that asked for the vote while this host abstained.
     has_stopped : bool
         Whether the holder has said that it stops, so that it gives no orders.
     is_leaving : bool
@@ -151,6 +160,7 @@
     quiet_since: dict[HostId, Instant] = field(default_factory=dict)
     is_leaving: bool = False
     has_stopped: bool = False
+    asked_by: HostId = NOBODY
 
     def __post_init__(self) -> None:
         """Count a holder that may be forgotten as ordering while votes for it last."""
@@ -163,7 +173,9 @@
         is_free = is_renewal or (now >= self.until and not self.is_leaving)
         if ballot.is_return:
             is_free = is_renewal and now < self.until
-        granted = is_free and self.knows_tokens and now >= self.abstains_until
+        if ballot.is_holder and now < self.abstains_until and not self.asked_by:
+            self.asked_by = ballot.candidate
+        granted = is_free and self.knows_tokens and self.may_vote_for(ballot, now)
         if granted:
             if self.holder != ballot.candidate:
                 self.note_previous()
@@ -179,11 +191,22 @@
             self.holder,
             others,
             self.quiet_s(now, ballot),
-            max(0.0, (self.abstains_until - now).total_seconds()),
+            max(0.0, (self.bound_until(ballot) - now).total_seconds()),
             (now - self.abstains_until + self.policy.lease).total_seconds(),
             self.is_leaving,
         )
 
+    def bound_until(self, ballot: Ballot) -> Instant:
+        """Return until when nobody but a candidate can get this host's vote."""
+        waits = self.asked_by == ballot.candidate != NOBODY
+        return self.abstains_until + (self.policy.waits if waits else ZERO)
+
+    def may_vote_for(self, ballot: Ballot, now: Instant) -> bool:
+        """Return whether this host abstains no more, or not from this candidate."""
+        if self.asked_by in (NOBODY, ballot.candidate):
+            return now >= self.abstains_until
+        return now >= self.abstains_until + self.policy.waits
+
     def highest_of_others(self, ballot: Ballot) -> int:
         """Return the highest token that may be another holder's."""
         is_own = self.highest_by == ballot.candidate
@@ -295,7 +318,7 @@
         """Return what to ask voters, with a token above all that are known."""
         if not self.is_holder:
             self.token = self.highest_seen + 1
-        return Ballot(self.me, data_centre, self.token, is_return)
+        return Ballot(self.me, data_centre, self.token, is_return, self.is_holder)
 
     def take(self, voter: HostId, vote: Vote, asked_at: Instant, now: Instant) -> None:
         """Take one voter's answer to a ballot sent at `asked_at`."""
--- a/packages/core/tests/test_order_lease.py
+++ b/packages/core/tests/test_order_lease.py
@@ -185,6 +185,25 @@
     assert world.order(second)
 
 
+@pytest.mark.parametrize("hosts", [2, 3])
+def test_holder_goes_on_past_the_end_of_its_voters_abstention(hosts: int) -> None:
+    world = World(hosts=FIVE_HOSTS[:hosts])
+    holder, *others = FIVE_HOSTS[:hosts]
+    world.canvass(holder)
+    for restarted in others:
+        world.leave(restarted)
+    world.turn(0.1)
+    world.canvass(holder)
+    world.turn(0.15)
+    for restarted in others:
+        world.start(restarted)
+    for _ in range(60):
+        if round(world.now.total_seconds() * 20) % 7 == 0:
+            world.canvass(holder)
+        assert world.order(holder)
+        world.turn(0.05)
+
+
 @pytest.mark.parametrize("hosts", [2, 3, 4, 5])
 def test_holder_that_is_only_restarted_goes_on_at_once(hosts: int) -> None:
     world = World(hosts=FIVE_HOSTS[:hosts])
--- a/packages/daemon/src/sardinequay_daemon/order_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -73,6 +73,7 @@
         self.catalogue = Catalogue()
         self.ordered: dict[TargetId, OrderedEngine] = {}
         self.heard_holdings: dict[TargetId, EngineHoldings] = {}
+        self.is_ordering = False
 
     @property
     def orders_in_s(self) -> float:
@@ -88,13 +89,14 @@
     def follow_lease(self) -> None:
         """Begin or end to order, as the lease says."""
         is_holder = self.lease.is_holder
-        if is_holder and not self.ordered:
+        if is_holder and not self.is_ordering:
             self.take_over()
-        elif not is_holder and self.ordered:
+        elif not is_holder and self.is_ordering:
             self.stop_ordering()
 
     def take_over(self) -> None:
         """Open a book for each engine here."""
+        self.is_ordering = True
         targets = self.engines_here()
         if targets:
             log.info(
@@ -110,6 +112,7 @@
 
     def stop_ordering(self) -> None:
         """Close all books; what waits is told so."""
+        self.is_ordering = False
         log.info("ordering ended", extra={"token": self.candidate.token})
         for target_id in tuple(self.ordered):
             self.close_book(target_id)
@@ -140,7 +143,7 @@
         """Follow engines that come and go."""
         self.catalogue = catalogue
         self.lease.take_catalogue(catalogue)
-        if not self.candidate.is_holder:
+        if not self.is_ordering:
             return
         here = self.engines_here()
         for target_id in tuple(self.ordered):
--- a/packages/daemon/tests/test_order_task.py
+++ b/packages/daemon/tests/test_order_task.py
@@ -111,6 +111,7 @@
         lambda: None,
     )
     made.catalogue = catalogue(FIRST)
+    made.is_ordering = True
     book = EngineBook(E, 2, FIRST)
     book.take_report(holding(FIRST, A), clock.monotonic(), clock.monotonic())
     made.ordered[E] = OrderedEngine(published(FIRST), book)
