Give votes back only to a host that held the lease by them; take over at once

Voters now remember whether the host that has their vote held the lease by it; only then is it given back, and only then does the host do without its own.

A holder's books are opened right after it was chosen; the rest until its next renewal, 0.3 s, passed first unless the catalogue changed. Seen by the test of the whole path, which failed once the catalogue alone opened no books.

--- a/packages/core/src/sardinequay_core/order_lease.py
+++ b/packages/core/src/sardinequay_core/order_lease.py
@@ -67,8 +67,8 @@
     Parameters
     ----------
     is_return : bool
-        Whether only votes that are still the candidate's are asked for: it has just
-        started, and does not know all hosts yet.
+        Whether the candidate has just started, and asks only for votes that it had as
+        the holder and that have not run out since.
     is_holder : bool
         Whether the candidate holds the lease and asks for votes to be renewed.
     """
@@ -143,6 +143,8 @@
         that were forgotten.
     asked_by : HostId
         The holder that asked for the vote while this host abstained.
+    was_held : bool
+        Whether the host that has the vote held the lease when it last asked.
     has_stopped : bool
         Whether the holder has said that it stops, so that it gives no orders.
     is_leaving : bool
@@ -161,6 +163,7 @@
     is_leaving: bool = False
     has_stopped: bool = False
     asked_by: HostId = NOBODY
+    was_held: bool = False
 
     def __post_init__(self) -> None:
         """Count a holder that may be forgotten as ordering while votes for it last."""
@@ -172,7 +175,7 @@
         is_renewal = self.holder == ballot.candidate
         is_free = is_renewal or (now >= self.until and not self.is_leaving)
         if ballot.is_return:
-            is_free = is_renewal and now < self.until
+            is_free = is_renewal and now < self.until and self.was_held
         if ballot.is_holder and now < self.abstains_until and not self.asked_by:
             self.asked_by = ballot.candidate
         granted = is_free and self.knows_tokens and self.may_vote_for(ballot, now)
@@ -180,6 +183,8 @@
             if self.holder != ballot.candidate:
                 self.note_previous()
                 self.holder = ballot.candidate
+                self.was_held = False
+            self.was_held = self.was_held or ballot.is_holder
             self.has_stopped = False
             self.until = now + self.policy.lease
         others = self.highest_of_others(ballot)
@@ -301,6 +306,7 @@
     may_order_from: Instant = ZERO
     last_order_at: Instant | None = None
     is_holder: bool = False
+    is_returning: bool = False
     held_since: Instant | None = None
     granted_at: dict[HostId, Instant] = field(default_factory=dict)
     excused: dict[HostId, Instant] = field(default_factory=dict)
@@ -318,6 +324,9 @@
         """Return what to ask voters, with a token above all that are known."""
         if not self.is_holder:
             self.token = self.highest_seen + 1
+            self.is_returning = is_return
+            if is_return:
+                self.votes.clear()
         return Ballot(self.me, data_centre, self.token, is_return, self.is_holder)
 
     def take(self, voter: HostId, vote: Vote, asked_at: Instant, now: Instant) -> None:
@@ -350,10 +359,8 @@
         self, voter: HostId, vote: Vote, asked_at: Instant, now: Instant
     ) -> None:
         """Do not count a voter that restarted while its vote was this holder's."""
-        if voter == self.me and vote.abstains_s > 0:
-            # It may have forgotten its vote. A majority of the others does without it:
-            # whoever else had it lacks as many of theirs.
-            self.excused[voter] = asked_at + seconds(vote.abstains_s)
+        if voter == self.me:
+            self.excuse_self(vote, asked_at)
         granted_at = self.granted_at.get(voter)
         if not self.is_holder or granted_at is None:
             return
@@ -367,6 +374,17 @@
             1 for v, until in self.votes.items() if v in self.voters and now < until
         )
 
+    def excuse_self(self, vote: Vote, asked_at: Instant) -> None:
+        """Do without the own vote, which this host forgot, if it returns as the holder.
+
+        The votes that it had are proof that it was, and that nobody has been since: a
+        majority of the others suffices, as whoever else had its vote lacks as many of
+        theirs. Without that proof, its vote is what keeps it quiet after others.
+        """
+        self.excused.pop(self.me, None)
+        if self.is_returning and vote.abstains_s > 0:
+            self.excused[self.me] = asked_at + seconds(vote.abstains_s)
+
     def refresh(self, now: Instant) -> None:
         """Become the holder, or stop being it."""
         has_majority = self.valid_votes(now) >= self.quorum(now)
--- a/packages/core/tests/test_order_lease.py
+++ b/packages/core/tests/test_order_lease.py
@@ -209,6 +209,8 @@
     world = World(hosts=FIVE_HOSTS[:hosts])
     holder = FIVE_HOSTS[0]
     world.canvass(holder)
+    world.turn(0.3)
+    world.canvass(holder)
     assert world.order(holder)
     world.leave(holder)
     world.turn(0.6)
@@ -358,6 +360,24 @@
         assert_one_holder(explore_rolls(seed))
 
 
+# Hosts that left were counted by the holder, not by its challenger (the first three);
+# a host that came back took votes as its own that it had not held the lease by.
+@pytest.mark.parametrize("seed", [533, 1113, 2718, 17217, 19324])
+def test_rolls_that_had_two_holders_have_one(seed: int) -> None:
+    assert_one_holder(explore_rolls(seed))
+
+
+def test_vote_that_never_made_a_holder_brings_nobody_back(world: World) -> None:
+    first, second, third = HOSTS
+    world.cut = {frozenset((first, third))}
+    world.canvass(first)
+    world.cut = {frozenset((first, second)), frozenset((second, third))}
+    world.turn(0.1)
+    world.start(first)
+    world.canvass(first, is_return=True)
+    assert not world.candidates[first].is_holder
+
+
 def test_excusing_voters_that_were_not_bound_is_found_out(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/packages/daemon/src/sardinequay_daemon/order_lease_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_lease_task.py
@@ -108,19 +108,17 @@
             wall_s = self.clock.now().timestamp()
             self.voter.learn_revision(catalogue.revision, wall_s)
 
-    async def step(self) -> None:
-        """Stand or renew, then wait until it is time to look again."""
+    async def step(self) -> float:
+        """Stand or renew; return how long to rest until the next look, in seconds."""
         self.notice_sleep()
         if self.may_return():
             await self.canvass(is_return=True)
             self.is_back = self.is_holder
-            await asyncio.sleep(RENEW_S / 4)
         elif self.should_stand():
             await self.canvass()
             self.after_canvass()
-            await asyncio.sleep(RENEW_S)
-        else:
-            await asyncio.sleep(RENEW_S / 4)
+            return RENEW_S
+        return RENEW_S / 4
 
     def may_return(self) -> bool:
         """Return whether voters may have kept their votes for this host's last start.
--- a/packages/daemon/src/sardinequay_daemon/order_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -83,8 +83,9 @@
     async def run(self) -> None:
         """Stand for the lease, and order engines while it is held, for good."""
         while True:
-            await self.lease.step()
+            rest_s = await self.lease.step()
             self.follow_lease()
+            await asyncio.sleep(rest_s)
 
     def follow_lease(self) -> None:
         """Begin or end to order, as the lease says."""
