--- a/packages/core/tests/test_order_lease.py
+++ b/packages/core/tests/test_order_lease.py
@@ -1,5 +1,6 @@
 """The right to order engines: one holder, quiet between two, tokens that rise."""
 
+from collections.abc import Callable
 from random import Random
 
 import pytest
@@ -304,6 +305,17 @@
         assert after[1] == before[1] or after[2] > before[2]
 
 
+def count_broken(run: Callable[[int], World], seeds: int) -> int:
+    """Return how many histories break a promise."""
+    broken = 0
+    for seed in range(seeds):
+        try:
+            assert_one_holder(run(seed))
+        except AssertionError:
+            broken += 1
+    return broken
+
+
 def explore_restarts(seed: int) -> World:
     """Run a history in which voters restart in any order while a holder sleeps.
 
@@ -386,13 +398,7 @@
             self.excused[voter] = asked_at + seconds(9)
 
     monkeypatch.setattr(Candidate, "excuse", excuse)
-    broken = 0
-    for seed in range(3_000):
-        try:
-            assert_one_holder(explore_rolls(seed))
-        except AssertionError:
-            broken += 1
-    assert broken
+    assert count_broken(explore_rolls, 3_000)
 
 
 def test_holder_keeps_its_lease_while_most_hosts_are_restarted_in_turn() -> None:
@@ -422,13 +428,7 @@
     monkeypatch.setattr(
         Voter, "learn_revision", lambda self, r, wall_s: original(self, r, 0.0)
     )
-    broken = 0
-    for seed in range(4_000):
-        try:
-            assert_one_holder(explore_restarts(seed))
-        except AssertionError:
-            broken += 1
-    assert broken
+    assert count_broken(explore_restarts, 4_000)
 
 
 def test_blank_voters_seconds_apart_at_one_revision_bound_tokens_apart(
@@ -480,13 +480,7 @@
         monkeypatch.setattr(Candidate, "may_order", lambda self, now: self.is_holder)
     else:
         monkeypatch.setattr(Candidate, "quorum", lambda self, now: 1)
-    broken = 0
-    for seed in range(400):
-        try:
-            assert_one_holder(explore(seed))
-        except AssertionError:
-            broken += 1
-    assert broken
+    assert count_broken(explore, 400)
 
 
 def test_holder_that_never_ordered_hands_on_who_ordered_before_it(
