Choose the ports of all trials below those of outgoing connections

The stand-ins' hosts were mended the same way before; the function moves to the lab, and both use it.

--- a/packages/lab/src/sardinequay_lab/cluster.py
+++ b/packages/lab/src/sardinequay_lab/cluster.py
@@ -4,7 +4,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -16,6 +15,7 @@
 import aiohttp
 
 from .plan import ENGINE_POOL, SERVICE_POOL, Plan
+from .ports import free_port
 from .trial_files import THRESHOLD, Operator, contents
 
 FIRST_NETWORK = 10
@@ -53,14 +53,6 @@
     advertised: str
 
 
-def free_port(ip: str) -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 def address(ip: str) -> str:
     """Return a free address on an IP number."""
     return f"{ip}:{free_port(ip)}"
