--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -92,7 +92,6 @@
         host_id = digest.host.host_id
         self.loads.hear(host_id, digest.shares, heard.at)
         self.health.tally.hear(host_id, digest.outcomes, heard.at)
-        self.health.hosts = self.fleet.live_hosts
         self.loads.peer_life = max(PEER_SHARE_LIFE, self.fleet.longest_silence())
         self.uses.peers[host_id] = {(u.target, u.adapter): u.count for u in digest.uses}
         for holdings in digest.holdings:
@@ -150,6 +149,7 @@
     def usable(self, pool: PoolName, now: Instant) -> list[PublishedTarget]:
         """Return the targets of a pool that requests may go to."""
         live = self.catalogue.live(pool)
+        self.health.hosts = self.fleet.live_hosts
         usable = self.health.usable((t.target.target_id for t in live), now)
         return [t for t in live if t.target.target_id in usable]
 
--- a/packages/daemon/src/sardinequay_daemon/serving_ports.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_ports.py
@@ -35,8 +35,6 @@
         ``model/adapter``; empty where only the base model is asked for.
     prompt_tokens : int
         Tokens to be read before the first event.
-    answer_tokens : int
-        Tokens that the answer is expected to have.
     wait : timedelta or None
         How long the caller waits, counted from the request's arrival.
     """
@@ -47,7 +45,6 @@
     prompt_tokens: int = 0
     wait: timedelta | None = None
     last_event: str = ""
-    answer_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
