Measure engines' pace together in large fleets; keep hosts a hub lost as voters

Cause: before 195 hosts an engine gets a request of each every half minute, so a pace that each host measures alone says nothing, and a slow engine is found by nobody. Sums of expected and measured times now go with the shares of load and add up over hubs.

Found by a test seen failing first: a host that its hub heard no more was forgotten by its neighbours at once, since they had heard it themselves long ago; those left over could have voted a second holder. It counts for as long as one that fell silent.

Not played at 195 hosts yet.

--- /dev/null
+++ b/packages/core/tests/test_load_view.py
@@ -0,0 +1,111 @@
+"""Load on engines summed over hosts, and their pace by what all measured."""
+
+from random import Random
+
+import pytest
+
+from sardinequay_core.clock import seconds
+from sardinequay_core.load_view import IDLE, EngineShare, LoadView
+from sardinequay_core.names import HostId, TargetId
+
+NOW = seconds(100)
+E, F = TargetId("e"), TargetId("f")
+H1, H2 = HostId("h1"), HostId("h2")
+
+
+def test_sum_over_peers_follows_what_each_told_last() -> None:
+    """Replay digests of many hosts, and compare with a sum made anew."""
+    random = Random(3)
+    view = LoadView()
+    told: dict[HostId, dict[TargetId, EngineShare]] = {}
+    for step in range(500):
+        host = HostId(f"h{random.randrange(40)}")
+        shares = {
+            t: EngineShare(random.randrange(9), random.randrange(3))
+            for t in (E, F)
+            if random.random() < 0.5
+        }
+        if random.random() < 0.1:
+            view.forget(host)
+            told.pop(host, None)
+        else:
+            view.hear(host, shares, NOW)
+            told[host] = shares
+        for target in (E, F):
+            total = IDLE
+            for theirs in told.values():
+                total = total.and_share(theirs.get(target, IDLE))
+            assert view.share(target, NOW) == total, step
+
+
+def test_silent_peer_counts_no_more() -> None:
+    view = LoadView()
+    view.hear(H1, {E: EngineShare(10, 1)}, NOW)
+    view.hear(H2, {E: EngineShare(5, 0)}, NOW + seconds(1))
+    assert view.share(E, NOW + seconds(1)) == EngineShare(15, 1)
+    assert view.share(E, NOW + seconds(2)) == EngineShare(5, 0)
+    assert view.share(E, NOW + seconds(3)) == IDLE
+
+
+def test_host_is_told_the_part_of_all_others() -> None:
+    view = LoadView()
+    view.begin(E, 7)
+    view.hear(H1, {E: EngineShare(10, 1)}, NOW)
+    view.hear(H2, {F: EngineShare(0, 2)}, NOW)
+    assert view.all_but(H1, NOW) == {E: EngineShare(7, 0), F: EngineShare(0, 2)}
+    assert view.all_but(H2, NOW) == {E: EngineShare(17, 1)}
+    assert view.sum_of((H1,), NOW) == {E: EngineShare(17, 1)}
+
+
+def test_sum_from_a_hub_replaces_all_parts() -> None:
+    view = LoadView()
+    view.hear(H1, {E: EngineShare(10, 1)}, NOW)
+    view.hear_all(H2, {E: EngineShare(30, 2)}, NOW)
+    assert view.share(E, NOW) == EngineShare(30, 2)
+
+
+def fleet_of(hosts: int) -> tuple[LoadView, list[LoadView]]:
+    views = [LoadView(measures_together=True) for _ in range(hosts)]
+    return LoadView(measures_together=True), views
+
+
+def exchange(hub: LoadView, hosts: list[LoadView], now) -> None:
+    """Let each host tell its part and hear the sum of the others'."""
+    for number, host in enumerate(hosts):
+        hub.hear(HostId(f"h{number}"), host.to_tell(now), now)
+    for number, host in enumerate(hosts):
+        host.hear_all(HostId("hub"), hub.all_but(HostId(f"h{number}"), now), now)
+
+
+@pytest.mark.parametrize("slow", [1.0, 5.0])
+def test_engine_that_is_slow_for_a_few_hosts_is_slow_for_all(slow: float) -> None:
+    """Replay an engine that reads five times slower, before forty hosts."""
+    hub, hosts = fleet_of(40)
+    usual_s = hosts[0].usual_s(E, 1800, NOW)
+    for host in hosts[:4]:
+        host.measured(E, usual_s, 0.02 + slow * usual_s, NOW)
+    exchange(hub, hosts, NOW)
+    paces = [host.pace_of(E, NOW) for host in hosts]
+    if slow == 1.0:
+        assert paces == pytest.approx([1.0] * 40, abs=0.1)
+    else:
+        assert min(paces) > 2.5
+
+
+def test_engine_that_is_fast_again_gets_requests_again() -> None:
+    hub, hosts = fleet_of(40)
+    usual_s = hosts[0].usual_s(E, 1800, NOW)
+    for host in hosts[:6]:
+        host.measured(E, usual_s, 0.02 + 5 * usual_s, NOW)
+    later = NOW + seconds(6)
+    for host in hosts[6:8]:
+        host.measured(E, usual_s, 0.02 + usual_s, later)
+    exchange(hub, hosts, later)
+    assert max(host.pace_of(E, later) for host in hosts) < 1.8
+
+
+def test_one_odd_measurement_changes_little() -> None:
+    hub, hosts = fleet_of(3)
+    hosts[0].measured(E, 0.01, 0.05, NOW)
+    exchange(hub, hosts, NOW)
+    assert hosts[1].pace_of(E, NOW) < 1.3
--- a/packages/core/tests/test_relay_decisions.py
+++ b/packages/core/tests/test_relay_decisions.py
@@ -94,7 +94,7 @@
     view = LoadView()
     before = view.first_event_s(E, 2000, ZERO)
     for _ in range(20):
-        view.measured(E, view.first_event_s(E, 2000, ZERO), 0.5)
+        view.measured(E, view.usual_s(E, 2000, ZERO), 0.5, ZERO)
     assert view.first_event_s(E, 2000, ZERO) > 3 * before
 
 
--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -61,6 +61,7 @@
         self.adapter = self.find_adapter()
         self.sent_at = self.clock.monotonic()
         self.expected_s = 0.0
+        self.usual_s = 0.0
         self.has_first = False
         self.trace_headers: dict[str, str] = {}
 
@@ -76,6 +77,7 @@
         loads = self.state.loads
         now = self.clock.monotonic()
         self.expected_s = loads.first_event_s(self.target_id, self.tokens, now)
+        self.usual_s = loads.usual_s(self.target_id, self.tokens, now)
         loads.begin(self.target_id, self.tokens)
         if not self.tokens:
             self.first_event()
@@ -293,7 +295,8 @@
 
     def learn_pace(self) -> None:
         """Learn how fast the engine reads from when its first event came."""
-        self.state.loads.measured(self.target_id, self.expected_s, self.taken_s())
+        now = self.clock.monotonic()
+        self.state.loads.measured(self.target_id, self.usual_s, self.taken_s(), now)
 
 
 class Body:
--- a/packages/daemon/src/sardinequay_daemon/digest_writer.py
+++ b/packages/daemon/src/sardinequay_daemon/digest_writer.py
@@ -92,9 +92,10 @@
     def of_host(self, digest: Digest, host_id: HostId) -> Digest:
         """Add this host's own part."""
         now = self.clock.monotonic()
+        loads = self.state.loads
         return replace(
             digest,
-            shares=dict(self.state.loads.own),
+            shares=dict(loads.own) if self.fleet.is_mesh else loads.to_tell(now),
             uses=self.state.adapter_uses(),
             holdings=self.untold_holdings(host_id, self.orders.holdings(), TELL_AGAIN),
             outcomes=self.state.health.tally.to_tell(now),
--- a/packages/daemon/src/sardinequay_daemon/fleet_task.py
+++ b/packages/daemon/src/sardinequay_daemon/fleet_task.py
@@ -95,6 +95,7 @@
         self.missed: dict[HostId, int] = {}
         self.hints: dict[str, Contact] = {}
         self.places = itertools.count()
+        self.last_hub = HostId("")
 
     # Telling.
 
@@ -143,11 +144,19 @@
             self.tell(p for p in self.peers.values() if not self.is_near(p))
             return
         hub = self.hub()
+        self.note_hub(hub)
         if hub == self.me:
             self.tell_other_hubs()
         else:
             self.call(hub)
 
+    def note_hub(self, hub: Contact) -> None:
+        """Log whom this host takes for its hub, when that changes."""
+        if hub.host_id != self.last_hub:
+            extra = {"hub": hub.host_id, "before": self.last_hub}
+            log.info("hub changed", extra=extra)
+            self.last_hub = hub.host_id
+
     def tell_other_hubs(self) -> None:
         """Exchange digests with each other data centre's hub, or look for one there."""
         hubs = {p.contact.data_centre: p for p in self.other_hubs()}
@@ -295,17 +304,17 @@
             leaving_since = known.leaving_since
         self.peers[host_id] = Peer(
             digest.host,
-            now,
-            known.added_at if known else now,
-            digest.is_leaving,
-            digest.holds_lease,
-            digest.orders_in_s,
-            digest.up_s,
-            digest.store_age_s,
-            leaving_since,
-            now,
-            digest.scope in (Scope.DATA_CENTRE, Scope.FLEET),
-            digest.live_hosts,
+            heard_at=now,
+            added_at=known.added_at if known else now,
+            is_leaving=digest.is_leaving,
+            holds_lease=digest.holds_lease,
+            orders_in_s=digest.orders_in_s,
+            up_s=digest.up_s,
+            store_age_s=digest.store_age_s,
+            leaving_since=leaving_since,
+            told_at=now,
+            is_hub=digest.scope in (Scope.DATA_CENTRE, Scope.FLEET),
+            live_hosts=digest.live_hosts,
         )
         self.note_contact(digest.host)
         self.learn(digest.contacts, now)
--- a/packages/daemon/src/sardinequay_daemon/peer_table.py
+++ b/packages/daemon/src/sardinequay_daemon/peer_table.py
@@ -65,6 +65,8 @@
         When it was heard itself, or through a hub if it is one.
     told_at : timedelta
         When it had been up for `up_s`.
+    vouched_at : timedelta
+        When the hub was last known to hear it, once it does not any more.
     live_hosts : int
         Live hosts of its data centre, if it is a hub.
     """
@@ -79,6 +81,7 @@
     store_age_s: float = float("inf")
     leaving_since: Instant = ZERO
     told_at: Instant = ZERO
+    vouched_at: Instant = ZERO
     is_hub: bool = False
     live_hosts: int = 1
 
@@ -255,11 +258,24 @@
         now = self.clock.monotonic()
         self.vouched_at = now
         if notes.members is not None:
-            self.vouched = frozenset(m.contact.host_id for m in notes.members)
+            named = frozenset(m.contact.host_id for m in notes.members)
+            self.end_vouching(self.vouched - named)
+            self.vouched = named
             self.take_members(notes.members, now)
         for neighbour in notes.neighbours:
             self.take_neighbour(neighbour, now)
 
+    def end_vouching(self, hosts: Iterable[HostId]) -> None:
+        """Take that the hub hears some hosts no more.
+
+        They count among the voters for as long as hosts that fell silent to this one.
+        """
+        now = self.clock.monotonic()
+        for host_id in hosts:
+            peer = self.peers.get(host_id)
+            if peer is not None:
+                self.peers[host_id] = replace(peer, vouched_at=now)
+
     def take_members(self, members: Iterable[Member], now: Instant) -> None:
         """Take the live hosts of this data centre, all but the hub."""
         for member in members:
@@ -305,10 +321,10 @@
 
     def last_sign_of(self, peer: Peer) -> Instant:
         """Return when a peer last showed that it lives, or when it became known."""
-        heard_at = peer.heard_at or peer.added_at
+        last = max(peer.heard_at or peer.added_at, peer.vouched_at)
         if peer.contact.host_id in self.vouched:
-            return max(heard_at, self.vouched_at)
-        return heard_at
+            return max(last, self.vouched_at)
+        return last
 
     def voters(self, lease: timedelta) -> tuple[HostId, ...]:
         """Return the hosts of this data centre that count among the voters.
@@ -458,4 +474,6 @@
             return
         long_ago = self.clock.monotonic() - self.alive_for(known)
         self.peers[host_id] = replace(known, heard_at=min(known.heard_at, long_ago))
-        self.vouched -= {host_id}
+        if host_id in self.vouched:
+            self.vouched -= {host_id}
+            self.end_vouching((host_id,))
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -103,6 +103,7 @@
     def take_digest(self, heard: HeardDigest) -> None:
         """Take a peer's share of load, its uses of adapters, and what engines hold."""
         digest = heard.digest
+        self.loads.measures_together = not self.fleet.is_mesh
         self.loads.peer_life = max(PEER_SHARE_LIFE, self.fleet.longest_silence())
         match digest.scope:
             case Scope.HOST | Scope.DATA_CENTRE if self.gathers():
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -330,6 +330,8 @@
             "store_revision": standing.revision,
             "store_age_s": min(standing.age_s, self.fleet.freshest_store_age_s(), 1e6),
             "reads_store": self.fleet.is_reader(),
+            "hub": "" if self.fleet.is_mesh else self.fleet.hub().host_id,
+            "live_hosts": self.fleet.live_hosts,
             "orders_engines": self.lease.is_holder,
             "in_flight": self.server.in_flight,
             "peers": sorted(p.contact.host_id for p in self.fleet.alive()),
--- a/packages/daemon/tests/test_large_fleet.py
+++ b/packages/daemon/tests/test_large_fleet.py
@@ -417,3 +417,15 @@
     uses = (AdapterUse(E, A, 1),)
     plain.state.uses.change(E, A, 1)
     assert plain.tell(keeper.me.host_id).uses == uses
+
+
+def test_host_that_its_hub_hears_no_more_still_counts_among_voters(world: World):
+    """Replay a cut host: forgotten at once, those left could vote a second holder."""
+    lost = world.live("zd")[2]
+    world.pass_time(32)
+    lost.is_down = True
+    world.pass_time(5)
+    others = [h for h in world.live("zd") if not h.orders.lease.is_holder]
+    for host in others:
+        assert lost.me.host_id in host.fleet.voters(seconds(1))
+        assert lost.me.host_id not in {p.contact.host_id for p in host.fleet.alive()}
