Put an adapter on as many engines as its share of requests is due in large fleets

Cause: the adapter most asked for gets a fifth of all requests. Of 39 engines that is the work of eight, but a further copy had to save two seconds of waiting, so copies came one by one behind queues. Hosts of a large fleet now sum demand over their hubs; an adapter on fewer engines than it is due is copied at once. Fleets that are a mesh do as before.

--- a/packages/core/src/sardinequay_core/target_choice.py
+++ b/packages/core/src/sardinequay_core/target_choice.py
@@ -28,6 +28,10 @@
 FURTHER_WARM_COPY_S = 0.1
 """The same where the engine had the adapter lately and loads it from memory."""
 
+DUE_COPY_S = 0.1
+"""What a copy counts for that the adapter's share of all requests is due: enough that
+an idle engine that has it goes first."""
+
 NO_ROOM_S = 0.03
 """Evicting an idle adapter first: one more order, and the risk that none is idle."""
 
@@ -142,18 +146,24 @@
 
 @dataclass(frozen=True, slots=True)
 class Copies:
-    """Whether any engine has a request's adapter, or had it lately."""
+    """Whether any engine has a request's adapter, or had it lately.
+
+    Parameters
+    ----------
+    is_due : bool
+        Whether fewer engines have it than its share of all requests is due.
+    """
 
     any_resident: bool
     any_recent: bool
+    is_due: bool = False
 
 
-def copies_of(options: Sequence[EngineOption]) -> Copies:
+def copies_of(options: Sequence[EngineOption], due: int) -> Copies:
     """Return where a request's adapter is, over all engines."""
-    held = {o.holding for o in options}
-    return Copies(
-        Holding.RESIDENT in held or Holding.COMING in held, Holding.RECENT in held
-    )
+    held = [o.holding for o in options]
+    there = held.count(Holding.RESIDENT) + held.count(Holding.COMING)
+    return Copies(there > 0, Holding.RECENT in held, 0 < there < due)
 
 
 def load_s(option: EngineOption) -> float:
@@ -184,6 +194,8 @@
         return 0.0
     if option.holding is Holding.RECENT:
         return FURTHER_WARM_COPY_S if copies.any_resident else 0.0
+    if copies.is_due:
+        return DUE_COPY_S + option.home_rank * HOME_STEP_S
     if copies.any_resident or copies.any_recent:
         return FURTHER_COPY_S
     return option.home_rank * HOME_STEP_S
@@ -199,8 +211,18 @@
     return cost
 
 
-def choose(options: Sequence[EngineOption], left_s: float) -> Choice:
-    """Return where a request goes that has `left_s` seconds for its first event."""
+def choose(
+    options: Sequence[EngineOption], left_s: float, copies_due: int = 1
+) -> Choice:
+    """Return where a request goes.
+
+    Parameters
+    ----------
+    left_s : float
+        How long the request can wait for its first event, in seconds.
+    copies_due : int
+        On how many engines its adapter should be by its share of all requests.
+    """
     open_to = [o for o in options if o.holding is Holding.RESIDENT or o.may_load]
     if not open_to:
         return Nowhere()
@@ -209,7 +231,7 @@
     if not in_time:
         soonest_s = min(time_s(o) for o in open_to)
         return TooBusy(max(soonest_s - patience_s, soonest_s * QUEUE_GONE))
-    copies = copies_of(options)
+    copies = copies_of(options, copies_due)
     best = min(in_time, key=lambda o: (cost_s(o, copies), o.target))
     if best.holding is Holding.RESIDENT:
         return Send(best.target, time_s(best))
--- a/packages/daemon/src/sardinequay_daemon/digest_writer.py
+++ b/packages/daemon/src/sardinequay_daemon/digest_writer.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from datetime import timedelta
 
+from sardinequay_core.adapter_demand import NO_DEMAND, Demand, most_wanted
 from sardinequay_core.clock import Clock, Instant, seconds
 from sardinequay_core.fleet_topology import Scope, scope_to_tell
 from sardinequay_core.names import HostId
@@ -99,6 +100,7 @@
             uses=self.state.adapter_uses(),
             holdings=self.untold_holdings(host_id, self.orders.holdings(), TELL_AGAIN),
             outcomes=self.state.health.tally.to_tell(now),
+            demand=NO_DEMAND if self.fleet.is_mesh else self.state.demand.own(now),
         )
 
     def of_data_centre(self, digest: Digest, peer: Peer) -> Digest:
@@ -113,6 +115,7 @@
             uses=uses,
             holdings=self.untold_holdings(host_id, self.orders.holdings(), None),
             outcomes=self.state.health.tally.sum_of(here, now),
+            demand=self.most_wanted(here, now),
             live_hosts=self.fleet.live_hosts_here(),
         )
 
@@ -126,10 +129,16 @@
             shares=self.state.loads.all_but(host_id, now),
             holdings=self.untold_holdings(host_id, known, None),
             outcomes=self.state.health.tally.sum_of(others, now),
+            demand=self.most_wanted(others, now),
             live_hosts=self.fleet.live_hosts,
             notes=HubNotes(self.untold_members(host_id), self.fleet.neighbours()),
         )
 
+    def most_wanted(self, hosts: Iterable[HostId], now: Instant) -> Demand:
+        """Return the demand of this host and some others that copies depend on."""
+        demand = self.state.demand.sum_of(hosts, now)
+        return most_wanted(demand, len(self.state.catalogue.targets))
+
     def take_digest(self, heard: HeardDigest) -> None:
         """Notice that a peer started anew, or missed what it was told."""
         host_id = heard.digest.host.host_id
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from sardinequay_core.adapter_demand import AdapterDemand
 from sardinequay_core.catalogue import Catalogue, PublishedTarget
 from sardinequay_core.clock import ZERO, Clock, Instant, seconds
 from sardinequay_core.fleet_topology import Scope
@@ -77,6 +78,7 @@
     residency: Residency = field(default_factory=Residency)
     uses: AdapterUses = field(default_factory=AdapterUses)
     budgets: dict[PoolName, RepeatBudget] = field(default_factory=dict)
+    demand: AdapterDemand = field(default_factory=AdapterDemand)
     orders: OrderTask | None = None
     view_from: HostId | None = None
     view_at: Instant = ZERO
@@ -128,6 +130,7 @@
             self.lose_behind(digest.host)
         self.loads.hear(host_id, digest.shares, now)
         self.health.tally.hear(host_id, digest.outcomes, now)
+        self.demand.hear(host_id, digest.demand, now)
         uses = {(u.target, u.adapter): u.count for u in digest.uses}
         self.uses.replace(host_id, uses)
 
@@ -149,6 +152,7 @@
         self.view_at = now
         self.loads.hear_all(host_id, digest.shares, now)
         self.health.tally.hear_all(host_id, digest.outcomes, now)
+        self.demand.hear_all(host_id, digest.demand, now)
         for peer in tuple(self.uses.peers):
             self.uses.forget(peer)
 
@@ -184,6 +188,7 @@
         self.loads.forget(host_id)
         self.health.tally.forget(host_id)
         self.uses.forget(host_id)
+        self.demand.forget(host_id)
 
     def adapter_uses(self) -> tuple[AdapterUse, ...]:
         """Return this host's uses of adapters, for its peers."""
@@ -221,6 +226,15 @@
         version = self.catalogue.newest.get(terms.adapter, FIRST_VERSION)
         return AdapterRef(terms.adapter, version)
 
+    def copies_due(self, terms: RequestTerms, engines: int) -> int:
+        """Return on how many engines a request's adapter should be.
+
+        In a small fleet the most wanted adapter fits on one.
+        """
+        if self.fleet.is_mesh or not terms.adapter:
+            return 1
+        return self.demand.copies_due(terms.adapter, engines, self.clock.monotonic())
+
     def usable(self, pool: PoolName, now: Instant) -> list[PublishedTarget]:
         """Return the targets of a pool that requests may go to."""
         live = self.catalogue.live(pool)
--- a/packages/daemon/src/sardinequay_daemon/serving_messages.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_messages.py
@@ -5,6 +5,7 @@
 
 from dataclasses import dataclass, field
 
+from sardinequay_core.adapter_demand import NO_DEMAND, Demand
 from sardinequay_core.fleet_topology import Scope
 from sardinequay_core.load_view import EngineShare
 from sardinequay_core.names import AdapterRef, HostId, TargetId
@@ -127,6 +128,8 @@
         How long ago it last heard the store itself; infinite if never.
     outcomes : dict
         How requests ended at targets at which requests fail.
+    demand : Demand
+        What callers ask for, in a large fleet.
     hub : Contact or None
         The hub of the sender's data centre, in a large fleet.
     live_hosts : int
@@ -151,6 +154,7 @@
     store_age_s: float
     outcomes: dict[TargetId, Outcomes] = field(default_factory=dict)
     scope: Scope = Scope.HOST
+    demand: Demand = NO_DEMAND
     hub: Contact | None = None
     live_hosts: int = 1
     notes: HubNotes | None = None
--- a/packages/daemon/src/sardinequay_daemon/target_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/target_picker.py
@@ -89,13 +89,17 @@
         """Return the engine for the next attempt, with the adapter on it."""
         told: dict[TargetId, Instant] = {}
         failed_asks = 0
+        terms = exchange.terms
+        if terms.adapter:
+            self.state.demand.note(terms.adapter, self.clock.monotonic())
         while True:
             now = self.clock.monotonic()
             options = self.state.engine_options(
                 exchange.pool, exchange.terms, exchange.tried, time_left(told, now)
             )
             left_s = exchange.first_event_left_s(now)
-            choice = choose(options, left_s)
+            due = self.state.copies_due(terms, len(options))
+            choice = choose(options, left_s, due)
             if isinstance(choice, Send):
                 self.log_choice(
                     exchange,
