--- a/packages/daemon/src/sardinequay_daemon/fleet_task.py
+++ b/packages/daemon/src/sardinequay_daemon/fleet_task.py
@@ -272,7 +272,8 @@
             return
         peer = self.peers.get(host_id)
         if peer is not None and (peer.is_hub or peer.contact == self.hub()):
-            log.warning("hub lost", extra={"peer": host_id, "misses": misses})
+            if misses == HUB_MISSES:
+                log.warning("hub lost", extra={"peer": host_id})
             self.suspect(host_id)
 
     # Hearing.
