Tell how old a hub's knowledge of the store is; part the hub's table from the peers'

Cause: hosts took a hub elsewhere for fresh whenever their own hub named it, with the age of the store that it had told long before; so a store that nobody reached seemed read a moment ago. The test fails without the mend.

--- a/packages/daemon/src/sardinequay_daemon/fleet_task.py
+++ b/packages/daemon/src/sardinequay_daemon/fleet_task.py
@@ -21,7 +21,8 @@
 from sardinequay_core.fleet_topology import Scope
 from sardinequay_core.names import Address, HostId, parse_address
 
-from .peer_table import Peer, PeerTable
+from .hub_table import HubTable
+from .peer_table import Peer
 from .peers import PeerCaller
 from .serving_messages import Contact, Digest
 
@@ -64,7 +65,7 @@
     has_restarted: bool = False
 
 
-class FleetTask(PeerTable):
+class FleetTask(HubTable):
     """Owns what is known of the other hosts.
 
     Hosts of the own data centre are told more often than others: the one that reads the
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/hub_table.py
@@ -0,0 +1,214 @@
+"""Which host of a data centre is its hub, and what hubs tell of other hosts.
+
+Used in large fleets, see `fleet_topology`. No message is sent from here.
+"""
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from sardinequay_core.clock import ZERO, Clock, Instant, seconds
+from sardinequay_core.names import Address, HostId
+from sardinequay_core.rendezvous import rank
+
+from .peer_table import HUB_ALIVE_FOR, Peer, PeerTable
+from .serving_messages import Contact, HubNotes, Member, Neighbour
+
+HUB_PERIOD_S = 0.1
+HUB_PERIOD_PER_HOST_S = 0.005
+"""Between two exchanges with a hub, and how much longer for each host that it hears:
+0.3 s at 39 hosts. What is known of engines is at most three times as old."""
+
+
+class HubTable(PeerTable):
+    """The other hosts as this one knows them, in a large fleet over hubs.
+
+    Parameters
+    ----------
+    seeds : tuple of Address
+        Addresses to find the others by; one's own is left out.
+    """
+
+    def __init__(self, me: Contact, seeds: tuple[Address, ...], clock: Clock) -> None:
+        super().__init__(me, seeds, clock)
+        self.vouched: frozenset[HostId] = frozenset()
+        self.vouched_at = ZERO
+        self.fleet_hosts = 1
+
+    # Who lives.
+
+    def present(self) -> tuple[Peer, ...]:
+        """Return the peers heard lately, and those that the hub vouches for."""
+        heard = self.heard()
+        vouched = self.vouched_members() - {p.contact.host_id for p in heard}
+        return (*heard, *(self.peers[v] for v in vouched if v in self.peers))
+
+    def vouched_members(self) -> frozenset[HostId]:
+        """Return the hosts here that live by what a hub told lately."""
+        is_new = self.clock.monotonic() - self.vouched_at < HUB_ALIVE_FOR
+        return self.vouched if is_new else frozenset()
+
+    def last_sign_of(self, peer: Peer) -> Instant:
+        """Return when a peer last showed that it lives, or when it became known."""
+        last = super().last_sign_of(peer)
+        if peer.contact.host_id in self.vouched:
+            return max(last, self.vouched_at)
+        return last
+
+    def suspect(self, host_id: HostId) -> None:
+        """Take a peer that did not answer for lost until it is heard again."""
+        super().suspect(host_id)
+        if host_id in self.vouched:
+            self.vouched -= {host_id}
+            self.end_vouching((host_id,))
+
+    @property
+    def live_hosts(self) -> int:
+        """Return how many hosts serve, this one included."""
+        if self.is_mesh:
+            return super().live_hosts
+        if not self.is_hub():
+            return self.fleet_hosts
+        others = sum(p.live_hosts for p in self.other_hubs())
+        return self.live_hosts_here() + others
+
+    def live_hosts_here(self) -> int:
+        """Return how many hosts of a hub's data centre serve, the hub included."""
+        return sum(1 for p in self.reporting() if not p.is_leaving) + 1
+
+    def is_reader(self) -> bool:
+        """Return whether this host reads the store for its data centre."""
+        return super().is_reader() if self.is_mesh else self.is_hub()
+
+    # Who is the hub.
+
+    def hub(self) -> Contact:
+        """Return the hub of this data centre: who orders its engines, if anybody does.
+
+        Until somebody does, hosts that know the same neighbours agree on one.
+        """
+        if self.holds_lease():
+            return self.me
+        holder = self.lease_holder()
+        if holder is not None:
+            return self.peers[holder].contact
+        here = {p.contact.host_id: p.contact for p in self.alive() if self.is_near(p)}
+        here[self.me.host_id] = self.me
+        return here[HostId(rank("hub", here)[0])]
+
+    def is_hub(self) -> bool:
+        """Return whether this host is the hub of its data centre in a large fleet."""
+        return not self.is_mesh and self.hub() == self.me
+
+    def other_hubs(self) -> tuple[Peer, ...]:
+        """Return the live hubs of other data centres, the last heard of each."""
+        newest: dict[str, Peer] = {}
+        for peer in self.heard():
+            if peer.is_hub and not self.is_near(peer):
+                known = newest.get(peer.contact.data_centre)
+                if known is None or (known.heard_at or ZERO) < (peer.heard_at or ZERO):
+                    newest[peer.contact.data_centre] = peer
+        return tuple(newest.values())
+
+    def hub_behind(self, host_id: HostId) -> HostId | None:
+        """Return the hub that speaks for a host of another data centre, if one does."""
+        peer = self.peers.get(host_id)
+        if self.is_mesh or peer is None or self.is_near(peer):
+            return None
+        for hub in self.other_hubs():
+            if hub.contact.data_centre == peer.contact.data_centre:
+                return hub.contact.host_id
+        return None
+
+    def hub_period_s(self) -> float:
+        """Return the time between two exchanges with a hub, in seconds."""
+        return HUB_PERIOD_S + HUB_PERIOD_PER_HOST_S * self.near_peers
+
+    # What hubs tell.
+
+    def reporting(self) -> tuple[Peer, ...]:
+        """Return the hosts of this data centre that this one, its hub, heard lately."""
+        since = self.clock.monotonic() - HUB_ALIVE_FOR
+        return tuple(
+            p
+            for p in self.peers.values()
+            if p.heard_at is not None and p.heard_at > since and self.is_near(p)
+        )
+
+    def members(self) -> tuple[Member, ...]:
+        """Return the live hosts of this data centre, for those that it has."""
+        return tuple(
+            Member(p.contact, round(self.up_of(p), 1), p.is_leaving)
+            for p in self.reporting()
+        )
+
+    def neighbours(self) -> tuple[Neighbour, ...]:
+        """Return the other hubs, for the hosts of this data centre."""
+        now = self.clock.monotonic()
+        return tuple(
+            Neighbour(
+                p.contact,
+                p.orders_in_s,
+                p.store_age_s,
+                (now - (p.heard_at or ZERO)).total_seconds(),
+            )
+            for p in self.other_hubs()
+        )
+
+    def take_notes(self, notes: HubNotes) -> None:
+        """Take from this data centre's hub which other hosts live."""
+        now = self.clock.monotonic()
+        self.vouched_at = now
+        if notes.members is not None:
+            named = frozenset(m.contact.host_id for m in notes.members)
+            self.end_vouching(self.vouched - named)
+            self.vouched = named
+            self.take_members(notes.members, now)
+        for neighbour in notes.neighbours:
+            self.take_neighbour(neighbour, now)
+
+    def end_vouching(self, hosts: Iterable[HostId]) -> None:
+        """Take that the hub hears some hosts no more.
+
+        They count among the voters for as long as hosts that fell silent to this one.
+        """
+        now = self.clock.monotonic()
+        for host_id in hosts:
+            peer = self.peers.get(host_id)
+            if peer is not None:
+                self.peers[host_id] = replace(peer, vouched_at=now)
+
+    def take_members(self, members: Iterable[Member], now: Instant) -> None:
+        """Take the live hosts of this data centre, all but the hub."""
+        for member in members:
+            host_id = member.contact.host_id
+            if host_id == self.me.host_id:
+                continue
+            self.note_contact(member.contact)
+            known = self.peers.get(host_id) or Peer(member.contact, None, now)
+            leaving_since = known.leaving_since if known.is_leaving else now
+            self.peers[host_id] = replace(
+                known,
+                contact=member.contact,
+                up_s=member.up_s,
+                told_at=now,
+                is_leaving=member.is_leaving,
+                leaving_since=leaving_since,
+            )
+        self.count_near()
+
+    def take_neighbour(self, neighbour: Neighbour, now: Instant) -> None:
+        """Take the hub of another data centre."""
+        host_id = neighbour.contact.host_id
+        self.note_contact(neighbour.contact)
+        known = self.peers.get(host_id) or Peer(neighbour.contact, None, now)
+        heard_at = now - seconds(neighbour.age_s)
+        if known.heard_at is None or known.heard_at < heard_at:
+            self.peers[host_id] = replace(
+                known,
+                contact=neighbour.contact,
+                heard_at=heard_at,
+                orders_in_s=neighbour.orders_in_s,
+                store_age_s=neighbour.store_age_s,
+                is_hub=True,
+                is_leaving=False,
+            )
--- a/packages/daemon/src/sardinequay_daemon/serving_messages.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_messages.py
@@ -83,12 +83,15 @@
     orders_in_s : float
         In how long it may order its data centre's engines, in seconds; infinite if
         that is not known.
+    store_age_s : float
+        How long before that it had heard the store, in seconds.
     age_s : float
         How long ago it was heard, in seconds.
     """
 
     contact: Contact
     orders_in_s: float
+    store_age_s: float
     age_s: float
 
 
--- a/packages/daemon/tests/test_large_fleet.py
+++ b/packages/daemon/tests/test_large_fleet.py
@@ -36,7 +36,7 @@
     Digest,
     EngineHoldings,
 )
-from sardinequay_daemon.store_task import StoreStanding
+from sardinequay_daemon.store_task import FRESH_PEER_S, StoreStanding
 
 from .conftest import TurnedClock
 
@@ -58,8 +58,10 @@
 class Store:
     """Knows a revision."""
 
+    age_s: float = 0.1
+
     def standing(self) -> StoreStanding:
-        return StoreStanding(1, 0.1)
+        return StoreStanding(1, self.age_s)
 
 
 @dataclass
@@ -429,3 +431,12 @@
     for host in others:
         assert lost.me.host_id in host.fleet.voters(seconds(1))
         assert lost.me.host_id not in {p.contact.host_id for p in host.fleet.alive()}
+
+
+def test_store_heard_by_a_hub_elsewhere_grows_old_with_what_it_told(world: World):
+    """Replay a store that nobody reaches: hosts must not believe it was just heard."""
+    for host in world.hosts:
+        host.writer.store.age_s = 7.0
+    world.pass_time(2)
+    for host in world.hosts:
+        assert host.fleet.freshest_store_age_s() >= FRESH_PEER_S, host.me
