Let few hosts of a large fleet try a store that is in trouble

Cause: a host that heard of no reader fresher than two seconds read for itself. Now the hub reads, and one more host of a data centre each half second that no hub has heard the store.

--- a/packages/daemon/src/sardinequay_daemon/hub_table.py
+++ b/packages/daemon/src/sardinequay_daemon/hub_table.py
@@ -18,6 +18,14 @@
 """Between two exchanges with a hub, and how much longer for each host that it hears:
 0.3 s at 39 hosts. What is known of engines is at most three times as old."""
 
+HUB_READS_WITHIN_S = 2.0
+"""While some hub has heard the store within this time, the others need not: it is the
+time of a watch with its bound."""
+
+NEXT_READER_S = 0.5
+"""After so long one more host of a data centre tries to read: one that the store serves
+is found soon, and an outage costs few calls."""
+
 
 class HubTable(PeerTable):
     """The other hosts as this one knows them, in a large fleet over hubs.
@@ -76,8 +84,23 @@
         return sum(1 for p in self.reporting() if not p.is_leaving) + 1
 
     def is_reader(self) -> bool:
-        """Return whether this host reads the store for its data centre."""
-        return super().is_reader() if self.is_mesh else self.is_hub()
+        """Return whether this host reads the store for its data centre.
+
+        Where the hub cannot, others try one after the other. When all did, hosts of a
+        large fleet made 2,776 calls in a day of 43 s with two outages of the store.
+        """
+        if self.is_mesh:
+            return super().is_reader()
+        return self.is_hub() or self.is_substitute()
+
+    def is_substitute(self) -> bool:
+        """Return whether it is this host's turn to try what the hub cannot read."""
+        stale_s = self.freshest_store_age_s() - HUB_READS_WITHIN_S
+        if stale_s < 0:
+            return False
+        here = [p.contact.host_id for p in self.alive() if self.is_near(p)]
+        place = rank("reader", [*here, self.me.host_id]).index(self.me.host_id)
+        return place < stale_s / NEXT_READER_S
 
     # Who is the hub.
 
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -126,6 +126,7 @@
             bounds.entry_return,
             self.fleet.is_reader,
             self.fleet.freshest_store_age_s,
+            lambda: not self.fleet.is_mesh,
         )
         self.state = RelayState(
             profile.data_centre, clock, random, bounds.repeats, self.fleet
--- a/packages/daemon/src/sardinequay_daemon/store_task.py
+++ b/packages/daemon/src/sardinequay_daemon/store_task.py
@@ -68,7 +68,13 @@
 
 
 class StoreTask:
-    """Owns the catalogue and the store's items."""
+    """Owns the catalogue and the store's items.
+
+    Parameters
+    ----------
+    has_hub : callable
+        Returns whether others read for this host, also when the store is in trouble.
+    """
 
     def __init__(
         self,
@@ -78,6 +84,7 @@
         entry_return: timedelta,
         is_reader: Callable[[], bool],
         freshest_peer_age_s: Callable[[], float],
+        has_hub: Callable[[], bool] = lambda: False,
     ) -> None:
         self.store = store
         self.clock = clock
@@ -85,6 +92,7 @@
         self.entry_return = entry_return
         self.is_reader = is_reader
         self.freshest_peer_age_s = freshest_peer_age_s
+        self.has_hub = has_hub
         self.catalogues: BehaviorSubject[Catalogue] = BehaviorSubject(Catalogue())
         self.items: dict[str, StoreItem] = {}
         self.removed: dict[str, StoreItem] = {}
@@ -116,7 +124,7 @@
         return (
             is_known
             and not self.is_reader()
-            and self.freshest_peer_age_s() < FRESH_PEER_S
+            and (self.has_hub() or self.freshest_peer_age_s() < FRESH_PEER_S)
         )
 
     async def read_once(self) -> None:
--- a/packages/daemon/tests/test_large_fleet.py
+++ b/packages/daemon/tests/test_large_fleet.py
@@ -440,3 +440,17 @@
     world.pass_time(2)
     for host in world.hosts:
         assert host.fleet.freshest_store_age_s() >= FRESH_PEER_S, host.me
+
+
+def test_outage_of_the_store_makes_few_hosts_read(world: World) -> None:
+    """Replay four seconds without the store, which all hosts tried to read at once."""
+    readers = sum(h.fleet.is_reader() for h in world.hosts)
+    assert readers == len(DATA_CENTRES)
+    for host in world.hosts:
+        host.writer.store.age_s = FOREVER
+    world.pass_time(4)
+    for host in world.hosts:
+        host.writer.store.age_s = 4.0
+    world.pass_time(1)
+    trying = sum(h.fleet.is_reader() for h in world.hosts)
+    assert len(DATA_CENTRES) < trying <= 7 * len(DATA_CENTRES)
--- a/packages/daemon/tests/test_store_task.py
+++ b/packages/daemon/tests/test_store_task.py
@@ -189,3 +189,16 @@
     task.take_from_peer(await peer.answer_fetch(FetchItems(0)))
     assert task.catalogue.config.version == 4
     assert task.catalogue.revision == 9
+
+
+async def test_host_with_a_hub_leaves_trouble_of_the_store_to_it(
+    task, scripted, peers
+) -> None:
+    scripted.answers = [read(item(1, 1), revision=1)]
+    await task.read_once()
+    peers |= {"is_reader": False, "age_s": 9.0}
+    assert not task.may_rely_on_peers()
+    task.has_hub = lambda: True
+    assert task.may_rely_on_peers()
+    peers |= {"is_reader": True}
+    assert not task.may_rely_on_peers()
