Count idle adapters, fresh demand, outcomes and readers by one piece of code each

Ruled out: one base for all decayed sums; what they keep and how they expire differ. Behaviour and tests are unchanged.

--- a/packages/core/src/sardinequay_core/adapter_demand.py
+++ b/packages/core/src/sardinequay_core/adapter_demand.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from .clock import ZERO, Instant, seconds
@@ -111,19 +111,15 @@
 
     def copies_due(self, adapter: str, engines: int, now: Instant) -> int:
         """Return on how many of some engines an adapter should be."""
-        mine = self.own(now)
-        total, count = mine.total, mine.by_adapter.get(adapter, 0)
-        for demand, at in self.peers.values():
-            if now - at < PEER_LIFE:
-                total += demand.total
-                count += demand.by_adapter.get(adapter, 0)
-        if not total:
+        demand = self.sum_of(self.peers, now)
+        if not demand.total:
             return 1
-        return max(1, math.ceil(HEADROOM * engines * count / total - 0.5))
+        count = demand.by_adapter.get(adapter, 0)
+        return max(1, math.ceil(HEADROOM * engines * count / demand.total - 0.5))
 
 
 def most_wanted(demand: Demand, engines: int) -> Demand:
     """Return a demand without the adapters that one engine carries easily."""
     least = demand.total / max(1, engines) / 2
-    kept: Mapping[str, int] = demand.by_adapter
-    return Demand(demand.total, {a: c for a, c in kept.items() if c >= least})
+    kept = {a: c for a, c in demand.by_adapter.items() if c >= least}
+    return Demand(demand.total, kept)
--- a/packages/core/src/sardinequay_core/residency.py
+++ b/packages/core/src/sardinequay_core/residency.py
@@ -210,6 +210,11 @@
         """Return how many requests use each adapter on an engine."""
         return self.total.get(target, NO_USES)
 
+    def idle_among(self, target: TargetId, adapters: Iterable[AdapterRef]) -> int:
+        """Return how many of some adapters on an engine no known request uses."""
+        in_use = self.on(target)
+        return sum(1 for adapter in adapters if adapter not in in_use)
+
     def sum_of(
         self, hosts: Iterable[HostId], targets: Collection[TargetId]
     ) -> dict[tuple[TargetId, AdapterRef], int]:
--- a/packages/core/src/sardinequay_core/shared_outcomes.py
+++ b/packages/core/src/sardinequay_core/shared_outcomes.py
@@ -123,11 +123,7 @@
             mine = self.seen(target, now)
             if not self.is_to_tell(target, mine, now):
                 continue
-            seen = [mine]
-            for host, (outcomes, at) in self.told.get(target, {}).items():
-                if host in hosts and now - at < PEER_LIFE:
-                    seen.append(outcomes.faded((now - at) / HALF_LIFE))
-            found[target] = sum_outcomes(seen)
+            found[target] = sum_outcomes(self.known_of(target, now, hosts))
         return found
 
     def forget(self, host: HostId) -> None:
@@ -143,11 +139,19 @@
         self.own.pop(target, None)
         self.told.pop(target, None)
 
-    def known_of(self, target: TargetId, now: Instant) -> list[Outcomes]:
-        """Return what each host saw of a target that tells of it, this one first."""
+    def known_of(
+        self, target: TargetId, now: Instant, hosts: Collection[HostId] | None = None
+    ) -> list[Outcomes]:
+        """Return what each host saw of a target that tells of it, this one first.
+
+        Parameters
+        ----------
+        hosts : collection of HostId or None
+            The peers to count; None for all.
+        """
         found = [self.seen(target, now)]
-        for outcomes, at in self.told.get(target, {}).values():
-            if now - at < PEER_LIFE:
+        for host, (outcomes, at) in self.told.get(target, {}).items():
+            if now - at < PEER_LIFE and (hosts is None or host in hosts):
                 found.append(outcomes.faded((now - at) / HALF_LIFE))
         return found
 
--- a/packages/daemon/src/sardinequay_daemon/hub_table.py
+++ b/packages/daemon/src/sardinequay_daemon/hub_table.py
@@ -96,11 +96,7 @@
     def is_substitute(self) -> bool:
         """Return whether it is this host's turn to try what the hub cannot read."""
         stale_s = self.freshest_store_age_s() - HUB_READS_WITHIN_S
-        if stale_s < 0:
-            return False
-        here = [p.contact.host_id for p in self.alive() if self.is_near(p)]
-        place = rank("reader", [*here, self.me.host_id]).index(self.me.host_id)
-        return place < stale_s / NEXT_READER_S
+        return stale_s >= 0 and self.reader_place() < stale_s / NEXT_READER_S
 
     # Who is the hub.
 
--- a/packages/daemon/src/sardinequay_daemon/order_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -407,17 +407,12 @@
                 len(e.book.wanted),
                 e.book.times.turnover_s,
                 e.book.incarnation,
-                self.idle_on(e.book),
+                self.uses.idle_among(e.book.target, e.book.residents()),
             )
             for e in self.ordered.values()
             if e.book.orders is not None or e.book.number
         )
 
-    def idle_on(self, book: EngineBook) -> int:
-        """Return how many adapters of an engine no known request uses."""
-        in_use = self.uses.on(book.target)
-        return sum(1 for a in book.residents() if a not in in_use)
-
     def hear_holdings(self, holdings: EngineHoldings) -> None:
         """Remember what another holder tells, to go on from it, and to pass it on."""
         now = self.clock.monotonic()
--- a/packages/daemon/src/sardinequay_daemon/peer_table.py
+++ b/packages/daemon/src/sardinequay_daemon/peer_table.py
@@ -206,9 +206,12 @@
 
     def is_reader(self) -> bool:
         """Return whether this host reads the store for its data centre."""
+        return self.reader_place() < READERS_PER_DATA_CENTRE
+
+    def reader_place(self) -> int:
+        """Return how many live hosts of this data centre come first as readers."""
         here = [p.contact.host_id for p in self.alive() if self.is_near(p)]
-        ranked = rank("reader", [*here, self.me.host_id])
-        return self.me.host_id in ranked[:READERS_PER_DATA_CENTRE]
+        return rank("reader", [*here, self.me.host_id]).index(self.me.host_id)
 
     def freshest_store_age_s(self) -> float:
         """Return how long ago the freshest live peer heard the store."""
@@ -230,13 +233,11 @@
 
         One that is about to stop keeps it until then.
         """
-        holders = [p for p in self.peers.values() if p.holds_lease and self.is_near(p)]
-        if not holders:
-            return None
         now = self.clock.monotonic()
-        for peer in holders:
-            bound = HUB_ALIVE_FOR if not self.is_mesh else self.silence_bound(True)
-            if peer.heard_at is not None and peer.heard_at > now - bound:
+        for peer in self.peers.values():
+            if not peer.holds_lease or not self.is_near(peer) or peer.heard_at is None:
+                continue
+            if peer.heard_at > now - self.alive_for(peer):
                 return peer.contact.host_id
         return None
 
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -325,8 +325,7 @@
         is_mine = self.orders is not None and target_id in self.orders.ordered
         if held.idle is not None and not is_mine and not self.fleet.is_mesh:
             return held.idle
-        in_use = self.uses.on(target_id)
-        return sum(1 for a in held.adapters if a not in in_use)
+        return self.uses.idle_among(target_id, held.adapters)
 
     def holding(
         self,
