Log what a request asks for, and targets that ended under it

Three explanations fit what hosts logged while engines ended one after the other: a request that comes again under new ids ends each engine that runs it; hosts multiply it by their own further attempts; an adapter, or its load, ends engines. Lines named requests by their id only, and each adapter in question had one caller, so the first and the last could not be told apart, nor an engine that ended from one that gave up an answer.

Attempts now carry the id of their content (method, host, path, credentials, body). When a connection breaks at a live target, one question for a new connection tells whether the target has ended; each request there gets a line. Ruled out: asking over the report, which engines price and plain services lack. Nothing is decided by it yet.

--- a/packages/core/src/sardinequay_core/names.py
+++ b/packages/core/src/sardinequay_core/names.py
@@ -15,6 +15,7 @@
 RequestId = NewType("RequestId", str)
 AttemptId = NewType("AttemptId", str)
 Digest = NewType("Digest", str)
+ContentId = NewType("ContentId", str)
 
 MAX_NAME_CHARS = 200
 SEPARATOR = "@"
--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -216,6 +216,7 @@
             extra={
                 "request": exchange.terms.request_id,
                 "target": self.target_id,
+                "content": exchange.content,
                 "end": end.value,
                 "detail": error.detail,
                 "sent_for_s": round(self.taken_s(), 4),
--- a/packages/daemon/src/sardinequay_daemon/exchange.py
+++ b/packages/daemon/src/sardinequay_daemon/exchange.py
@@ -9,7 +9,7 @@
 
 from sardinequay_core.after_attempt import AttemptsSoFar
 from sardinequay_core.clock import Instant, seconds
-from sardinequay_core.names import PoolName, TargetId
+from sardinequay_core.names import ContentId, PoolName, TargetId
 from sardinequay_core.serving import Route
 
 from .errors import DaemonError
@@ -33,6 +33,8 @@
     ----------
     deadline : timedelta
         The earlier of the caller's and the route's, on this host's monotonic clock.
+    content : ContentId
+        What it asks for, the same each time a caller comes with it.
     tried : frozenset
         Targets that failed or rejected the request.
     """
@@ -47,6 +49,7 @@
     arrived: Instant
     deadline: Instant
     span: Span
+    content: ContentId
     so_far: AttemptsSoFar = field(default_factory=AttemptsSoFar)
     tried: frozenset[TargetId] = frozenset()
     last_event: str = ""
--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -8,7 +8,8 @@
 from sardinequay_core.serving import Repetition
 
 from .attempt import Attempt, RelayParts
-from .errors import TargetError
+from .end_watch import BrokenRequest, EndWatch
+from .errors import TargetError, TargetFault
 from .exchange import BrokenOffError, Exchange, Sink
 from .progress import Refused
 from .target_picker import NO_TARGET_RETRY, TargetPicker, come_back, may_have_run
@@ -25,6 +26,9 @@
         self.state = parts.state
         self.clock = parts.state.clock
         self.picker = TargetPicker(parts)
+        self.ends = EndWatch(
+            parts.upstream.accepts, lambda: parts.state.catalogue, parts.metrics
+        )
 
     async def serve(self, exchange: Exchange, sink: Sink) -> None:
         """Serve a request.
@@ -95,6 +99,15 @@
                 end = await attempt.run(sink)
         except TargetError as error:
             end = attempt.failed(error)
+            if error.fault is TargetFault.BROKEN:
+                self.ends.watch(
+                    BrokenRequest(
+                        exchange.terms.request_id,
+                        exchange.content,
+                        published,
+                        attempt.taken_s(),
+                    )
+                )
         finally:
             attempt.leave()
         result = end.value if end else "answered"
--- a/packages/daemon/src/sardinequay_daemon/relay_server.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_server.py
@@ -10,6 +10,7 @@
 from returns.result import Success
 
 from sardinequay_core.clock import Clock, Instant, seconds
+from sardinequay_core.content import content_id
 from sardinequay_core.outcome import Reason, Refusal, not_run
 from sardinequay_core.serving import CallerLimits, Route, ServingConfig
 
@@ -193,6 +194,7 @@
         deadline = arrived + wait
         body = await self.read_body(http, config.limits, deadline)
         span = self.tracing.server_span("request", http.headers)
+        host = http.headers.get("Host", "")
         return Exchange(
             terms,
             route,
@@ -204,6 +206,7 @@
             arrived,
             deadline,
             span,
+            content_id(http.method, host, http.raw_path, terms.caller, body),
             last_event=terms.last_event,
         )
 
--- a/packages/daemon/src/sardinequay_daemon/serving_ports.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_ports.py
@@ -37,6 +37,9 @@
         Tokens to be read before the first event.
     wait : timedelta or None
         How long the caller waits, counted from the request's arrival.
+    caller : str
+        By what the caller is known; empty if the request does not say. A secret: it
+        enters digests only.
     """
 
     request_id: str
@@ -45,6 +48,7 @@
     prompt_tokens: int = 0
     wait: timedelta | None = None
     last_event: str = ""
+    caller: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/sardinequay_daemon/target_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/target_picker.py
@@ -208,6 +208,7 @@
             extra={
                 "request": exchange.terms.request_id,
                 "target": target,
+                "content": exchange.content,
                 "adapter": exchange.terms.adapter,
                 "why": why,
                 "options": options,
--- a/packages/daemon/tests/test_target_picker.py
+++ b/packages/daemon/tests/test_target_picker.py
@@ -22,6 +22,7 @@
 from sardinequay_core.names import (
     AdapterRef,
     Address,
+    ContentId,
     DataCentre,
     HostId,
     PoolName,
@@ -137,6 +138,7 @@
     now = clock.monotonic()
     return Exchange(
         terms=RequestTerms("r1", "m", f"m/{adapter}", 2000, wait),
+        content=ContentId("c"),
         route=ROUTE,
         pool=POOL,
         method="POST",
