Hold requests of a content under which two targets ended

Callers saw engine after engine end, each with all the streams on it, while one caller came again and again with one request. Cause: what a host learned from a target's end it learned about the target, and the next target got the request; a request was forgotten with its id, so neither this host nor another knew it when it came back. Ruled out: the adapter or its load (loads went well at each engine), and hosts' own further attempts (none followed an end).

An end now counts against the content of every request that was there. Hosts tell one another with their digests, whoever saw it. Content with one end runs one at a time in the fleet, by a permit; with two it is refused at once for 5 s, then tried once more, and after a third end held for 10 minutes, then twice as long each time. A whole answer clears a content. At most 1,024 contents.

What was there at two ends by chance is refused for 5 s, too.

--- a/packages/core/src/sardinequay_core/outcome.py
+++ b/packages/core/src/sardinequay_core/outcome.py
@@ -27,6 +27,7 @@
     DEADLINE_EXPIRED = "deadline_expired"
     NO_BUNDLE = "no_bundle"
     OVERLOADED = "overloaded"
+    QUARANTINED = "quarantined"
     LOAD_QUEUE_FULL = "load_queue_full"
     NO_TARGET = "no_target"
     SHUTTING_DOWN = "shutting_down"
--- /dev/null
+++ b/packages/core/src/sardinequay_core/quarantine.py
@@ -0,0 +1,211 @@
+"""Which contents of requests end the targets that run them.
+
+Load pattern: a caller comes again and again with a request that ends each target which
+runs it, under a new request id, at any host. Judging targets alone sends it to the next
+one each time, and each end takes the other requests there with it (ten engines in 12 s,
+until their callers gave up). So an end counts against the content of every request that
+was there, hosts tell one another, and a content that was there at two ends is held.
+
+Most contents at an end are innocent: they were beside the one at fault. A whole answer
+clears a content, and after a short hold a content with two ends is tried once more.
+"""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from .clock import ZERO, Instant
+from .names import ContentId, TargetId
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantinePolicy:
+    """When a content is held, and for how long.
+
+    Parameters
+    ----------
+    held_from : int
+        Ends of targets from which a content is held. One end has all requests on the
+        target for witnesses; the same content at a second one is seldom chance.
+    first_hold : timedelta
+        How long it is held then: until a target that ended is back, so that one more
+        run meets a whole pool.
+    long_hold : timedelta
+        How long it is held after one more end, and twice as long after each further
+        one. A fault of a target's program is not mended sooner.
+    most_ends : int
+        Ends that are kept of one content, which bounds the hold, too.
+    same_end : timedelta
+        Ends of one start of a target within this are one end, told by several hosts.
+    remember : timedelta
+        How long a content that is not held any more stays under suspicion.
+    most_contents : int
+        Contents that are kept; some 300 bytes each.
+    """
+
+    held_from: int = 2
+    first_hold: timedelta = timedelta(seconds=5)
+    long_hold: timedelta = timedelta(minutes=10)
+    most_ends: int = 8
+    same_end: timedelta = timedelta(seconds=2)
+    remember: timedelta = timedelta(hours=1)
+    most_contents: int = 1024
+
+
+@dataclass(frozen=True, slots=True)
+class TargetEnd:
+    """The end of a target that had a request of some content.
+
+    Parameters
+    ----------
+    incarnation : int
+        The target's start that ended, in Unix milliseconds; 0 if it does not say.
+    """
+
+    target: TargetId
+    incarnation: int
+    at: Instant
+
+
+@dataclass(slots=True)
+class Suspicion:
+    """What is known against one content.
+
+    Parameters
+    ----------
+    cleared_at : timedelta or None
+        When a request of it was last answered; ends before that do not count.
+    number : int
+        Of the last change, among those of all contents.
+    """
+
+    ends: list[TargetEnd] = field(default_factory=list)
+    cleared_at: Instant | None = None
+    changed_at: Instant = ZERO
+    number: int = 0
+
+
+@dataclass(slots=True)
+class Quarantine:
+    """The contents under suspicion, as one host knows them.
+
+    Hosts pass on what they hear. All that is told may be lost, repeated or late.
+    """
+
+    policy: QuarantinePolicy = field(default_factory=QuarantinePolicy)
+    suspicions: dict[ContentId, Suspicion] = field(default_factory=dict)
+    number: int = 0
+
+    # What comes in.
+
+    def add(self, content: ContentId, end: TargetEnd, now: Instant) -> bool:
+        """Take that a target ended under such a request; return whether that is new.
+
+        Parameters
+        ----------
+        now : timedelta
+            When this host hears of it.
+        """
+        known = self.suspicions.get(content)
+        if known is not None:
+            if known.cleared_at is not None and end.at <= known.cleared_at:
+                return False
+            if any(self.is_same(end, other) for other in known.ends):
+                return False
+        else:
+            self.make_room()
+            known = self.suspicions[content] = Suspicion()
+        known.ends.append(end)
+        known.ends.sort(key=lambda e: e.at)
+        del known.ends[: -self.policy.most_ends]
+        self.note_change(known, now)
+        return True
+
+    def is_same(self, end: TargetEnd, other: TargetEnd) -> bool:
+        """Return whether two witnesses tell of one end."""
+        return (
+            end.target == other.target
+            and end.incarnation == other.incarnation
+            and abs(end.at - other.at) < self.policy.same_end
+        )
+
+    def clear(self, content: ContentId, at: Instant, now: Instant) -> bool:
+        """Take that a request was answered, or an operator let it go.
+
+        Returns whether that changes anything.
+        """
+        known = self.suspicions.get(content)
+        if known is None:
+            return False
+        if known.cleared_at is not None and at <= known.cleared_at:
+            return False
+        was_suspect = bool(known.ends)
+        known.cleared_at = at
+        known.ends = [e for e in known.ends if e.at > at]
+        if was_suspect:
+            self.note_change(known, now)
+        return was_suspect
+
+    def note_change(self, known: Suspicion, now: Instant) -> None:
+        """Give a change its number."""
+        self.number += 1
+        known.number = self.number
+        known.changed_at = now
+
+    # What follows from it.
+
+    def ends(self, content: ContentId) -> tuple[TargetEnd, ...]:
+        """Return the ends that count against a content, the oldest first."""
+        known = self.suspicions.get(content)
+        return tuple(known.ends) if known is not None else ()
+
+    def held_until(self, content: ContentId) -> Instant | None:
+        """Return until when a content is held; None if it never was."""
+        ends = self.ends(content)
+        further = len(ends) - self.policy.held_from
+        if further < 0:
+            return None
+        hold = self.policy.first_hold
+        if further:
+            hold = self.policy.long_hold * 2 ** (further - 1)
+        return ends[-1].at + hold
+
+    def hold_left(self, content: ContentId, now: Instant) -> timedelta:
+        """Return how long a content is still held; nothing if it is not."""
+        until = self.held_until(content)
+        return max(ZERO, until - now) if until is not None else ZERO
+
+    def is_suspect(self, content: ContentId) -> bool:
+        """Return whether any end counts against a content."""
+        return bool(self.ends(content))
+
+    def held(self, now: Instant) -> tuple[ContentId, ...]:
+        """Return the contents that are held."""
+        return tuple(c for c in self.suspicions if self.hold_left(c, now))
+
+    # What peers are told.
+
+    def changed_since(self, number: int, most: int) -> tuple[ContentId, ...]:
+        """Return the contents that changed after a change, the oldest change first."""
+        if number >= self.number:
+            return ()
+        changed = [c for c, s in self.suspicions.items() if s.number > number]
+        changed.sort(key=lambda c: self.suspicions[c].number)
+        return tuple(changed[:most])
+
+    # Bounds.
+
+    def make_room(self) -> None:
+        """Forget the content with the least against it, the oldest of them."""
+        while len(self.suspicions) >= self.policy.most_contents:
+            least = min(
+                self.suspicions.items(),
+                key=lambda item: (len(item[1].ends), item[1].changed_at),
+            )
+            del self.suspicions[least[0]]
+
+    def expire(self, now: Instant) -> None:
+        """Forget contents of which nothing was heard for long."""
+        for content, known in tuple(self.suspicions.items()):
+            until = self.held_until(content) or known.changed_at
+            if now - max(until, known.changed_at) > self.policy.remember:
+                del self.suspicions[content]
--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -63,6 +63,7 @@
         self.expected_s = 0.0
         self.usual_s = 0.0
         self.has_first = False
+        self.was_served = False
         self.trace_headers: dict[str, str] = {}
 
     def find_adapter(self) -> AdapterRef | None:
@@ -247,6 +248,7 @@
         else:
             await self.pass_whole(answer, sink)
         if not is_failure:
+            self.was_served = True
             self.judge(Verdict.GOOD)
         return None
 
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/content_guard.py
@@ -0,0 +1,253 @@
+"""Keeps requests under which targets end from target after target.
+
+`quarantine` decides; here it learns of targets' ends and of other hosts' knowledge, and
+requests of a content under suspicion run one at a time in the fleet: a host that lives,
+the same for all hosts, gives the permits. Where that host does not answer, each host
+lets one at a time run: callers of a cut-off host are served all the same.
+"""
+
+import asyncio
+import itertools
+import logging
+from collections.abc import Coroutine
+
+from sardinequay_core.clock import Clock, seconds
+from sardinequay_core.names import ContentId, HostId
+from sardinequay_core.outcome import Reason, Refusal, not_run
+from sardinequay_core.quarantine import Quarantine, TargetEnd
+from sardinequay_core.rendezvous import rank
+from sardinequay_core.run_permits import PermitBook
+
+from .content_news import news_of, take_news
+from .end_watch import BrokenRequest, EndWatch
+from .exchange import Exchange
+from .fleet_task import FleetTask, HeardDigest
+from .peers import PeerCaller
+from .progress import Refused
+from .serving_messages import AskPermit, ContentNews, Noted, PermitBack, PermitReply
+from .target_picker import may_have_run
+
+PERMIT_CALL_S = 0.25
+"""Bound on asking for a permit; hosts of a region answer in a few milliseconds."""
+
+LOOK_AGAIN_S = 0.05
+"""How often a request asks for a permit that another run has: about what a plain
+request runs for."""
+
+PERMIT_WAIT_S = 0.5
+"""How long a request waits for a permit, in seconds: what ends targets does so earlier,
+and who waits for a stream to end would be late."""
+
+PERMIT_RETRY = seconds(1)
+"""When to come back if the permit was not free within that time."""
+
+log = logging.getLogger(__name__)
+
+
+class ContentGuard:
+    """Lets requests run, or not, by what became of targets that ran the same before."""
+
+    def __init__(
+        self,
+        me: HostId,
+        quarantine: Quarantine,
+        ends: EndWatch,
+        fleet: FleetTask,
+        peers: PeerCaller,
+        clock: Clock,
+    ) -> None:
+        self.me = me
+        self.quarantine = quarantine
+        self.ends = ends
+        self.fleet = fleet
+        self.peers = peers
+        self.clock = clock
+        self.permits = PermitBook()
+        self.runs = itertools.count()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    # A request on its way.
+
+    def refuse_held(self, exchange: Exchange) -> None:
+        """Refuse a request whose content is held."""
+        now = self.clock.monotonic()
+        left = self.quarantine.hold_left(exchange.content, now)
+        if not left:
+            return
+        if exchange.so_far.runs:
+            raise Refused(may_have_run())
+        ends = self.quarantine.ends(exchange.content)
+        age_s = (now - ends[-1].at).total_seconds()
+        text = (
+            f"{len(ends)} targets ended under requests like it, one {age_s:.1f} s ago"
+        )
+        raise Refused(not_run(Reason.QUARANTINED, text, left))
+
+    async def may_run(self, exchange: Exchange) -> bool:
+        """Return whether a request may run now; after False, look at all anew.
+
+        Raises
+        ------
+        Refused
+            If others like it kept the permit for too long.
+        """
+        content = exchange.content
+        if not self.quarantine.is_suspect(content) or exchange.run:
+            return True
+        run = f"{self.me}/{next(self.runs)}"
+        if await self.is_permitted(run, content):
+            exchange.run = run
+            # What the giver knows may be news here.
+            return not self.quarantine.hold_left(content, self.clock.monotonic())
+        exchange.permit_waits += 1
+        if exchange.permit_waits * LOOK_AGAIN_S > PERMIT_WAIT_S:
+            raise Refused(self.not_permitted(exchange))
+        await asyncio.sleep(LOOK_AGAIN_S)
+        return False
+
+    def not_permitted(self, exchange: Exchange) -> Refusal:
+        """Return the refusal of a request that waited for another like it."""
+        if exchange.so_far.runs:
+            return may_have_run()
+        text = "a target ended under a request like it, and another like it runs now"
+        return not_run(Reason.QUARANTINED, text, PERMIT_RETRY)
+
+    async def settled(self, exchange: Exchange) -> None:
+        """Wait until it is known whether the last target ended under a request."""
+        verdict, exchange.verdict = exchange.verdict, None
+        if verdict is None:
+            return
+        left_s = exchange.left(self.clock.monotonic()).total_seconds()
+        await asyncio.wait((verdict,), timeout=max(0.0, left_s))
+        if exchange.left(self.clock.monotonic()) <= seconds(0):
+            raise Refused(may_have_run())
+
+    def broke(self, exchange: Exchange, broken: BrokenRequest) -> None:
+        """Take that a request's connection broke; nobody's answer waits for more."""
+        exchange.verdict = self.start(self.learn(broken))
+
+    async def learn(self, broken: BrokenRequest) -> None:
+        """Find out whether the target ended, and count that against the content."""
+        if not await self.ends.ended_under(broken):
+            return
+        now = self.clock.monotonic()
+        published = broken.published
+        end = TargetEnd(published.target.target_id, published.incarnation, now)
+        if self.quarantine.add(broken.content, end, now):
+            self.changed(broken.content)
+
+    def answered(self, content: ContentId) -> None:
+        """Take that a request was answered: it ends no target."""
+        now = self.clock.monotonic()
+        if self.quarantine.clear(content, now, now):
+            log.info("content cleared", extra={"content": content})
+            self.fleet.tell_soon(far=True)
+
+    def lift(self, content: ContentId) -> bool:
+        """Let a content go at an operator's word; return whether it was suspect."""
+        now = self.clock.monotonic()
+        is_known = self.quarantine.clear(content, now, now)
+        log.warning("quarantine lifted", extra={"content": content, "known": is_known})
+        if is_known:
+            self.fleet.tell_soon(far=True)
+        return is_known
+
+    def leave(self, exchange: Exchange) -> None:
+        """Give a request's permit back once it is known what the run did."""
+        if exchange.run:
+            self.start(self.give_back(exchange))
+
+    # Permits.
+
+    def giver(self, content: ContentId) -> HostId:
+        """Return the host that gives a content's permits: the same for all hosts."""
+        return HostId(rank(content, self.fleet.known_to_all())[0])
+
+    async def is_permitted(self, run: str, content: ContentId) -> bool:
+        """Ask for the permit to run."""
+        now = self.clock.monotonic()
+        giver = self.giver(content)
+        address = self.fleet.address_of(giver)
+        if giver == self.me or address is None:
+            return self.permits.grant(content, run, now)
+        ask = AskPermit(run, news_of(self.quarantine, content, now))
+        answer = await self.peers.call(address, ask, PERMIT_CALL_S)
+        reply = answer.value_or(None)
+        if not isinstance(reply, PermitReply):
+            log.warning("no permit giver", extra={"content": content, "peer": giver})
+            return self.permits.grant(content, run, now)
+        self.hear(reply.news)
+        return reply.is_granted
+
+    async def answer_ask(self, ask: AskPermit) -> PermitReply:
+        """Give a permit, unless another run has it or the content is held."""
+        self.hear(ask.news)
+        content = ask.news.content
+        now = self.clock.monotonic()
+        is_granted = not self.quarantine.hold_left(content, now) and self.permits.grant(
+            content, ask.run, now
+        )
+        return PermitReply(is_granted, news_of(self.quarantine, content, now))
+
+    async def give_back(self, exchange: Exchange) -> None:
+        """Give a permit back, with what the run showed."""
+        if exchange.verdict is not None:
+            await asyncio.wait((exchange.verdict,))
+        content, run = exchange.content, exchange.run
+        self.permits.give_back(content, run)
+        giver = self.giver(content)
+        address = self.fleet.address_of(giver)
+        if giver != self.me and address is not None:
+            now = self.clock.monotonic()
+            back = PermitBack(run, news_of(self.quarantine, content, now))
+            await self.peers.call(address, back, PERMIT_CALL_S)
+
+    async def answer_back(self, back: PermitBack) -> Noted:
+        """Take a permit back."""
+        self.hear(back.news)
+        self.permits.give_back(back.news.content, back.run)
+        return Noted()
+
+    # News.
+
+    def take_digest(self, heard: HeardDigest) -> None:
+        """Take what a peer knows against contents."""
+        for news in heard.digest.contents:
+            self.hear(news)
+
+    def hear(self, news: ContentNews) -> None:
+        """Take what a peer knows against a content."""
+        if take_news(self.quarantine, news, self.clock.monotonic()):
+            self.changed(news.content)
+
+    def changed(self, content: ContentId) -> None:
+        """Log a content that is held from now on, and have peers told."""
+        now = self.clock.monotonic()
+        left = self.quarantine.hold_left(content, now)
+        if left:
+            ends = self.quarantine.ends(content)
+            log.warning(
+                "content quarantined",
+                extra={
+                    "content": content,
+                    "targets": [e.target for e in ends],
+                    "ages_s": [round((now - e.at).total_seconds(), 3) for e in ends],
+                    "hold_s": round(left.total_seconds(), 3),
+                },
+            )
+        self.fleet.tell_soon(far=True)
+
+    # Upkeep.
+
+    def start(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
+        """Start work that nobody waits for."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    def expire(self) -> None:
+        """Forget what is old."""
+        now = self.clock.monotonic()
+        self.quarantine.expire(now)
+        self.permits.expire(now)
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/content_news.py
@@ -0,0 +1,38 @@
+"""What hosts tell one another of contents under suspicion, to and from messages.
+
+Moments travel as ages, since no two hosts' monotonic clocks agree.
+"""
+
+from sardinequay_core.clock import Instant, seconds
+from sardinequay_core.names import ContentId
+from sardinequay_core.quarantine import Quarantine, TargetEnd
+
+from .serving_messages import ContentNews, EndSeen
+
+
+def age_s(at: Instant, now: Instant) -> float:
+    """Return how long ago a moment was, in seconds."""
+    return round((now - at).total_seconds(), 3)
+
+
+def news_of(quarantine: Quarantine, content: ContentId, now: Instant) -> ContentNews:
+    """Return what this host knows against a content."""
+    known = quarantine.suspicions.get(content)
+    if known is None:
+        return ContentNews(content, ())
+    ends = tuple(EndSeen(e.target, e.incarnation, age_s(e.at, now)) for e in known.ends)
+    cleared_at = known.cleared_at
+    return ContentNews(
+        content, ends, None if cleared_at is None else age_s(cleared_at, now)
+    )
+
+
+def take_news(quarantine: Quarantine, news: ContentNews, now: Instant) -> bool:
+    """Take what a peer knows against a content; return whether anything is new."""
+    is_new = False
+    if news.cleared_s is not None:
+        is_new = quarantine.clear(news.content, now - seconds(news.cleared_s), now)
+    for seen in news.ends:
+        end = TargetEnd(seen.target, seen.incarnation, now - seconds(seen.age_s))
+        is_new = quarantine.add(news.content, end, now) or is_new
+    return is_new
--- a/packages/daemon/src/sardinequay_daemon/digest_writer.py
+++ b/packages/daemon/src/sardinequay_daemon/digest_writer.py
@@ -9,17 +9,28 @@
 from sardinequay_core.fleet_topology import Scope, scope_to_tell
 from sardinequay_core.names import HostId
 
+from .content_news import news_of
 from .fleet_task import FleetTask, HeardDigest
 from .order_task import OrderTask
 from .peer_table import Peer
 from .relay_state import RelayState
-from .serving_messages import Contact, Digest, EngineHoldings, HubNotes, Member
+from .serving_messages import (
+    Contact,
+    ContentNews,
+    Digest,
+    EngineHoldings,
+    HubNotes,
+    Member,
+)
 from .store_task import StoreTask
 
 TELL_AGAIN = seconds(1)
 """How long a peer that lost a message believes something old of an engine, at most."""
 
 
+MOST_CONTENTS = 64
+"""Contents of requests in one digest; more follow with the next."""
+
 Known = tuple[int, int, int, int | None]
 MemberState = frozenset[tuple[Contact, bool, int]]
 
@@ -45,6 +56,7 @@
         self.told: dict[HostId, dict[str, tuple[Known, Instant]]] = {}
         self.contacts_told: dict[HostId, int] = {}
         self.members_told: dict[HostId, MemberState] = {}
+        self.contents_told: dict[HostId, int] = {}
         self.greeted: set[HostId] = set()
 
     def digest(self, host_id: HostId) -> Digest:
@@ -65,6 +77,7 @@
             store_revision=standing.revision,
             store_age_s=standing.age_s,
             has_missed=host_id in self.fleet.missed,
+            contents=self.untold_contents(host_id),
         )
         if self.fleet.is_mesh:
             return self.of_host(digest, host_id)
@@ -156,6 +169,7 @@
         """Have a peer told again what it may have missed."""
         self.contacts_told.pop(host_id, None)
         self.members_told.pop(host_id, None)
+        self.contents_told.pop(host_id, None)
         self.told.pop(host_id, None)
 
     def untold_contacts(self, host_id: HostId) -> tuple[Contact, ...]:
@@ -168,6 +182,21 @@
         self.contacts_told[host_id] = len(self.fleet.contact_log)
         return self.fleet.contacts_since(first)
 
+    def untold_contents(self, host_id: HostId) -> tuple[ContentNews, ...]:
+        """Return what is known against contents of which a peer was not told yet.
+
+        Also what others told this host: so it outlives the host that saw it, and a
+        host that starts anew knows it with its first digest.
+        """
+        quarantine = self.state.quarantine
+        first = self.contents_told.get(host_id, 0)
+        changed = quarantine.changed_since(first, MOST_CONTENTS)
+        if not changed:
+            return ()
+        self.contents_told[host_id] = quarantine.suspicions[changed[-1]].number
+        now = self.clock.monotonic()
+        return tuple(news_of(quarantine, content, now) for content in changed)
+
     def untold_members(self, host_id: HostId) -> tuple[Member, ...] | None:
         """Return the live hosts here, or None if a peer knows just these."""
         members = self.fleet.members()
--- a/packages/daemon/src/sardinequay_daemon/end_watch.py
+++ b/packages/daemon/src/sardinequay_daemon/end_watch.py
@@ -61,13 +61,6 @@
         self.catalogue = catalogue
         self.metrics = metrics
         self.asking: dict[tuple[TargetId, int], asyncio.Task[bool]] = {}
-        self.watching: set[asyncio.Task[bool]] = set()
-
-    def watch(self, broken: BrokenRequest) -> None:
-        """Find out in the background; nobody's answer waits for it."""
-        task = asyncio.create_task(self.ended_under(broken))
-        self.watching.add(task)
-        task.add_done_callback(self.watching.discard)
 
     async def ended_under(self, broken: BrokenRequest) -> bool:
         """Return whether a target ended, unplanned, while it had a request."""
--- a/packages/daemon/src/sardinequay_daemon/exchange.py
+++ b/packages/daemon/src/sardinequay_daemon/exchange.py
@@ -1,5 +1,6 @@
 """One request on its way, and where its answer goes."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -37,6 +38,12 @@
         What it asks for, the same each time a caller comes with it.
     tried : frozenset
         Targets that failed or rejected the request.
+    run : str
+        The permit that it has, if its content is under suspicion.
+    permit_waits : int
+        How often it found that another run had the permit.
+    verdict : Task or None
+        Finds out whether the last target ended under it.
     """
 
     terms: RequestTerms
@@ -54,6 +61,9 @@
     tried: frozenset[TargetId] = frozenset()
     last_event: str = ""
     has_begun: bool = False
+    run: str = ""
+    permit_waits: int = 0
+    verdict: asyncio.Task[None] | None = None
 
     def left(self, now: Instant) -> timedelta:
         """Return the time that is left for an answer of this host's own."""
--- a/packages/daemon/src/sardinequay_daemon/hub_table.py
+++ b/packages/daemon/src/sardinequay_daemon/hub_table.py
@@ -138,6 +138,13 @@
                 return hub.contact.host_id
         return None
 
+    def known_to_all(self) -> list[HostId]:
+        """Return live hosts that all hosts know: everybody in a mesh, else the hubs."""
+        if self.is_mesh:
+            return [self.me.host_id, *(p.contact.host_id for p in self.alive())]
+        others = [p.contact.host_id for p in self.other_hubs()]
+        return [self.hub().host_id, *others]
+
     def hub_period_s(self) -> float:
         """Return the time between two exchanges with a hub, in seconds."""
         return HUB_PERIOD_S + HUB_PERIOD_PER_HOST_S * self.near_peers
--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -8,7 +8,8 @@
 from sardinequay_core.serving import Repetition
 
 from .attempt import Attempt, RelayParts
-from .end_watch import BrokenRequest, EndWatch
+from .content_guard import ContentGuard
+from .end_watch import BrokenRequest
 from .errors import TargetError, TargetFault
 from .exchange import BrokenOffError, Exchange, Sink
 from .progress import Refused
@@ -21,14 +22,12 @@
 class Relay:
     """Brings requests to targets and their answers back."""
 
-    def __init__(self, parts: RelayParts) -> None:
+    def __init__(self, parts: RelayParts, guard: ContentGuard) -> None:
         self.parts = parts
+        self.guard = guard
         self.state = parts.state
         self.clock = parts.state.clock
         self.picker = TargetPicker(parts)
-        self.ends = EndWatch(
-            parts.upstream.accepts, lambda: parts.state.catalogue, parts.metrics
-        )
 
     async def serve(self, exchange: Exchange, sink: Sink) -> None:
         """Serve a request.
@@ -41,8 +40,19 @@
             If its answer had begun and was not completed.
         """
         self.state.budget(exchange.pool).request(self.clock.monotonic())
+        try:
+            await self.attempt_all(exchange, sink)
+        finally:
+            self.guard.leave(exchange)
+
+    async def attempt_all(self, exchange: Exchange, sink: Sink) -> None:
+        """Try one target after another until one has answered."""
         while True:
+            await self.guard.settled(exchange)
+            self.guard.refuse_held(exchange)
             target = await self.picker.choose(exchange)
+            if not await self.guard.may_run(exchange):
+                continue
             end = await self.attempt(exchange, target, sink)
             if end is None:
                 return
@@ -100,16 +110,19 @@
         except TargetError as error:
             end = attempt.failed(error)
             if error.fault is TargetFault.BROKEN:
-                self.ends.watch(
+                self.guard.broke(
+                    exchange,
                     BrokenRequest(
                         exchange.terms.request_id,
                         exchange.content,
                         published,
                         attempt.taken_s(),
-                    )
+                    ),
                 )
         finally:
             attempt.leave()
+        if attempt.was_served:
+            self.guard.answered(exchange.content)
         result = end.value if end else "answered"
         self.parts.metrics.attempts.inc({"pool": exchange.pool, "result": result})
         return end
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -20,6 +20,7 @@
     TargetId,
     parse_adapter_ref,
 )
+from sardinequay_core.quarantine import Quarantine
 from sardinequay_core.rendezvous import rank
 from sardinequay_core.repeat_budget import RepeatBudget, RepeatPolicy
 from sardinequay_core.residency import AdapterUses, Held, Residency
@@ -79,6 +80,7 @@
     uses: AdapterUses = field(default_factory=AdapterUses)
     budgets: dict[PoolName, RepeatBudget] = field(default_factory=dict)
     demand: AdapterDemand = field(default_factory=AdapterDemand)
+    quarantine: Quarantine = field(default_factory=Quarantine)
     orders: OrderTask | None = None
     view_from: HostId | None = None
     view_at: Instant = ZERO
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -16,8 +16,10 @@
 from sardinequay_core.target_health import turn_of
 
 from .attempt import RelayParts
+from .content_guard import ContentGuard
 from .decision_log import BoundedOutput
 from .digest_writer import DigestWriter
+from .end_watch import EndWatch
 from .errors import StartError
 from .fleet_task import FleetTask, HeardDigest
 from .host_pages import pages_app
@@ -29,10 +31,12 @@
 from .relay_state import RelayState
 from .serving_messages import (
     AdapterMissing,
+    AskPermit,
     Contact,
     Digest,
     FetchItems,
     ItemsReply,
+    PermitBack,
     UseChanged,
     WantAdapter,
 )
@@ -155,6 +159,14 @@
         )
         self.state.orders = self.orders
         self.upstream = Upstream(profile.callers.ip)
+        self.guard = ContentGuard(
+            profile.host_id,
+            self.state.quarantine,
+            EndWatch(self.upstream.accepts, lambda: self.state.catalogue, self.metrics),
+            self.fleet,
+            self.peers,
+            clock,
+        )
         self.relay = Relay(
             RelayParts(
                 self.state,
@@ -163,7 +175,8 @@
                 WantBoard(self.state, self.peers),
                 self.metrics,
                 tracing,
-            )
+            ),
+            self.guard,
         )
         self.server = RelayServer(
             self.relay,
@@ -188,6 +201,7 @@
         self.store.catalogues.subscribe(self.orders.take_catalogue)
         self.store.catalogues.subscribe(self.tell_catalogue)
         self.fleet.digests.subscribe(self.state.take_digest)
+        self.fleet.digests.subscribe(self.guard.take_digest)
         self.fleet.digests.subscribe(self.writer.take_digest)
         self.fleet.digests.subscribe(self.take_digest)
         self.fleet.lost.subscribe(self.state.lose_peer)
@@ -195,6 +209,8 @@
         self.fleet.holds_lease = lambda: self.lease.is_holder
         server = self.peer_server
         server.register(Digest, self.fleet.answer)
+        server.register(AskPermit, self.guard.answer_ask)
+        server.register(PermitBack, self.guard.answer_back)
         server.register(FetchItems, self.store.answer_fetch)
         server.register(Ballot, self.lease.answer_ballot)
         server.register(Resign, self.lease.answer_resign)
@@ -287,6 +303,9 @@
             self.output.drain()
             self.metrics.log_lines_left_out.set({}, self.output.left_out)
             self.metrics.in_flight.set({}, self.server.in_flight)
+            self.guard.expire()
+            held = self.state.quarantine.held(self.clock.monotonic())
+            self.metrics.quarantined.set({}, len(held))
             config = self.state.catalogue.config
             self.metrics.config_version.set({}, config.version if config else 0)
 
--- a/packages/daemon/src/sardinequay_daemon/serving_metrics.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_metrics.py
@@ -22,6 +22,9 @@
             "target_ends_total", "Targets that ended under requests, by pool"
         )
         self.in_flight = self.gauge("in_flight", "Requests in flight")
+        self.quarantined = self.gauge(
+            "quarantined_contents", "Contents of requests that are held"
+        )
         self.config_version = self.gauge("config_version", "Version in force")
         self.log_lines_left_out = self.gauge(
             "log_lines_left_out", "Log lines that wait to be told as left out"
