--- a/packages/lab/src/sardinequay_lab/cut_relay.py
+++ b/packages/lab/src/sardinequay_lab/cut_relay.py
@@ -46,12 +46,12 @@
     return ipaddress.ip_address(ip) in ipaddress.ip_network(network)
 
 
-def reset(writer: asyncio.StreamWriter) -> None:
+def reset(transport: asyncio.WriteTransport) -> None:
     """Reset a connection: closing it alone may look like a clean end."""
-    sock = writer.get_extra_info("socket")
-    if sock is not None and not writer.is_closing():
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT)
-    writer.transport.abort()
+    transport.abort()
 
 
 class Cuts:
@@ -88,12 +88,12 @@
         """Relay one connection."""
         source = writer.get_extra_info("peername")[0]
         if self.cuts.mode(source, self.ip) == RESET:
-            reset(writer)
+            reset(writer.transport)
             return
         try:
             far_reader, far_writer = await asyncio.open_connection(self.ip, self.port)
         except OSError:
-            reset(writer)
+            reset(writer.transport)
             return
         ends = (writer, far_writer)
         await asyncio.gather(
@@ -110,7 +110,7 @@
         while not any(end.is_closing() for end in ends):
             if self.cuts.mode(source, self.ip) == RESET:
                 for end in ends:
-                    reset(end)
+                    reset(end.transport)
             await asyncio.sleep(POLL_S)
 
     async def copy(
@@ -133,7 +133,7 @@
         except OSError:
             # A reset stays one: a clean end would complete an answer without a length.
             for end in ends:
-                reset(end)
+                reset(end.transport)
         for end in ends:
             end.close()
 
