--- a/packages/lab/src/sardinequay_lab/standins/engine.py
+++ b/packages/lab/src/sardinequay_lab/standins/engine.py
@@ -20,7 +20,7 @@
 from aiohttp import web
 
 from ..history import HistoryWriter
-from .serving import add_common_arguments, serve
+from .serving import add_common_arguments, end_if_fatal, serve
 
 KEEP_ENDED_S = 30.0
 PING_S = 0.5
@@ -124,6 +124,7 @@
             await asyncio.sleep(self.step_s)
             while self.queue and len(self.batch) < self.max_batch:
                 run = self.queue.popleft()
+                end_if_fatal(run.prompt)
                 self.batch[run.request_id] = run
             for run in list(self.batch.values()):
                 run.step()
--- a/packages/lab/src/sardinequay_lab/standins/service.py
+++ b/packages/lab/src/sardinequay_lab/standins/service.py
@@ -6,7 +6,7 @@
 from aiohttp import web
 
 from ..history import HistoryWriter
-from .serving import add_common_arguments, serve
+from .serving import add_common_arguments, end_if_fatal, serve
 
 
 class Service:
@@ -22,6 +22,7 @@
         key = request.headers.get("Idempotency-Key", "")
         request_id = request.headers.get("X-Request-Id", "")
         self.history.write("started", request=request_id, key=key)
+        end_if_fatal(body.decode(errors="replace"))
         await asyncio.sleep(self.delay_s)
         self.history.write("ended", request=request_id, key=key)
         text = body.decode(errors="replace")
--- a/packages/lab/src/sardinequay_lab/standins/serving.py
+++ b/packages/lab/src/sardinequay_lab/standins/serving.py
@@ -1,10 +1,22 @@
 """What all stand-ins share: their arguments and their listener."""
 
 import argparse
+import os
 from pathlib import Path
 
 from aiohttp import web
 
+FATAL = "fatal"
+"""A target that begins to run a request with this word in its body ends."""
+
+FATAL_EXIT = 70
+
+
+def end_if_fatal(words: str) -> None:
+    """End this process at once, with all that it runs, if a body says so."""
+    if FATAL in words:
+        os._exit(FATAL_EXIT)
+
 
 def add_common_arguments(parser: argparse.ArgumentParser) -> None:
     """Add the arguments that every stand-in takes."""
