Part the content guard from the kind of request that it guards

So that hosts of both deployments may use it: a GuardedRun is what it needs of a request, a Fleet what it needs of other hosts, a ConnectionProbe asks targets.

--- a/packages/core/src/sardinequay_core/catalogue.py
+++ b/packages/core/src/sardinequay_core/catalogue.py
@@ -118,6 +118,11 @@
             if t.target.pool == pool and t.target.presence is Presence.LIVE
         )
 
+    def is_live(self, target_id: TargetId) -> bool:
+        """Return whether a target is listed and not about to leave."""
+        listed = self.targets.get(target_id)
+        return listed is not None and listed.target.presence is Presence.LIVE
+
 
 @dataclass(frozen=True, slots=True)
 class Absence:
--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -217,7 +217,7 @@
             extra={
                 "request": exchange.terms.request_id,
                 "target": self.target_id,
-                "content": exchange.content,
+                "content": exchange.guarded.content,
                 "end": end.value,
                 "detail": error.detail,
                 "sent_for_s": round(self.taken_s(), 4),
--- a/packages/daemon/src/sardinequay_daemon/content_guard.py
+++ b/packages/daemon/src/sardinequay_daemon/content_guard.py
@@ -9,23 +9,23 @@
 import asyncio
 import itertools
 import logging
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
+from typing import Protocol
 
 from sardinequay_core.clock import Clock, seconds
-from sardinequay_core.names import ContentId, HostId
+from sardinequay_core.names import Address, ContentId, HostId
 from sardinequay_core.outcome import Reason, Refusal, not_run
 from sardinequay_core.quarantine import Quarantine, TargetEnd
 from sardinequay_core.rendezvous import rank
+from sardinequay_core.roster import Target
 from sardinequay_core.run_permits import PermitBook
 
 from .content_news import news_of, take_news
 from .end_watch import BrokenRequest, EndWatch
-from .exchange import Exchange
-from .fleet_task import FleetTask, HeardDigest
+from .guarded_run import GuardedRun
 from .peers import PeerCaller
-from .progress import Refused
+from .progress import Refused, may_have_run
 from .serving_messages import AskPermit, ContentNews, Noted, PermitBack, PermitReply
-from .target_picker import may_have_run
 
 PERMIT_CALL_S = 0.25
 """Bound on asking for a permit; hosts of a region answer in a few milliseconds."""
@@ -44,6 +44,19 @@
 log = logging.getLogger(__name__)
 
 
+class Fleet(Protocol):
+    """What the guard needs of the other hosts."""
+
+    def known_to_all(self) -> list[HostId]:
+        """Return live hosts that all hosts know."""
+
+    def address_of(self, host_id: HostId) -> Address | None:
+        """Return where a host is reached."""
+
+    def tell_soon(self, far: bool) -> None:
+        """Have the others told what is new here."""
+
+
 class ContentGuard:
     """Lets requests run, or not, by what became of targets that ran the same before."""
 
@@ -52,7 +65,7 @@
         me: HostId,
         quarantine: Quarantine,
         ends: EndWatch,
-        fleet: FleetTask,
+        fleet: Fleet,
         peers: PeerCaller,
         clock: Clock,
     ) -> None:
@@ -63,27 +76,25 @@
         self.peers = peers
         self.clock = clock
         self.permits = PermitBook()
-        self.runs = itertools.count()
+        self.numbers = itertools.count()
         self.tasks: set[asyncio.Task[None]] = set()
 
     # A request on its way.
 
-    def refuse_held(self, exchange: Exchange) -> None:
+    def refuse_held(self, run: GuardedRun) -> None:
         """Refuse a request whose content is held."""
         now = self.clock.monotonic()
-        left = self.quarantine.hold_left(exchange.content, now)
+        left = self.quarantine.hold_left(run.content, now)
         if not left:
             return
-        if exchange.so_far.runs:
+        if run.may_have_run:
             raise Refused(may_have_run())
-        ends = self.quarantine.ends(exchange.content)
+        ends = self.quarantine.ends(run.content)
         age_s = (now - ends[-1].at).total_seconds()
-        text = (
-            f"{len(ends)} targets ended under requests like it, one {age_s:.1f} s ago"
-        )
+        text = f"{len(ends)} targets ended under such requests, one {age_s:.1f} s ago"
         raise Refused(not_run(Reason.QUARANTINED, text, left))
 
-    async def may_run(self, exchange: Exchange) -> bool:
+    async def may_run(self, run: GuardedRun) -> bool:
         """Return whether a request may run now; after False, look at all anew.
 
         Raises
@@ -91,48 +102,46 @@
         Refused
             If others like it kept the permit for too long.
         """
-        content = exchange.content
-        if not self.quarantine.is_suspect(content) or exchange.run:
+        content = run.content
+        if not self.quarantine.is_suspect(content) or run.permit:
             return True
-        run = f"{self.me}/{next(self.runs)}"
-        if await self.is_permitted(run, content):
-            exchange.run = run
+        permit = f"{self.me}/{next(self.numbers)}"
+        if await self.is_permitted(permit, content):
+            run.permit = permit
             # What the giver knows may be news here.
             return not self.quarantine.hold_left(content, self.clock.monotonic())
-        exchange.permit_waits += 1
-        if exchange.permit_waits * LOOK_AGAIN_S > PERMIT_WAIT_S:
-            raise Refused(self.not_permitted(exchange))
+        run.permit_waits += 1
+        if run.permit_waits * LOOK_AGAIN_S > PERMIT_WAIT_S:
+            raise Refused(self.not_permitted(run))
         await asyncio.sleep(LOOK_AGAIN_S)
         return False
 
-    def not_permitted(self, exchange: Exchange) -> Refusal:
+    def not_permitted(self, run: GuardedRun) -> Refusal:
         """Return the refusal of a request that waited for another like it."""
-        if exchange.so_far.runs:
+        if run.may_have_run:
             return may_have_run()
         text = "a target ended under a request like it, and another like it runs now"
         return not_run(Reason.QUARANTINED, text, PERMIT_RETRY)
 
-    async def settled(self, exchange: Exchange) -> None:
+    async def settled(self, run: GuardedRun, within_s: float) -> None:
         """Wait until it is known whether the last target ended under a request."""
-        verdict, exchange.verdict = exchange.verdict, None
-        if verdict is None:
-            return
-        left_s = exchange.left(self.clock.monotonic()).total_seconds()
-        await asyncio.wait((verdict,), timeout=max(0.0, left_s))
-        if exchange.left(self.clock.monotonic()) <= seconds(0):
-            raise Refused(may_have_run())
+        verdict, run.verdict = run.verdict, None
+        if verdict is not None:
+            await asyncio.wait((verdict,), timeout=max(0.0, within_s))
 
-    def broke(self, exchange: Exchange, broken: BrokenRequest) -> None:
+    def broke(
+        self, run: GuardedRun, target: Target, incarnation: int, ran_s: float
+    ) -> None:
         """Take that a request's connection broke; nobody's answer waits for more."""
-        exchange.verdict = self.start(self.learn(broken))
+        broken = BrokenRequest(run.request_id, run.content, target, incarnation, ran_s)
+        run.verdict = self.start(self.learn(broken))
 
     async def learn(self, broken: BrokenRequest) -> None:
         """Find out whether the target ended, and count that against the content."""
         if not await self.ends.ended_under(broken):
             return
         now = self.clock.monotonic()
-        published = broken.published
-        end = TargetEnd(published.target.target_id, published.incarnation, now)
+        end = TargetEnd(broken.target.target_id, broken.incarnation, now)
         if self.quarantine.add(broken.content, end, now):
             self.changed(broken.content)
 
@@ -152,10 +161,10 @@
             self.fleet.tell_soon(far=True)
         return is_known
 
-    def leave(self, exchange: Exchange) -> None:
+    def leave(self, run: GuardedRun) -> None:
         """Give a request's permit back once it is known what the run did."""
-        if exchange.run:
-            self.start(self.give_back(exchange))
+        if run.permit:
+            self.start(self.give_back(run))
 
     # Permits.
 
@@ -163,19 +172,19 @@
         """Return the host that gives a content's permits: the same for all hosts."""
         return HostId(rank(content, self.fleet.known_to_all())[0])
 
-    async def is_permitted(self, run: str, content: ContentId) -> bool:
+    async def is_permitted(self, permit: str, content: ContentId) -> bool:
         """Ask for the permit to run."""
         now = self.clock.monotonic()
         giver = self.giver(content)
         address = self.fleet.address_of(giver)
         if giver == self.me or address is None:
-            return self.permits.grant(content, run, now)
-        ask = AskPermit(run, news_of(self.quarantine, content, now))
+            return self.permits.grant(content, permit, now)
+        ask = AskPermit(permit, news_of(self.quarantine, content, now))
         answer = await self.peers.call(address, ask, PERMIT_CALL_S)
         reply = answer.value_or(None)
         if not isinstance(reply, PermitReply):
             log.warning("no permit giver", extra={"content": content, "peer": giver})
-            return self.permits.grant(content, run, now)
+            return self.permits.grant(content, permit, now)
         self.hear(reply.news)
         return reply.is_granted
 
@@ -189,17 +198,17 @@
         )
         return PermitReply(is_granted, news_of(self.quarantine, content, now))
 
-    async def give_back(self, exchange: Exchange) -> None:
+    async def give_back(self, run: GuardedRun) -> None:
         """Give a permit back, with what the run showed."""
-        if exchange.verdict is not None:
-            await asyncio.wait((exchange.verdict,))
-        content, run = exchange.content, exchange.run
-        self.permits.give_back(content, run)
+        if run.verdict is not None:
+            await asyncio.wait((run.verdict,))
+        content, permit = run.content, run.permit
+        self.permits.give_back(content, permit)
         giver = self.giver(content)
         address = self.fleet.address_of(giver)
         if giver != self.me and address is not None:
             now = self.clock.monotonic()
-            back = PermitBack(run, news_of(self.quarantine, content, now))
+            back = PermitBack(permit, news_of(self.quarantine, content, now))
             await self.peers.call(address, back, PERMIT_CALL_S)
 
     async def answer_back(self, back: PermitBack) -> Noted:
@@ -210,9 +219,9 @@
 
     # News.
 
-    def take_digest(self, heard: HeardDigest) -> None:
+    def take(self, contents: Iterable[ContentNews]) -> None:
         """Take what a peer knows against contents."""
-        for news in heard.digest.contents:
+        for news in contents:
             self.hear(news)
 
     def hear(self, news: ContentNews) -> None:
--- a/packages/daemon/src/sardinequay_daemon/end_watch.py
+++ b/packages/daemon/src/sardinequay_daemon/end_watch.py
@@ -9,11 +9,8 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from sardinequay_core.catalogue import Catalogue, PublishedTarget
-from sardinequay_core.names import Address, ContentId, TargetId
-from sardinequay_core.roster import Presence
-
-from .serving_metrics import ServingMetrics
+from sardinequay_core.names import Address, ContentId, PoolName, TargetId
+from sardinequay_core.roster import Target
 
 ASK_AFTER_S = 0.02
 """A process that ends closes its connections and its listener one after the other."""
@@ -28,15 +25,16 @@
 
     Parameters
     ----------
-    published : PublishedTarget
-        The target as it was when the request was sent.
+    incarnation : int
+        The target's start that had it, in Unix milliseconds; 0 if it does not say.
     ran_s : float
         For how long the request had been there, in seconds.
     """
 
     request_id: str
     content: ContentId
-    published: PublishedTarget
+    target: Target
+    incarnation: int
     ran_s: float
 
 
@@ -47,30 +45,33 @@
     ----------
     accepts : callable
         Returns whether something takes connections at an address.
-    catalogue : callable
-        Returns what the store publishes now.
+    is_live : callable
+        Returns whether a target is listed and not about to leave. One that leaves may
+        end while it has requests; none of them is at fault.
+    note_end : callable
+        Counts that a target of a pool ended.
     """
 
     def __init__(
         self,
         accepts: Accepts,
-        catalogue: Callable[[], Catalogue],
-        metrics: ServingMetrics,
+        is_live: Callable[[TargetId], bool],
+        note_end: Callable[[PoolName], None],
     ) -> None:
         self.accepts = accepts
-        self.catalogue = catalogue
-        self.metrics = metrics
+        self.is_live = is_live
+        self.note_end = note_end
         self.asking: dict[tuple[TargetId, int], asyncio.Task[bool]] = {}
 
     async def ended_under(self, broken: BrokenRequest) -> bool:
         """Return whether a target ended, unplanned, while it had a request."""
-        published = broken.published
-        if not self.is_live(published):
+        target = broken.target
+        if not self.is_live(target.target_id):
             return False
-        key = (published.target.target_id, published.incarnation)
+        key = (target.target_id, broken.incarnation)
         asking = self.asking.get(key)
         if asking is None:
-            asking = asyncio.create_task(self.ask(published))
+            asking = asyncio.create_task(self.ask(target))
             self.asking[key] = asking
             asking.add_done_callback(lambda _: self.asking.pop(key, None))
         has_ended = await asyncio.shield(asking)
@@ -78,20 +79,12 @@
             self.note(broken)
         return has_ended
 
-    def is_live(self, published: PublishedTarget) -> bool:
-        """Return whether a target is listed and not about to leave.
-
-        One that leaves may end while it has requests; none of them is at fault.
-        """
-        listed = self.catalogue().targets.get(published.target.target_id)
-        return listed is not None and listed.target.presence is Presence.LIVE
-
-    async def ask(self, published: PublishedTarget) -> bool:
+    async def ask(self, target: Target) -> bool:
         """Return whether a target takes no connection any more."""
         await asyncio.sleep(ASK_AFTER_S)
-        has_ended = not await self.accepts(published.target.address)
+        has_ended = not await self.accepts(target.address)
         if has_ended:
-            self.metrics.target_ends.inc({"pool": published.target.pool})
+            self.note_end(target.pool)
         return has_ended
 
     def note(self, broken: BrokenRequest) -> None:
@@ -101,8 +94,8 @@
             extra={
                 "request": broken.request_id,
                 "content": broken.content,
-                "target": broken.published.target.target_id,
-                "incarnation": broken.published.incarnation,
+                "target": broken.target.target_id,
+                "incarnation": broken.incarnation,
                 "ran_s": round(broken.ran_s, 4),
             },
         )
--- a/packages/daemon/src/sardinequay_daemon/exchange.py
+++ b/packages/daemon/src/sardinequay_daemon/exchange.py
@@ -1,6 +1,5 @@
 """One request on its way, and where its answer goes."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -10,10 +9,11 @@
 
 from sardinequay_core.after_attempt import AttemptsSoFar
 from sardinequay_core.clock import Instant, seconds
-from sardinequay_core.names import ContentId, PoolName, TargetId
+from sardinequay_core.names import PoolName, TargetId
 from sardinequay_core.serving import Route
 
 from .errors import DaemonError
+from .guarded_run import GuardedRun
 from .serving_ports import Headers, RequestTerms
 
 FIRST_EVENT_FLOOR_S = 2.0
@@ -34,16 +34,10 @@
     ----------
     deadline : timedelta
         The earlier of the caller's and the route's, on this host's monotonic clock.
-    content : ContentId
-        What it asks for, the same each time a caller comes with it.
+    guarded : GuardedRun
+        The request as far as it concerns whether its content may run.
     tried : frozenset
         Targets that failed or rejected the request.
-    run : str
-        The permit that it has, if its content is under suspicion.
-    permit_waits : int
-        How often it found that another run had the permit.
-    verdict : Task or None
-        Finds out whether the last target ended under it.
     """
 
     terms: RequestTerms
@@ -56,14 +50,11 @@
     arrived: Instant
     deadline: Instant
     span: Span
-    content: ContentId
+    guarded: GuardedRun
     so_far: AttemptsSoFar = field(default_factory=AttemptsSoFar)
     tried: frozenset[TargetId] = frozenset()
     last_event: str = ""
     has_begun: bool = False
-    run: str = ""
-    permit_waits: int = 0
-    verdict: asyncio.Task[None] | None = None
 
     def left(self, now: Instant) -> timedelta:
         """Return the time that is left for an answer of this host's own."""
--- a/packages/daemon/src/sardinequay_daemon/progress.py
+++ b/packages/daemon/src/sardinequay_daemon/progress.py
@@ -69,3 +69,9 @@
     """Return the refusal of a request whose deadline has passed."""
     text = "the deadline passed"
     return Refusal(Reason.DEADLINE_EXPIRED, progress.outcome, text)
+
+
+def may_have_run() -> Refusal:
+    """Return the end of a request that was sent and of which no answer came."""
+    text = "the target's answer was lost; it may have run the request"
+    return Refusal(Reason.TARGET_FAILED, Outcome.UNKNOWN, text)
--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -4,16 +4,16 @@
 
 from sardinequay_core.after_attempt import AttemptEnd, Next, next_step
 from sardinequay_core.catalogue import PublishedTarget
+from sardinequay_core.clock import ZERO
 from sardinequay_core.outcome import Reason, Refusal, not_run
 from sardinequay_core.serving import Repetition
 
 from .attempt import Attempt, RelayParts
 from .content_guard import ContentGuard
-from .end_watch import BrokenRequest
 from .errors import TargetError, TargetFault
 from .exchange import BrokenOffError, Exchange, Sink
-from .progress import Refused
-from .target_picker import NO_TARGET_RETRY, TargetPicker, come_back, may_have_run
+from .progress import Refused, may_have_run
+from .target_picker import NO_TARGET_RETRY, TargetPicker, come_back
 
 REJECTED_PAUSE_S = 0.02
 """Before a request that was rejected is offered again, in seconds."""
@@ -43,23 +43,31 @@
         try:
             await self.attempt_all(exchange, sink)
         finally:
-            self.guard.leave(exchange)
+            self.guard.leave(exchange.guarded)
 
     async def attempt_all(self, exchange: Exchange, sink: Sink) -> None:
         """Try one target after another until one has answered."""
         while True:
-            await self.guard.settled(exchange)
-            self.guard.refuse_held(exchange)
+            await self.settled(exchange)
+            self.guard.refuse_held(exchange.guarded)
             target = await self.picker.choose(exchange)
-            if not await self.guard.may_run(exchange):
+            if not await self.guard.may_run(exchange.guarded):
                 continue
             end = await self.attempt(exchange, target, sink)
             if end is None:
                 return
             exchange.so_far = exchange.so_far.after(end)
+            exchange.guarded.may_have_run = exchange.so_far.runs > 0
             exchange.tried = exchange.tried | {target.target.target_id}
             await self.follow(exchange, end)
 
+    async def settled(self, exchange: Exchange) -> None:
+        """Wait until it is known whether the last target ended under a request."""
+        left_s = exchange.left(self.clock.monotonic()).total_seconds()
+        await self.guard.settled(exchange.guarded, left_s)
+        if exchange.so_far.runs and exchange.left(self.clock.monotonic()) <= ZERO:
+            raise Refused(may_have_run())
+
     async def follow(self, exchange: Exchange, end: AttemptEnd) -> None:
         """Permit another attempt by returning, or raise the request's end."""
         budget = self.state.budget(exchange.pool)
@@ -110,19 +118,14 @@
         except TargetError as error:
             end = attempt.failed(error)
             if error.fault is TargetFault.BROKEN:
+                incarnation = published.incarnation
                 self.guard.broke(
-                    exchange,
-                    BrokenRequest(
-                        exchange.terms.request_id,
-                        exchange.content,
-                        published,
-                        attempt.taken_s(),
-                    ),
+                    exchange.guarded, published.target, incarnation, attempt.taken_s()
                 )
         finally:
             attempt.leave()
         if attempt.was_served:
-            self.guard.answered(exchange.content)
+            self.guard.answered(exchange.guarded.content)
         result = end.value if end else "answered"
         self.parts.metrics.attempts.inc({"pool": exchange.pool, "result": result})
         return end
--- a/packages/daemon/src/sardinequay_daemon/relay_server.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_server.py
@@ -17,6 +17,7 @@
 from .caller_answer import CallerAnswer
 from .caller_connection import CallerConnection
 from .exchange import BrokenOffError, Exchange
+from .guarded_run import GuardedRun
 from .progress import Refused
 from .relay import Relay
 from .relay_state import RelayState
@@ -195,6 +196,7 @@
         body = await self.read_body(http, config.limits, deadline)
         span = self.tracing.server_span("request", http.headers)
         host = http.headers.get("Host", "")
+        content = content_id(http.method, host, http.raw_path, terms.caller, body)
         return Exchange(
             terms,
             route,
@@ -206,7 +208,7 @@
             arrived,
             deadline,
             span,
-            content_id(http.method, host, http.raw_path, terms.caller, body),
+            GuardedRun(terms.request_id, content),
             last_event=terms.last_event,
         )
 
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -16,6 +16,7 @@
 from sardinequay_core.target_health import turn_of
 
 from .attempt import RelayParts
+from .connection_probe import ConnectionProbe
 from .content_guard import ContentGuard
 from .decision_log import BoundedOutput
 from .digest_writer import DigestWriter
@@ -162,7 +163,11 @@
         self.guard = ContentGuard(
             profile.host_id,
             self.state.quarantine,
-            EndWatch(self.upstream.accepts, lambda: self.state.catalogue, self.metrics),
+            EndWatch(
+                ConnectionProbe(profile.callers.ip).accepts,
+                lambda target: self.state.catalogue.is_live(target),
+                lambda pool: self.metrics.target_ends.inc({"pool": pool}),
+            ),
             self.fleet,
             self.peers,
             clock,
@@ -201,7 +206,7 @@
         self.store.catalogues.subscribe(self.orders.take_catalogue)
         self.store.catalogues.subscribe(self.tell_catalogue)
         self.fleet.digests.subscribe(self.state.take_digest)
-        self.fleet.digests.subscribe(self.guard.take_digest)
+        self.fleet.digests.subscribe(self.take_contents)
         self.fleet.digests.subscribe(self.writer.take_digest)
         self.fleet.digests.subscribe(self.take_digest)
         self.fleet.lost.subscribe(self.state.lose_peer)
@@ -244,6 +249,10 @@
         if self.fleet.is_reader():
             self.fleet.tell_soon(far=False)
 
+    def take_contents(self, heard: HeardDigest) -> None:
+        """Take what a peer knows against contents of requests."""
+        self.guard.take(heard.digest.contents)
+
     def take_digest(self, heard: HeardDigest) -> None:
         """Fetch what a peer knows of the store and this host does not."""
         digest = heard.digest
--- a/packages/daemon/src/sardinequay_daemon/target_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/target_picker.py
@@ -8,7 +8,7 @@
 from sardinequay_core.catalogue import PublishedTarget
 from sardinequay_core.clock import Instant, seconds
 from sardinequay_core.names import AdapterRef, TargetId
-from sardinequay_core.outcome import Outcome, Reason, Refusal, not_run
+from sardinequay_core.outcome import Reason, Refusal, not_run
 from sardinequay_core.service_choice import choose_service
 from sardinequay_core.serving import Route
 from sardinequay_core.target_choice import (
@@ -22,7 +22,7 @@
 
 from .attempt import RelayParts
 from .exchange import Exchange
-from .progress import Refused
+from .progress import Refused, may_have_run
 from .serving_messages import WantAdapter, WantReply
 
 LOOK_AGAIN_S = 0.4
@@ -208,7 +208,7 @@
             extra={
                 "request": exchange.terms.request_id,
                 "target": target,
-                "content": exchange.content,
+                "content": exchange.guarded.content,
                 "adapter": exchange.terms.adapter,
                 "why": why,
                 "options": options,
@@ -236,9 +236,3 @@
 def come_back(random: Random, after: timedelta) -> timedelta:
     """Return when to come back, spread so that callers do not come at once."""
     return after + seconds(random.uniform(0, RETRY_SPREAD_S))
-
-
-def may_have_run() -> Refusal:
-    """Return the end of a request that was sent and of which no answer came."""
-    text = "the target's answer was lost; it may have run the request"
-    return Refusal(Reason.TARGET_FAILED, Outcome.UNKNOWN, text)
--- a/packages/daemon/src/sardinequay_daemon/upstream.py
+++ b/packages/daemon/src/sardinequay_daemon/upstream.py
@@ -14,17 +14,10 @@
 
 from sardinequay_core.names import Address
 
+from .connection_probe import CONNECT_S
 from .engines import TurnedErrors
 from .errors import TargetError, TargetFault
 
-CONNECT_S = 0.4
-"""Bound on opening a connection: many times a round trip, below a lost packet's second
-of waiting. A target that does not answer to this is cut off or gone."""
-
-STAYS_OPEN_S = 0.05
-"""A new connection that lasts so long was taken by the target itself: a gateway before
-one that has ended closes it at once."""
-
 IDLE_CONNECTION_S = 3.0
 """How long a connection is kept for another request. Targets keep theirs longer; what
 a connection that went silent costs grows with this."""
@@ -84,7 +77,6 @@
     """Connections to targets."""
 
     def __init__(self, source_ip: str) -> None:
-        self.source_ip = source_ip
         self.pooled = make_session(
             Connector(source_ip, keepalive_timeout=IDLE_CONNECTION_S)
         )
@@ -132,26 +124,6 @@
             detail = f"silent for {within_s:.3f} s"
             raise TargetError(TargetFault.SILENT, detail) from error
 
-    async def accepts(self, address: Address) -> bool:
-        """Return whether something takes connections at an address and keeps them."""
-        source = (self.source_ip, 0)
-        try:
-            async with asyncio.timeout(CONNECT_S):
-                reader, writer = await asyncio.open_connection(
-                    address.ip, address.port, local_addr=source
-                )
-        except OSError:
-            return False
-        try:
-            async with asyncio.timeout(STAYS_OPEN_S):
-                return bool(await reader.read(1))
-        except TimeoutError:
-            return True
-        except OSError:
-            return False
-        finally:
-            writer.close()
-
     async def close(self) -> None:
         """Close all connections."""
         await self.pooled.close()
--- a/packages/daemon/tests/test_content_guard.py
+++ b/packages/daemon/tests/test_content_guard.py
@@ -4,12 +4,8 @@
 from dataclasses import dataclass, field
 
 import pytest
-from multidict import CIMultiDict, CIMultiDictProxy
-from opentelemetry.trace import INVALID_SPAN
 from returns.result import Failure, Success
 
-from sardinequay_core.after_attempt import AttemptsSoFar
-from sardinequay_core.catalogue import PublishedTarget
 from sardinequay_core.clock import seconds
 from sardinequay_core.names import (
     Address,
@@ -22,15 +18,13 @@
 from sardinequay_core.outcome import Outcome, Reason
 from sardinequay_core.quarantine import Quarantine, TargetEnd
 from sardinequay_core.roster import Target, TargetKind
-from sardinequay_core.serving import Repetition, Route, Share
 from sardinequay_daemon.content_guard import ContentGuard
 from sardinequay_daemon.content_news import news_of
 from sardinequay_daemon.end_watch import BrokenRequest
 from sardinequay_daemon.errors import PeerError
-from sardinequay_daemon.exchange import Exchange
+from sardinequay_daemon.guarded_run import GuardedRun
 from sardinequay_daemon.progress import Refused
 from sardinequay_daemon.serving_messages import AskPermit
-from sardinequay_daemon.serving_ports import RequestTerms
 
 from .conftest import TurnedClock
 
@@ -91,54 +85,20 @@
     return made
 
 
-def exchange(clock: TurnedClock) -> Exchange:
-    now = clock.monotonic()
-    route = Route(
-        "chat",
-        "h.example",
-        "/chat/",
-        Repetition.STREAM,
-        timeout=seconds(4),
-        goal=seconds(1),
-        priority=1,
-        max_runs=2,
-        shares=(Share(POOL, 1),),
-    )
-    return Exchange(
-        terms=RequestTerms("r1"),
-        content=FATAL,
-        route=route,
-        pool=POOL,
-        method="POST",
-        path="/chat/1",
-        headers=CIMultiDictProxy(CIMultiDict()),
-        body=b"",
-        arrived=now,
-        deadline=now + seconds(4),
-        span=INVALID_SPAN,
-    )
-
-
-def broken(target: str) -> BrokenRequest:
-    published = PublishedTarget(
-        Target(
-            TargetId(target),
-            POOL,
-            TargetKind.ENGINE,
-            DataCentre("za"),
-            Address("127.0.0.1", 9),
-        ),
-        slots=8,
-        revision=1,
-        incarnation=1,
-    )
-    return BrokenRequest("r1", FATAL, published, 0.1)
-
-
-async def ended(guard: ContentGuard, sent: Exchange, target: str) -> None:
+def run() -> GuardedRun:
+    return GuardedRun("r1", FATAL)
+
+
+def target(name: str) -> Target:
+    place = Address("127.0.0.1", 9)
+    return Target(TargetId(name), POOL, TargetKind.ENGINE, DataCentre("za"), place)
+
+
+async def ended(guard: ContentGuard, name: str) -> None:
     """Let a target end under a request, and the host learn of it."""
-    guard.broke(sent, broken(target))
-    await asyncio.wait((sent.verdict,))
+    sent = run()
+    guard.broke(sent, target(name), 1, 0.1)
+    await guard.settled(sent, 5.0)
 
 
 def given(net: Net) -> ContentGuard:
@@ -152,18 +112,18 @@
 
 async def test_content_without_an_end_runs_as_it_likes(net, clock) -> None:
     for guard in net.guards:
-        guard.refuse_held(exchange(clock))
-        assert await guard.may_run(exchange(clock))
+        guard.refuse_held(run())
+        assert await guard.may_run(run())
 
 
 async def test_second_end_holds_it_and_says_when_to_come_back(net, clock) -> None:
     guard = net.guards[0]
-    await ended(guard, exchange(clock), "e1")
-    guard.refuse_held(exchange(clock))
-    await ended(guard, exchange(clock), "e2")
+    await ended(guard, "e1")
+    guard.refuse_held(run())
+    await ended(guard, "e2")
     clock.turn(1)
     with pytest.raises(Refused) as caught:
-        guard.refuse_held(exchange(clock))
+        guard.refuse_held(run())
     refusal = caught.value.refusal
     assert (refusal.reason, refusal.outcome) == (Reason.QUARANTINED, Outcome.NOT_RUN)
     assert refusal.status == 503
@@ -173,10 +133,10 @@
 
 async def test_run_that_may_have_run_is_not_told_that_it_has_not(net, clock) -> None:
     guard = net.guards[0]
-    for target in ("e1", "e2"):
-        await ended(guard, exchange(clock), target)
-    sent = exchange(clock)
-    sent.so_far = AttemptsSoFar(runs=1)
+    for name in ("e1", "e2"):
+        await ended(guard, name)
+    sent = run()
+    sent.may_have_run = True
     with pytest.raises(Refused) as caught:
         guard.refuse_held(sent)
     assert caught.value.refusal.outcome is Outcome.UNKNOWN
@@ -185,28 +145,28 @@
 async def test_target_that_lives_counts_against_nobody(net, clock) -> None:
     guard = net.guards[0]
     guard.ends.has_ended = False
-    await ended(guard, exchange(clock), "e1")
+    await ended(guard, "e1")
     assert not guard.quarantine.is_suspect(FATAL)
 
 
 async def test_suspects_run_one_at_a_time_in_the_fleet(net, clock) -> None:
     for guard in net.guards:
         guard.quarantine.add(FATAL, broken_end(clock), clock.monotonic())
-    sent = [exchange(clock) for _ in net.guards]
+    sent = [run() for _ in net.guards]
     permitted = [await g.may_run(e) for g, e in zip(net.guards, sent, strict=True)]
     assert sum(permitted) == 1
     first = permitted.index(True)
     net.guards[first].leave(sent[first])
     await asyncio.gather(*net.guards[first].tasks)
-    assert await net.guards[(first + 1) % len(HOSTS)].may_run(exchange(clock))
+    assert await net.guards[(first + 1) % len(HOSTS)].may_run(run())
 
 
 async def test_who_waits_too_long_for_a_permit_is_refused(net, clock) -> None:
     guard, other = others(net)[:2]
     guard.quarantine.add(FATAL, broken_end(clock), clock.monotonic())
     other.quarantine.add(FATAL, broken_end(clock), clock.monotonic())
-    assert await guard.may_run(exchange(clock))
-    waiting = exchange(clock)
+    assert await guard.may_run(run())
+    waiting = run()
     with pytest.raises(Refused) as caught:
         while not await other.may_run(waiting):
             pass
@@ -218,15 +178,15 @@
     guard, other = others(net)[:2]
     for g in (guard, other):
         g.quarantine.add(FATAL, broken_end(clock), clock.monotonic())
-    sent = exchange(clock)
+    sent = run()
     assert await guard.may_run(sent)
-    guard.broke(sent, broken("e2"))
+    guard.broke(sent, target("e2"), 1, 0.1)
     guard.leave(sent)
     while guard.tasks:
         await asyncio.gather(*guard.tasks)
     # The next host has not heard of the second end: the giver tells it.
     assert not other.quarantine.hold_left(FATAL, clock.monotonic())
-    assert not await other.may_run(exchange(clock))
+    assert not await other.may_run(run())
     assert other.quarantine.hold_left(FATAL, clock.monotonic())
 
 
@@ -234,8 +194,8 @@
     guard = others(net)[0]
     guard.quarantine.add(FATAL, broken_end(clock), clock.monotonic())
     net.is_cut = True
-    assert await guard.may_run(exchange(clock))
-    assert not await guard.may_run(exchange(clock))
+    assert await guard.may_run(run())
+    assert not await guard.may_run(run())
 
 
 async def test_answer_clears_it_for_all(net, clock) -> None:
@@ -250,20 +210,20 @@
 
 async def test_operator_lifts_it(net, clock) -> None:
     guard = net.guards[0]
-    for target in ("e1", "e2"):
-        await ended(guard, exchange(clock), target)
+    for name in ("e1", "e2"):
+        await ended(guard, name)
     clock.turn(1)
     assert guard.lift(FATAL)
-    guard.refuse_held(exchange(clock))
+    guard.refuse_held(run())
 
 
 async def test_ends_told_by_one_host_hold_it_at_all(net, clock) -> None:
     guard, other = net.guards[:2]
-    for target in ("e1", "e2"):
-        await ended(guard, exchange(clock), target)
+    for name in ("e1", "e2"):
+        await ended(guard, name)
     other.hear(news_of(guard.quarantine, FATAL, clock.monotonic()))
     with pytest.raises(Refused):
-        other.refuse_held(exchange(clock))
+        other.refuse_held(run())
 
 
 def broken_end(clock: TurnedClock) -> TargetEnd:
--- a/packages/daemon/tests/test_end_watch.py
+++ b/packages/daemon/tests/test_end_watch.py
@@ -4,14 +4,6 @@
 
 import pytest
 
-from sardinequay_core.catalogue import (
-    Absence,
-    Catalogue,
-    PublishedTarget,
-    TargetPublished,
-    TargetRemoved,
-    fold,
-)
 from sardinequay_core.names import (
     Address,
     ContentId,
@@ -19,29 +11,23 @@
     PoolName,
     TargetId,
 )
-from sardinequay_core.roster import Presence, Target, TargetKind
+from sardinequay_core.roster import Target, TargetKind
+from sardinequay_daemon.connection_probe import ConnectionProbe
 from sardinequay_daemon.end_watch import BrokenRequest, EndWatch
-from sardinequay_daemon.serving_metrics import ServingMetrics
-from sardinequay_daemon.upstream import Upstream
 from sardinequay_lab.ports import free_port
 
 IP = "127.0.0.1"
 
 
-def published(presence: Presence = Presence.LIVE) -> PublishedTarget:
+def broken(content: str) -> BrokenRequest:
     target = Target(
         TargetId("e1"),
         PoolName("lm"),
         TargetKind.ENGINE,
         DataCentre("za"),
         Address(IP, 1),
-        presence,
     )
-    return PublishedTarget(target, slots=8, revision=1, incarnation=7)
-
-
-def broken(content: str) -> BrokenRequest:
-    return BrokenRequest("r1", ContentId(content), published(), 0.1)
+    return BrokenRequest("r1", ContentId(content), target, 7, 0.1)
 
 
 class Asked:
@@ -62,14 +48,19 @@
 
 
 @pytest.fixture
-def listed() -> list[Catalogue]:
-    """What the store publishes, as one item that a test may replace."""
-    return [fold(TargetPublished(published()), Catalogue(), Absence())]
+def live() -> set[TargetId]:
+    return {TargetId("e1")}
 
 
 @pytest.fixture
-def watch(asked: Asked, listed: list[Catalogue]) -> EndWatch:
-    return EndWatch(asked.accepts, lambda: listed[0], ServingMetrics("h", "za"))
+def ended() -> list[PoolName]:
+    """Pools of which a target was counted as ended."""
+    return []
+
+
+@pytest.fixture
+def watch(asked: Asked, live: set[TargetId], ended: list[PoolName]) -> EndWatch:
+    return EndWatch(asked.accepts, live.__contains__, ended.append)
 
 
 async def test_target_that_takes_no_connection_has_ended(watch) -> None:
@@ -81,23 +72,21 @@
     assert not await watch.ended_under(broken("c1"))
 
 
-async def test_one_question_serves_all_that_broke_at_once(watch, asked) -> None:
+async def test_one_question_serves_all_that_broke_at_once(watch, asked, ended) -> None:
     found = await asyncio.gather(*(watch.ended_under(broken(c)) for c in "abc"))
     assert found == [True, True, True]
     assert asked.count == 1
+    assert ended == [PoolName("lm")]
 
 
-async def test_target_that_leaves_ends_by_plan(watch, asked, listed) -> None:
-    leaving = TargetPublished(published(Presence.LEAVING))
-    listed[0] = fold(leaving, listed[0], Absence())
-    assert not await watch.ended_under(broken("c1"))
-    listed[0] = fold(TargetRemoved(TargetId("e1")), listed[0], Absence())
+async def test_target_that_leaves_ends_by_plan(watch, asked, live) -> None:
+    live.clear()
     assert not await watch.ended_under(broken("c1"))
     assert asked.count == 0
 
 
 async def test_who_takes_and_keeps_connections() -> None:
-    upstream = Upstream(IP)
+    probe = ConnectionProbe(IP)
 
     async def keep(reader: asyncio.StreamReader, _: asyncio.StreamWriter) -> None:
         await reader.read()
@@ -105,10 +94,9 @@
     async def close(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         writer.close()
 
-    assert not await upstream.accepts(Address(IP, free_port(IP)))
+    assert not await probe.accepts(Address(IP, free_port(IP)))
     for handler, is_up in ((keep, True), (close, False)):
         server = await asyncio.start_server(handler, IP, 0)
         address = Address(IP, server.sockets[0].getsockname()[1])
-        assert await upstream.accepts(address) is is_up
+        assert await probe.accepts(address) is is_up
         server.close()
-    await upstream.close()
--- a/packages/daemon/tests/test_target_picker.py
+++ b/packages/daemon/tests/test_target_picker.py
@@ -43,6 +43,7 @@
 )
 from sardinequay_daemon.attempt import RelayParts
 from sardinequay_daemon.exchange import Exchange
+from sardinequay_daemon.guarded_run import GuardedRun
 from sardinequay_daemon.progress import Refused
 from sardinequay_daemon.relay_state import Keeper, RelayState
 from sardinequay_daemon.serving_messages import WantAdapter, WantReply
@@ -138,7 +139,7 @@
     now = clock.monotonic()
     return Exchange(
         terms=RequestTerms("r1", "m", f"m/{adapter}", 2000, wait),
-        content=ContentId("c"),
+        guarded=GuardedRun("r1", ContentId("c")),
         route=ROUTE,
         pool=POOL,
         method="POST",
