Show operators what is quarantined, and let them lift it

Status of hosts of both deployments lists the contents that are held with the targets that ended; 'sardinequay fleet quarantine' shows them over a fleet, and 'fleet lift' lets one go, which the host that is asked tells all others. It is the one thing that changes a host from there: a hold may last for hours, and what it waits for is a mended target, of which hosts cannot know.

--- a/packages/cli/src/sardinequay_cli/fleet_verbs.py
+++ b/packages/cli/src/sardinequay_cli/fleet_verbs.py
@@ -1,4 +1,4 @@
-"""The verbs that ask a running fleet; all are read-only."""
+"""The verbs that ask a running fleet; all but `lift` are read-only."""
 
 import asyncio
 from argparse import Namespace
@@ -33,20 +33,25 @@
     error: str = ""
 
 
-async def ask(session: aiohttp.ClientSession, address: str, path: str) -> HostAnswer:
+async def ask(
+    session: aiohttp.ClientSession, address: str, path: str, method: str
+) -> HostAnswer:
     """Ask one host's operators' listener."""
     try:
-        async with session.get(f"http://{address}{path}") as answer:
+        async with session.request(method, f"http://{address}{path}") as answer:
             return HostAnswer(address, await answer.json())
     except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
         return HostAnswer(address, error=type(error).__name__)
 
 
-async def ask_all(addresses: list[str], path: str) -> list[HostAnswer]:
+async def ask_all(
+    addresses: list[str], path: str, method: str = "GET"
+) -> list[HostAnswer]:
     """Ask all hosts at once."""
     timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
     async with aiohttp.ClientSession(timeout=timeout) as session:
-        return list(await asyncio.gather(*[ask(session, a, path) for a in addresses]))
+        asks = [ask(session, address, path, method) for address in addresses]
+        return list(await asyncio.gather(*asks))
 
 
 def settings_check(arguments: Namespace) -> Output:
@@ -136,3 +141,35 @@
     text = tuple(sorted(lines)) or (f"nothing is remembered of {arguments.id}",)
     code = exit_code_of(answers) if found else EXIT_FINDINGS
     return Output(text, {"id": arguments.id, "entries": entries}, code)
+
+
+def quarantine(arguments: Namespace) -> Output:
+    """Show the contents of requests that hosts hold, and the targets that ended."""
+    answers = asyncio.run(ask_all(arguments.hosts, "/v1/status"))
+    lines: list[str] = []
+    entries: list[dict[str, Any]] = []
+    for answer in answers:
+        if answer.body is None:
+            lines.append(f"{answer.address}  unreachable: {answer.error}")
+            continue
+        for held in answer.body["quarantined"]:
+            targets = " ".join(held["targets"])
+            lines.append(
+                f"{answer.body['host']}  {held['content']}  "
+                f"held for {held['hold_s']:.1f} s  "
+                f"{targets} ended, the last {held['last_s']:.1f} s ago"
+            )
+            entries.append({"host": answer.body["host"], **held})
+    text = tuple(lines) or ("nothing is held",)
+    return Output(text, {"quarantined": entries}, exit_code_of(answers))
+
+
+def lift(arguments: Namespace) -> Output:
+    """Let requests of a content run again; the hosts asked tell all others."""
+    path = f"/v1/quarantine/{arguments.content}"
+    answers = asyncio.run(ask_all(arguments.hosts, path, "DELETE"))
+    lifted = any(a.body and a.body.get("lifted") for a in answers)
+    text = "lifted" if lifted else "under no suspicion there"
+    code = exit_code_of(answers) if lifted else EXIT_FINDINGS
+    document = {"content": arguments.content, "lifted": lifted}
+    return Output((f"{arguments.content}  {text}",), document, code)
--- a/packages/cli/src/sardinequay_cli/main.py
+++ b/packages/cli/src/sardinequay_cli/main.py
@@ -108,7 +108,7 @@
     groups: SubParsers,
 ) -> None:
     """Add the verbs that ask a fleet."""
-    text = "A running fleet, asked and never changed."
+    text = "A running fleet, asked, and changed by one verb only."
     group = groups.add_parser("fleet", help=text, description=text)
     verbs = group.add_subparsers(dest="name", required=True, metavar="VERB")
     made = add_verb(verbs, "status", fleet_verbs.status)
@@ -116,6 +116,11 @@
     made = add_verb(verbs, "explain", fleet_verbs.explain)
     made.add_argument("id", help="of a request, load-TOKEN, evict-TOKEN or bundle")
     add_hosts(made)
+    made = add_verb(verbs, "quarantine", fleet_verbs.quarantine)
+    add_hosts(made)
+    made = add_verb(verbs, "lift", fleet_verbs.lift)
+    made.add_argument("content", help="as `quarantine` names it")
+    add_hosts(made)
 
 
 def add_logs(
--- a/packages/cli/tests/test_command.py
+++ b/packages/cli/tests/test_command.py
@@ -1,8 +1,11 @@
 """The command line: help, exit codes, output for people and as JSON."""
 
 import json
+from collections.abc import Iterator
 from hashlib import sha256
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
+from threading import Thread
 from typing import Any
 
 import pytest
@@ -116,6 +119,8 @@
         ["settings", "check"],
         ["fleet", "status"],
         ["fleet", "explain"],
+        ["fleet", "quarantine"],
+        ["fleet", "lift"],
     ],
 )
 def test_every_verb_has_help(
@@ -189,6 +194,51 @@
     assert "data_centre" in error
 
 
+class HeldHost(BaseHTTPRequestHandler):
+    """A host that holds one content until that is lifted."""
+
+    held = True
+
+    def do_GET(self) -> None:
+        entry = {"content": "c1", "targets": ["a", "b"], "last_s": 1.0, "hold_s": 4.0}
+        held = [entry] if type(self).held else []
+        self.answer(200, {"host": "h1", "quarantined": held})
+
+    def do_DELETE(self) -> None:
+        was_held, type(self).held = type(self).held, False
+        self.answer(200 if was_held else 404, {"lifted": was_held})
+
+    def answer(self, status: int, body: dict) -> None:
+        data = json.dumps(body).encode()
+        self.send_response(status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+    def log_message(self, *_: object) -> None:
+        """Say nothing."""
+
+
+@pytest.fixture
+def held_host() -> Iterator[str]:
+    server = ThreadingHTTPServer(("127.0.0.1", 0), HeldHost)
+    Thread(target=server.serve_forever, daemon=True).start()
+    yield f"127.0.0.1:{server.server_port}"
+    server.shutdown()
+    server.server_close()
+
+
+def test_quarantine_is_seen_and_lifted(desk: Desk, held_host: str) -> None:
+    code, out, _ = desk.run("fleet", "quarantine", "--hosts", held_host)
+    assert code == 0
+    assert "h1  c1  held for 4.0 s  a b ended, the last 1.0 s ago" in out
+    assert desk.run("fleet", "lift", "c1", "--hosts", held_host)[0] == 0
+    code, out, _ = desk.run("fleet", "quarantine", "--hosts", held_host)
+    assert (code, out.strip()) == (0, "nothing is held")
+    assert desk.run("fleet", "lift", "c1", "--hosts", held_host)[0] == 1
+
+
 def test_unreachable_hosts_are_told(desk: Desk) -> None:
     code, out, _ = desk.run("fleet", "status", "--hosts", "127.0.0.1:1")
     assert code == 4
--- a/packages/daemon/src/sardinequay_daemon/content_guard.py
+++ b/packages/daemon/src/sardinequay_daemon/content_guard.py
@@ -10,10 +10,11 @@
 import itertools
 import logging
 from collections.abc import Coroutine, Iterable
+from dataclasses import asdict, dataclass
 from typing import Protocol
 
-from sardinequay_core.clock import Clock, seconds
-from sardinequay_core.names import Address, ContentId, HostId
+from sardinequay_core.clock import Clock, Instant, seconds
+from sardinequay_core.names import Address, ContentId, HostId, TargetId
 from sardinequay_core.outcome import Reason, Refusal, not_run
 from sardinequay_core.quarantine import Quarantine, TargetEnd
 from sardinequay_core.rendezvous import rank
@@ -48,6 +49,26 @@
 log = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class HeldContent:
+    """A content that is held, for operators.
+
+    Parameters
+    ----------
+    targets : list of TargetId
+        Those that ended under it, the last one last.
+    last_s : float
+        How long ago that was, in seconds.
+    hold_s : float
+        How long it is still held, in seconds.
+    """
+
+    content: ContentId
+    targets: list[TargetId]
+    last_s: float
+    hold_s: float
+
+
 class Fleet(Protocol):
     """What the guard needs of the other hosts."""
 
@@ -238,18 +259,28 @@
         now = self.clock.monotonic()
         left = self.quarantine.hold_left(content, now)
         if left:
-            ends = self.quarantine.ends(content)
-            log.warning(
-                "content quarantined",
-                extra={
-                    "content": content,
-                    "targets": [e.target for e in ends],
-                    "ages_s": [round((now - e.at).total_seconds(), 3) for e in ends],
-                    "hold_s": round(left.total_seconds(), 3),
-                },
-            )
+            held = self.held_content(content, now)
+            log.warning("content quarantined", extra=asdict(held))
         self.fleet.tell_of(content, is_own)
 
+    # For operators.
+
+    def held(self) -> list[HeldContent]:
+        """Return the contents that are held."""
+        now = self.clock.monotonic()
+        return [self.held_content(c, now) for c in self.quarantine.held(now)]
+
+    def held_content(self, content: ContentId, now: Instant) -> HeldContent:
+        """Return one content that is held."""
+        ends = self.quarantine.ends(content)
+        left = self.quarantine.hold_left(content, now)
+        return HeldContent(
+            content,
+            [e.target for e in ends],
+            round((now - ends[-1].at).total_seconds(), 3),
+            round(left.total_seconds(), 3),
+        )
+
     # Upkeep.
 
     def start(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
--- a/packages/daemon/src/sardinequay_daemon/host.py
+++ b/packages/daemon/src/sardinequay_daemon/host.py
@@ -167,7 +167,11 @@
         self.content_guard = self.make_content_guard()
         self.callers = self.make_callers(engines, pooled, fresh)
         self.operators = OperatorServer(
-            self, self.metrics, self.journal, self.refresh_metrics
+            self,
+            self.metrics,
+            self.journal,
+            self.refresh_metrics,
+            self.content_guard.lift,
         )
         self.connect()
         self.register()
@@ -358,6 +362,7 @@
             members=self.membership.health_of(),
             guard_views=self.guard.views(),
             resident=self.keeper.summary(),
+            quarantined=self.content_guard.held(),
         )
 
     async def expire_contents(self) -> None:
--- a/packages/daemon/src/sardinequay_daemon/host_pages.py
+++ b/packages/daemon/src/sardinequay_daemon/host_pages.py
@@ -1,4 +1,4 @@
-"""What a host shows to operators: its metrics and what is in force on it."""
+"""What a host shows to operators: metrics, what is in force, and one thing to do."""
 
 from collections.abc import Callable
 
@@ -6,11 +6,18 @@
 from aioprometheus.collectors import Registry
 from aioprometheus.renderer import render
 
+from sardinequay_core.names import ContentId
+
+LIFT_PATH = "/v1/quarantine/{content}"
+"""Removing a content from there lets its requests run again, on all hosts."""
+
+Lift = Callable[[ContentId], bool]
+
 
 def pages_app(
-    registry: Registry, status: Callable[[], dict[str, object]]
+    registry: Registry, status: Callable[[], dict[str, object]], lift: Lift
 ) -> web.Application:
-    """Return the pages ``/metrics`` (text) and ``/v1/status`` (JSON)."""
+    """Return the pages ``/metrics`` (text), ``/v1/status`` (JSON) and the lift."""
 
     async def show_metrics(request: web.Request) -> web.Response:
         content, headers = render(registry, [])
@@ -22,4 +29,16 @@
     app = web.Application()
     app.router.add_get("/metrics", show_metrics)
     app.router.add_get("/v1/status", show_status)
+    add_lift(app, lift)
     return app
+
+
+def add_lift(app: web.Application, lift: Lift) -> None:
+    """Let operators lift the quarantine of a content; 404 if it was under none."""
+
+    async def answer(request: web.Request) -> web.Response:
+        was_suspect = lift(ContentId(request.match_info["content"]))
+        status = 200 if was_suspect else 404
+        return web.json_response({"lifted": was_suspect}, status=status)
+
+    app.router.add_delete(LIFT_PATH, answer)
--- a/packages/daemon/src/sardinequay_daemon/operators.py
+++ b/packages/daemon/src/sardinequay_daemon/operators.py
@@ -1,4 +1,4 @@
-"""The operators' listener: read-only, nothing here steers a host."""
+"""The operators' listener: read-only, but for lifting a quarantine."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -10,6 +10,8 @@
 
 from sardinequay_core.names import TargetId
 
+from .content_guard import HeldContent
+from .host_pages import Lift, add_lift
 from .journal import Journal
 from .metrics import Metrics
 
@@ -42,6 +44,7 @@
     members: dict[str, str]
     guard_views: dict[str, int | None]
     resident: dict[str, dict[TargetId, list[str]]]
+    quarantined: list[HeldContent]
 
 
 class OperatorServer:
@@ -53,11 +56,13 @@
         metrics: Metrics,
         journal: Journal,
         before_metrics: Callable[[], None],
+        lift: Lift,
     ) -> None:
         self.source = source
         self.metrics = metrics
         self.journal = journal
         self.before_metrics = before_metrics
+        self.lift = lift
 
     def app(self) -> web.Application:
         """Return the HTTP application."""
@@ -67,6 +72,7 @@
         app.router.add_get("/metrics", self.publish)
         app.router.add_get("/v1/status", self.status)
         app.router.add_get("/v1/explain/{subject}", self.explain)
+        add_lift(app, self.lift)
         return app
 
     async def health(self, _: web.Request) -> web.Response:
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -4,7 +4,7 @@
 import contextlib
 import gc
 import logging
-from dataclasses import dataclass, replace
+from dataclasses import asdict, dataclass, replace
 from random import Random
 
 from aiohttp import web
@@ -327,7 +327,8 @@
             )
             await self.serve_http(ready, profile.readiness)
             metrics = web.AppRunner(
-                pages_app(self.metrics.registry, self.status), access_log=None
+                pages_app(self.metrics.registry, self.status, self.guard.lift),
+                access_log=None,
             )
             await self.serve_http(metrics, profile.metrics)
             await self.serve_http(web.ServerRunner(self.server), profile.callers)
@@ -362,6 +363,7 @@
             "live_hosts": self.fleet.live_hosts,
             "orders_engines": self.lease.is_holder,
             "in_flight": self.server.in_flight,
+            "quarantined": [asdict(held) for held in self.guard.held()],
             "peers": sorted(p.contact.host_id for p in self.fleet.alive()),
             "targets": {
                 t: p.target.presence.value for t, p in catalogue.targets.items()
