--- a/packages/daemon/src/sardinequay_daemon/dispatch.py
+++ b/packages/daemon/src/sardinequay_daemon/dispatch.py
@@ -161,6 +161,8 @@
     ) -> AsyncGenerator[Events, None]:
         """Yield events of one attempt after another, as far as the content may run."""
         while True:
+            # An engine's end also counts against the request, which would else end one
+            # engine after the other.
             await self.guard.settled(run, PROBE_WAIT_S)
             self.guard.refuse_held(run)
             use = await self.obtain(request, span)
--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -48,6 +48,8 @@
     async def attempt_all(self, exchange: Exchange, sink: Sink) -> None:
         """Try one target after another until one has answered."""
         while True:
+            # A target's end also counts against the request: left to the judgement of
+            # targets, one that ends whatever runs it would go on to the next.
             await self.settled(exchange)
             self.guard.refuse_held(exchange.guarded)
             target = await self.picker.choose(exchange)
--- a/packages/daemon/src/sardinequay_daemon/services.py
+++ b/packages/daemon/src/sardinequay_daemon/services.py
@@ -255,6 +255,8 @@
         budget.first_attempt()
         guard, run = forwarder.guard, self.run
         while True:
+            # A target's end also counts against the request, which would else end one
+            # target after the other.
             await guard.settled(run, PROBE_WAIT_S)
             guard.refuse_held(run)
             target = forwarder.choose(request)
