Tell ends apart by target and start, not by when they seem to have been

Cause: ends travel as ages; a digest that a cut or a freeze held up arrives with the age that it had, and an end more than 2 s from the one known was another. Now one target and start is one end, at the earliest moment told: lateness only makes it seem later, so this holds for any delay. Where targets keep their ids and name no start, one within 30 s.

--- a/packages/core/src/sardinequay_core/quarantine.py
+++ b/packages/core/src/sardinequay_core/quarantine.py
@@ -37,7 +37,8 @@
     most_ends : int
         Ends that are kept of one content, which bounds the hold, too.
     same_end : timedelta
-        Ends of one start of a target within this are one end, told by several hosts.
+        Ends of one target and start within this are one end, told by several hosts.
+        Without bound where a target's id or start tells one life of it from the next.
     remember : timedelta
         How long a content that is not held any more stays under suspicion.
     most_contents : int
@@ -48,7 +49,7 @@
     first_hold: timedelta = timedelta(seconds=5)
     long_hold: timedelta = timedelta(minutes=10)
     most_ends: int = 8
-    same_end: timedelta = timedelta(seconds=2)
+    same_end: timedelta = timedelta.max
     remember: timedelta = timedelta(hours=1)
     most_contents: int = 1024
 
@@ -115,7 +116,7 @@
         if known is not None:
             if known.cleared_at is not None and end.at <= known.cleared_at:
                 return False
-            if any(self.is_same(end, other) for other in known.ends):
+            if self.take_again(known, end):
                 return False
         else:
             self.make_room()
@@ -126,6 +127,21 @@
         self.note_change(known, now)
         return True
 
+    def take_again(self, known: Suspicion, end: TargetEnd) -> bool:
+        """Return whether an end is known, and keep the earliest moment told of it.
+
+        What a cut or a freeze held up arrives with the age that it had before, and so
+        seems later than it was. Taken for another end, one end held its contents.
+        """
+        for place, other in enumerate(known.ends):
+            if self.is_same(end, other):
+                if end.at < other.at:
+                    known.ends[place] = end
+                    known.ends.sort(key=lambda e: e.at)
+                    known.held_until = self.hold_end(known.ends)
+                return True
+        return False
+
     def is_same(self, end: TargetEnd, other: TargetEnd) -> bool:
         """Return whether two witnesses tell of one end."""
         return (
--- a/packages/daemon/src/sardinequay_daemon/host.py
+++ b/packages/daemon/src/sardinequay_daemon/host.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import ssl
+from datetime import timedelta
 from random import Random
 
 import aiohttp
@@ -16,7 +17,7 @@
 from sardinequay_core.leases import HolderId
 from sardinequay_core.membership import Member
 from sardinequay_core.names import Address, parse_address
-from sardinequay_core.quarantine import Quarantine
+from sardinequay_core.quarantine import Quarantine, QuarantinePolicy
 from sardinequay_core.rollout import Offered
 from sardinequay_core.roster import Roster
 
@@ -67,6 +68,10 @@
 KEEPER_MESSAGES = (Acquire, Renew, GiveBack, Want)
 IDLE_CONNECTION_S = 15.0
 
+SAME_END = timedelta(seconds=30)
+"""Targets keep their ids over restarts here and name no start: ends of one target that
+lie closer count once. Longer than news may be held up on a link that is not closed."""
+
 EXPIRE_S = 10.0
 """How often contents that are to be forgotten are looked for."""
 
@@ -213,7 +218,7 @@
 
     def make_content_guard(self) -> ContentGuard:
         """Make what stops requests under which targets end."""
-        quarantine = Quarantine()
+        quarantine = Quarantine(QuarantinePolicy(same_end=SAME_END))
         self.spread = ContentSpread(
             self.membership, self.peers, quarantine, self.clock, self.random
         )
