--- a/packages/core/tests/test_quarantine.py
+++ b/packages/core/tests/test_quarantine.py
@@ -69,8 +69,8 @@
 def test_news_that_a_cut_held_up_is_no_other_end(quarantine) -> None:
     """What a host told before a cut of 5.6 s came after it, and looked 5.6 s younger.
 
-    One engine that ended counted as three, and eight contents that were there were
-    held for ten minutes at seven hosts:
+    One engine that ended counted as three, and seven contents that were there were
+    held for ten minutes at eight hosts:
 
         39.750  content quarantined  targets=[i-0a68, i-0a68, i-0a68]  last_s=25.624
 
