--- a/packages/cli/src/sardinequay_cli/fleet_verbs.py
+++ b/packages/cli/src/sardinequay_cli/fleet_verbs.py
@@ -150,7 +150,7 @@
     entries: list[dict[str, Any]] = []
     for answer in answers:
         if answer.body is None:
-            lines.append(f"{answer.address}  unreachable: {answer.error}")
+            lines.append(status_line(answer))
             continue
         for held in answer.body["quarantined"]:
             targets = " ".join(held["targets"])
--- a/packages/daemon/src/sardinequay_daemon/caller_requests.py
+++ b/packages/daemon/src/sardinequay_daemon/caller_requests.py
@@ -14,9 +14,11 @@
 from sardinequay_core.bundle import Adapter, Bundle, Caller, Pool
 from sardinequay_core.claims import MAX_KEY_CHARS
 from sardinequay_core.clock import Instant
+from sardinequay_core.content import content_id
 from sardinequay_core.names import AdapterRef, RequestId, parse_adapter_ref
 from sardinequay_core.outcome import Reason, Refusal, not_run
 
+from .guarded_run import GuardedRun
 from .settings import LimitSettings
 
 KEY_HEADER = "Idempotency-Key"
@@ -59,6 +61,12 @@
     stream: bool
 
 
+def guarded_run(envelope: Envelope, method: str, path: str, body: bytes) -> GuardedRun:
+    """Return a request as far as it concerns whether its content may run."""
+    content = content_id(method, "", path, envelope.caller.name, body)
+    return GuardedRun(envelope.request_id, content)
+
+
 def new_request_id(headers: Mapping[str, str]) -> RequestId:
     """Return the caller's request id if it is usable, else a new one."""
     given = headers.get(REQUEST_HEADER, "")
--- a/packages/daemon/src/sardinequay_daemon/digest_writer.py
+++ b/packages/daemon/src/sardinequay_daemon/digest_writer.py
@@ -15,13 +15,7 @@
 from .order_task import OrderTask
 from .peer_table import Peer
 from .relay_state import RelayState
-from .serving_messages import (
-    Contact,
-    Digest,
-    EngineHoldings,
-    HubNotes,
-    Member,
-)
+from .serving_messages import Contact, Digest, EngineHoldings, HubNotes, Member
 from .store_task import StoreTask
 
 TELL_AGAIN = seconds(1)
--- a/packages/daemon/src/sardinequay_daemon/dispatch.py
+++ b/packages/daemon/src/sardinequay_daemon/dispatch.py
@@ -16,12 +16,11 @@
 from returns.result import Success
 
 from sardinequay_core.admission import RetryBudget, RetryPolicy
-from sardinequay_core.content import content_id
 from sardinequay_core.leases import Use
 from sardinequay_core.names import Address, PoolName
 from sardinequay_core.outcome import Outcome, Reason, Refusal, not_run
 
-from .caller_requests import ModelRequest
+from .caller_requests import ModelRequest, guarded_run
 from .claimer import Claimer
 from .content_guard import PROBE_WAIT_S, ContentGuard
 from .engines import EngineRequest, HttpEngines, events_of
@@ -127,39 +126,23 @@
         self, request: ModelRequest, progress: Progress, span: Span
     ) -> AsyncGenerator[Events, None]:
         """Yield the answer's events; raises `Refused` when it cannot be completed."""
-        async with (
-            self.claimer.guarded(request.envelope, progress, span),
-            aclosing(self.attempts(request, progress, span)) as events,
-        ):
-            async for part in events:
-                yield part
+        run = guarded_run(request.envelope, "POST", request.path, request.body)
+        async with self.claimer.guarded(request.envelope, progress, span):
+            try:
+                attempts = self.attempts(request, progress, span, run)
+                async with aclosing(attempts) as events:
+                    async for part in events:
+                        yield part
+                self.guard.answered(run.content)
+            finally:
+                self.guard.leave(run)
 
     async def attempts(
-        self, request: ModelRequest, progress: Progress, span: Span
+        self, request: ModelRequest, progress: Progress, span: Span, run: GuardedRun
     ) -> AsyncGenerator[Events, None]:
         """Yield events from one engine after another until the answer is whole."""
         budget = self.budgets.of(request.pool.name)
         budget.first_attempt()
-        run = guarded_run(request)
-        try:
-            async with aclosing(
-                self.guarded_attempts(request, progress, span, budget, run)
-            ) as parts:
-                async for part in parts:
-                    yield part
-            self.guard.answered(run.content)
-        finally:
-            self.guard.leave(run)
-
-    async def guarded_attempts(
-        self,
-        request: ModelRequest,
-        progress: Progress,
-        span: Span,
-        budget: RetryBudget,
-        run: GuardedRun,
-    ) -> AsyncGenerator[Events, None]:
-        """Yield events of one attempt after another, as far as the content may run."""
         while True:
             # An engine's end also counts against the request, which would else end one
             # engine after the other.
@@ -288,13 +271,6 @@
         raise Refused(refusal_of(error, progress))
 
 
-def guarded_run(request: ModelRequest) -> GuardedRun:
-    """Return a model request as far as it concerns whether its content may run."""
-    envelope = request.envelope
-    content = content_id("POST", "", request.path, envelope.caller.name, request.body)
-    return GuardedRun(envelope.request_id, content)
-
-
 def run_id(request: ModelRequest, progress: Progress) -> str:
     """Return the id of one run on an engine.
 
--- a/packages/daemon/src/sardinequay_daemon/services.py
+++ b/packages/daemon/src/sardinequay_daemon/services.py
@@ -14,18 +14,16 @@
 
 from sardinequay_core.bundle import Service
 from sardinequay_core.clock import Clock, Instant
-from sardinequay_core.content import content_id
 from sardinequay_core.names import TargetId
 from sardinequay_core.outcome import Outcome, Reason, Refusal, not_run
 from sardinequay_core.roster import EMPTY_ROSTER, Presence, Roster, Target
 
-from .caller_requests import Envelope
+from .caller_requests import Envelope, guarded_run
 from .claimer import Claimer, WonClaim
 from .content_guard import PROBE_WAIT_S, ContentGuard
 from .dispatch import RetryBudgets
 from .engines import BROKEN_ERRORS, TurnedErrors
 from .errors import TargetError, TargetFault
-from .guarded_run import GuardedRun
 from .journal import Journal
 from .metrics import Metrics
 from .progress import Progress, Refused, too_late
@@ -201,7 +199,9 @@
         self.progress = progress
         self.span = span
         self.claim: WonClaim | None = None
-        self.run = guarded_run(request)
+        self.run = guarded_run(
+            request.envelope, request.method, request.path, request.body
+        )
         self.target: Target | None = None
         self.answer: aiohttp.ClientResponse | None = None
         self.sent_at = forwarder.clock.monotonic()
@@ -286,14 +286,6 @@
                     forwarder.count(target, -1)
 
 
-def guarded_run(request: ServiceRequest) -> GuardedRun:
-    """Return a request as far as it concerns whether its content may run."""
-    envelope = request.envelope
-    caller = envelope.caller.name
-    content = content_id(request.method, "", request.path, caller, request.body)
-    return GuardedRun(envelope.request_id, content)
-
-
 def pass_through(headers: Mapping[str, str]) -> CIMultiDict[str]:
     """Return the headers that are not about one connection only."""
     passed: CIMultiDict[str] = CIMultiDict()
