Check callers' keys and admit by token quotas over all hosts

Engines got callers' keys, keys taken away went on running, and nothing bounded what an organisation used. Keys become digests where the store is read, so no host keeps or tells one; a request's organisation is set by us and its priority goes before the route's. Quotas are admitted against what all hosts use together, told with the digests.

--- /dev/null
+++ b/packages/core/src/sardinequay_core/fleet_share.py
@@ -0,0 +1,52 @@
+"""Which part of what the fleet may do together the hosts in touch may do.
+
+Load pattern: a data centre is cut off, or all hosts have just started and know nobody
+yet. Nobody knows how many islands there are. If each does no more than its part by the
+hosts that were known to live lately, all together stay within the whole.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from .clock import Instant, seconds
+
+KEEP_COUNTED = seconds(30)
+"""How long hosts that fell silent keep their part: longer than a cut that must be
+borne."""
+
+ASSUMED_HOSTS = 25
+"""Hosts that one takes to exist that knows none yet. Each host of a large fleet gets so
+few requests of an organisation that this part of a quota serves its usual demand."""
+
+
+@dataclass(slots=True)
+class FleetShare:
+    """The number of live hosts over the last while.
+
+    Parameters
+    ----------
+    counted : deque
+        Numbers of live hosts and when they were counted, the largest first: only such
+        as no later one exceeds.
+    """
+
+    counted: deque[tuple[Instant, int]] = field(default_factory=deque)
+
+    def count(self, live: int, now: Instant) -> None:
+        """Count the live hosts."""
+        while self.counted and self.counted[-1][1] <= live:
+            self.counted.pop()
+        self.counted.append((now, live))
+        while self.counted[0][0] < now - KEEP_COUNTED:
+            self.counted.popleft()
+
+    def part(self, live: int, contacts: int) -> float:
+        """Return the part of the hosts in touch.
+
+        Parameters
+        ----------
+        contacts : int
+            Hosts, alive or not, that a host takes to exist that has just started.
+        """
+        lately = self.counted[0][1] if self.counted else 1
+        return live / max(live, lately, contacts)
--- a/packages/core/src/sardinequay_core/outcome.py
+++ b/packages/core/src/sardinequay_core/outcome.py
@@ -27,6 +27,7 @@
     DEADLINE_EXPIRED = "deadline_expired"
     NO_BUNDLE = "no_bundle"
     OVERLOADED = "overloaded"
+    OVER_QUOTA = "over_quota"
     QUARANTINED = "quarantined"
     LOAD_QUEUE_FULL = "load_queue_full"
     NO_TARGET = "no_target"
@@ -54,6 +55,7 @@
     Reason.TOO_LARGE: 413,
     Reason.HEADERS_TOO_LARGE: 431,
     Reason.OVERLOADED: 429,
+    Reason.OVER_QUOTA: 429,
     Reason.INTERNAL: 500,
     Reason.TARGET_FAILED: 502,
     Reason.ANSWER_LOST: 502,
--- a/packages/core/src/sardinequay_core/serving.py
+++ b/packages/core/src/sardinequay_core/serving.py
@@ -11,6 +11,7 @@
 from hashlib import blake2b
 
 from .names import PoolName
+from .organisations import KeyDigest, Organisation
 
 
 class Repetition(Enum):
@@ -58,6 +59,8 @@
         Targets on which one request may run.
     max_pause : timedelta or None
         The longest pause between two events of a stream that is on time.
+    is_public : bool
+        Whether callers need no key.
     """
 
     name: str
@@ -70,6 +73,7 @@
     max_runs: int
     shares: tuple[Share, ...]
     max_pause: timedelta | None = None
+    is_public: bool = False
 
     def pool_for(self, request_id: str) -> PoolName:
         """Return the pool of one request; the same id always goes the same way."""
@@ -169,15 +173,25 @@
 
 @dataclass(frozen=True, slots=True)
 class ServingConfig:
-    """One version of what is served."""
+    """One version of what is served.
+
+    Parameters
+    ----------
+    organisations : tuple of Organisation or None
+        Whose callers may send requests; None where callers need no keys.
+    """
 
     version: int
     routes: tuple[Route, ...]
     pools: Mapping[PoolName, Pool]
     limits: CallerLimits
+    organisations: tuple[Organisation, ...] | None = None
     by_host: Mapping[str, tuple[Route, ...]] = field(
         default_factory=dict, compare=False
     )
+    by_key: Mapping[KeyDigest, Organisation] = field(
+        default_factory=dict, compare=False
+    )
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of a host name with the longest prefix of the path."""
@@ -192,6 +206,7 @@
     routes: tuple[Route, ...],
     pools: tuple[Pool, ...],
     limits: CallerLimits,
+    organisations: tuple[Organisation, ...] | None = None,
 ) -> ServingConfig:
     """Return a version with its routes indexed by host, the longest prefix first."""
     by_host: dict[str, list[Route]] = {}
@@ -199,4 +214,5 @@
         by_host.setdefault(route.host, []).append(route)
     index = {host: tuple(found) for host, found in by_host.items()}
     named = {pool.name: pool for pool in pools}
-    return ServingConfig(version, routes, named, limits, index)
+    by_key = {key: o for o in organisations or () for key in o.keys}
+    return ServingConfig(version, routes, named, limits, organisations, index, by_key)
--- /dev/null
+++ b/packages/core/src/sardinequay_core/usage_view.py
@@ -0,0 +1,249 @@
+"""What organisations use over all hosts: counted by each, told as sums, never as news.
+
+Each host counts what it was asked for and what it admitted since it started. Counters
+that only grow may be told late, twice or not at all: the next one makes up for it. What
+a peer tells may be its own count, or the sum of all hosts behind it (`fleet_topology`),
+and this host's own sums are made so that they never fall either.
+"""
+
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from .clock import ZERO, Instant, seconds
+from .fleet_topology import Scope
+from .names import HostId
+from .organisations import OrganisationName
+
+FLOW_MEMORY_S = 0.5
+"""Time constant of a peer's measured flow, in seconds: about two exchanges."""
+
+JUST_STARTED = seconds(3)
+"""What a peer counted that has been up for less than this is all recent."""
+
+TELL_FOR = seconds(3)
+"""How long a count that changed is told: many exchanges, so that one is heard."""
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """What an organisation asked for and what was admitted, in its quota's unit."""
+
+    asked: int = 0
+    admitted: int = 0
+
+    def plus(self, other: "Usage") -> "Usage":
+        """Return both together."""
+        return Usage(self.asked + other.asked, self.admitted + other.admitted)
+
+    def less(self, other: "Usage") -> "Usage":
+        """Return this without another that is part of it."""
+        return Usage(self.asked - other.asked, self.admitted - other.admitted)
+
+
+NO_USAGE = Usage()
+Counts = dict[OrganisationName, Usage]
+
+
+@dataclass(frozen=True, slots=True)
+class Flow:
+    """What is asked for and admitted a second."""
+
+    asked_per_s: float = 0.0
+    admitted_per_s: float = 0.0
+
+    def towards(self, gained: Usage, over_s: float) -> "Flow":
+        """Return the flow after some more was used within a time."""
+        weight = 1 - math.exp(-over_s / FLOW_MEMORY_S)
+        asked = self.asked_per_s + weight * (gained.asked / over_s - self.asked_per_s)
+        admitted = self.admitted_per_s + weight * (
+            gained.admitted / over_s - self.admitted_per_s
+        )
+        return Flow(max(0.0, asked), max(0.0, admitted))
+
+
+NO_FLOW = Flow()
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What a peer tells of usage.
+
+    Parameters
+    ----------
+    up : timedelta
+        How long ago it started to count.
+    has_restarted : bool
+        Whether it has started anew since it was heard last.
+    """
+
+    scope: Scope
+    counts: Counts
+    up: timedelta
+    has_restarted: bool = False
+
+
+@dataclass(slots=True)
+class Source:
+    """What one peer told, for itself or for all behind it."""
+
+    scope: Scope
+    told: Counts
+    at: Instant
+    flows: dict[OrganisationName, Flow] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Gain:
+    """What became known of an organisation's usage elsewhere.
+
+    Parameters
+    ----------
+    foreseen : float
+        What the source's flow had let expect to be admitted since it was heard last.
+    """
+
+    organisation: OrganisationName
+    usage: Usage
+    foreseen: float
+
+
+@dataclass(slots=True)
+class UsageView:
+    """Counts of one host, and those that its peers told.
+
+    Parameters
+    ----------
+    near, far : dict
+        What was gained since this host started from hosts of its data centre, and from
+        those of others.
+    gained : dict
+        The part of `near` of each host.
+    changed_at : dict
+        When a count of an organisation changed last.
+    """
+
+    own: Counts = field(default_factory=dict)
+    sources: dict[HostId, Source] = field(default_factory=dict)
+    near: Counts = field(default_factory=dict)
+    far: Counts = field(default_factory=dict)
+    gained: dict[HostId, Counts] = field(default_factory=dict)
+    changed_at: dict[OrganisationName, Instant] = field(default_factory=dict)
+
+    def note(self, organisation: OrganisationName, usage: Usage, now: Instant) -> None:
+        """Count what this host was asked for or admitted."""
+        add(self.own, organisation, usage)
+        self.changed_at[organisation] = now
+
+    def hear(self, host: HostId, told: Told, now: Instant) -> list[Gain]:
+        """Take a peer's counts; return what they say that was not known."""
+        scope = told.scope
+        source = self.sources.get(host)
+        if source is None or source.scope is not scope or told.has_restarted:
+            source = self.sources[host] = first_of(told, now)
+        over_s = (now - source.at).total_seconds()
+        gains = [
+            self.gain(source, organisation, told.counts, over_s)
+            for organisation in {**source.flows, **told.counts}
+        ]
+        for gain in gains:
+            self.keep(host, scope, gain, now)
+        source.told.update(told.counts)
+        source.at = now
+        return gains
+
+    def gain(
+        self,
+        source: Source,
+        organisation: OrganisationName,
+        told: Counts,
+        over_s: float,
+    ) -> Gain:
+        """Return what a source says of one organisation that was not known."""
+        before = source.told.get(organisation, NO_USAGE)
+        usage = told.get(organisation, before).less(before)
+        flow = source.flows.get(organisation, NO_FLOW)
+        if over_s > 0:
+            source.flows[organisation] = flow.towards(usage, over_s)
+        return Gain(organisation, usage, flow.admitted_per_s * over_s)
+
+    def keep(self, host: HostId, scope: Scope, gain: Gain, now: Instant) -> None:
+        """Count what was gained, for those to whom this host tells sums."""
+        if gain.usage == NO_USAGE:
+            return
+        self.changed_at[gain.organisation] = now
+        match scope:
+            case Scope.HOST:
+                add(self.near, gain.organisation, gain.usage)
+                add(self.gained.setdefault(host, {}), gain.organisation, gain.usage)
+            case Scope.DATA_CENTRE:
+                add(self.far, gain.organisation, gain.usage)
+
+    def forget(self, host: HostId) -> None:
+        """Take that a peer uses nothing any more; what it used stays counted."""
+        self.sources.pop(host, None)
+
+    def only(self, host: HostId) -> None:
+        """Forget all peers but one, that speaks for all."""
+        kept = self.sources.get(host)
+        self.sources = {} if kept is None else {host: kept}
+
+    def flow_elsewhere(self, organisation: OrganisationName) -> Flow:
+        """Return what all others are asked for and admit a second."""
+        asked = admitted = 0.0
+        for source in self.sources.values():
+            flow = source.flows.get(organisation)
+            if flow is not None:
+                asked += flow.asked_per_s
+                admitted += flow.admitted_per_s
+        return Flow(asked, admitted)
+
+    def age(self, now: Instant) -> timedelta:
+        """Return how long ago the peer that was silent longest was heard."""
+        oldest = min((s.at for s in self.sources.values()), default=now)
+        return max(ZERO, now - oldest)
+
+    # What peers are told.
+
+    def own_counts(self, now: Instant) -> Counts:
+        """Return this host's counts that changed lately."""
+        return self.recent((self.own,), now)
+
+    def here(self, now: Instant) -> Counts:
+        """Return the counts of this data centre's hosts that changed lately."""
+        return self.recent((self.own, self.near), now)
+
+    def all_but(self, host: HostId, now: Instant) -> Counts:
+        """Return the counts of all hosts but one that changed lately."""
+        found = self.recent((self.own, self.near, self.far), now)
+        its = self.gained.get(host, {})
+        return {o: usage.less(its.get(o, NO_USAGE)) for o, usage in found.items()}
+
+    def recent(
+        self, parts: Iterable[Mapping[OrganisationName, Usage]], now: Instant
+    ) -> Counts:
+        """Return the sum of counts that changed lately."""
+        since = now - TELL_FOR
+        found: Counts = {}
+        for part in parts:
+            for organisation, usage in part.items():
+                if self.changed_at.get(organisation, ZERO) >= since:
+                    add(found, organisation, usage)
+        return found
+
+
+def first_of(told: Told, now: Instant) -> Source:
+    """Return a peer that was not heard before.
+
+    All that it counted is news if it has just started; else only what it counts from
+    now on, since it may have counted for hours.
+    """
+    if told.has_restarted or told.up < JUST_STARTED:
+        return Source(told.scope, {}, now - seconds(FLOW_MEMORY_S))
+    return Source(told.scope, dict(told.counts), now)
+
+
+def add(counts: Counts, organisation: OrganisationName, usage: Usage) -> None:
+    """Add to the count of one organisation."""
+    counts[organisation] = counts.get(organisation, NO_USAGE).plus(usage)
--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -133,9 +133,10 @@
         terms = SendTerms(
             self.target,
             max(seconds(0.001), exchange.deadline - self.clock.monotonic()),
-            min(LEAST_URGENT, exchange.route.priority) if self.tokens else None,
+            min(LEAST_URGENT, exchange.priority) if self.tokens else None,
             version,
             exchange.last_event,
+            exchange.organisation.name if exchange.organisation else "",
         )
         headers = self.parts.dialect.forwarded(exchange.headers, exchange.terms, terms)
         headers.update(self.trace_headers)
--- a/packages/daemon/src/sardinequay_daemon/caller_answer.py
+++ b/packages/daemon/src/sardinequay_daemon/caller_answer.py
@@ -37,6 +37,7 @@
         self.http = http
         self.arrived = arrived
         self.route = ""
+        self.organisation = ""
         self.goal_s = 0.0
         self.response: web.StreamResponse | None = None
         self.first_s = 0.0
@@ -86,6 +87,7 @@
             extra={
                 "request": request_id,
                 "route": self.route,
+                "organisation": self.organisation,
                 "result": result,
                 "detail": detail,
                 "first_s": round(self.first_s, 4),
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/caller_gate.py
@@ -0,0 +1,121 @@
+"""Who may send a request, and whether it is within its organisation's quota.
+
+Decided from a request's head alone, so that what is refused costs no body, no adapter
+and no place that others wait for.
+"""
+
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+
+from sardinequay_core.clock import seconds
+from sardinequay_core.organisations import Organisation
+from sardinequay_core.outcome import Reason, Refusal, not_run
+from sardinequay_core.quota_book import Admitted, OverQuota
+from sardinequay_core.serving import Route, ServingConfig
+
+from .progress import Refused
+from .relay_state import RelayState
+from .serving_metrics import ServingMetrics
+from .serving_ports import RequestTerms
+
+STALE_S = 3.0
+"""A host that has heard nothing of the store for so long, by itself or from peers, may
+miss a key that was added: longer than a watch lasts, shorter than a change may take."""
+
+STALE_RETRY = seconds(0.2)
+"""Another host that a caller comes to may know more."""
+
+SPREAD = 0.5
+"""Callers that are over a quota come back spread over this part of their wait."""
+
+SOONEST = seconds(0.1)
+log = logging.getLogger(__name__)
+
+
+class CallerGate:
+    """Knows the organisations in force and their quotas.
+
+    Parameters
+    ----------
+    store_age_s : callable
+        How long ago this host last heard of the store, in seconds.
+    """
+
+    def __init__(
+        self,
+        state: RelayState,
+        store_age_s: Callable[[], float],
+        metrics: ServingMetrics,
+    ) -> None:
+        self.state = state
+        self.store_age_s = store_age_s
+        self.metrics = metrics
+
+    def organisation(
+        self, config: ServingConfig, route: Route, terms: RequestTerms
+    ) -> Organisation | None:
+        """Return who asks; None where nobody needs to say.
+
+        On a public route a key that is not known counts as none.
+
+        Raises
+        ------
+        Refused
+            If the route needs a key and the request has none in force.
+        """
+        if config.organisations is None:
+            return None
+        found = config.by_key.get(terms.key) if terms.key is not None else None
+        if found is None and not route.is_public:
+            raise Refused(self.unknown_key(config, terms))
+        return found
+
+    def unknown_key(self, config: ServingConfig, terms: RequestTerms) -> Refusal:
+        """Return the refusal of a request without a key in force."""
+        age_s = self.store_age_s()
+        if terms.key is not None and age_s > STALE_S:
+            text = (
+                f"the key is not in version {config.version}, known {age_s:.1f} s ago"
+            )
+            return not_run(Reason.NO_BUNDLE, text, STALE_RETRY)
+        what = "the key is not known" if terms.key is not None else "a key is needed"
+        text = f"{what} in version {config.version}"
+        return not_run(Reason.UNAUTHENTICATED, text)
+
+    def admit(self, organisation: Organisation, terms: RequestTerms) -> Admitted | None:
+        """Count a request against its organisation's quota; None if it has none.
+
+        Raises
+        ------
+        Refused
+            If it is beyond the quota.
+        """
+        now = self.state.clock.monotonic()
+        self.state.count_hosts()
+        result = self.state.quotas.admit(organisation, terms.tokens, now)
+        if not isinstance(result, OverQuota):
+            return result
+        self.metrics.over_quota.inc(
+            {"organisation": self.metrics.organisation_label(organisation.name)}
+        )
+        raise Refused(self.over_quota(result))
+
+    def over_quota(self, over: OverQuota) -> Refusal:
+        """Return the refusal of a request beyond its organisation's quota."""
+        text = (
+            f"organisation {over.organisation} asks for {over.asked_per_s:.0f} of"
+            f" {over.rate_per_s:.0f} a second, has {over.left:.0f} left, known"
+            f" {over.known.total_seconds():.2f} s ago; this request counts {over.cost}"
+        )
+        if over.come_back is None:
+            return not_run(Reason.OVER_QUOTA, f"{text}, more than ever fits")
+        return not_run(Reason.OVER_QUOTA, text, self.spread(over.come_back))
+
+    def spread(self, wait: timedelta) -> timedelta:
+        """Return when to come back, so that callers do not come together."""
+        return max(SOONEST, wait * (1 + SPREAD * self.state.random.random()))
+
+    def give_back(self, admitted: Admitted) -> None:
+        """Take back what was counted for a request that did not run."""
+        self.state.quotas.give_back(admitted, self.state.clock.monotonic())
--- a/packages/daemon/src/sardinequay_daemon/digest_writer.py
+++ b/packages/daemon/src/sardinequay_daemon/digest_writer.py
@@ -107,6 +107,7 @@
             uses=self.state.adapter_uses(),
             holdings=self.untold_holdings(host_id, self.orders.holdings(), TELL_AGAIN),
             outcomes=self.state.health.tally.to_tell(now),
+            usage=self.state.quotas.usage.own_counts(now),
             demand=NO_DEMAND if self.fleet.is_mesh else self.state.demand.own(now),
         )
 
@@ -122,6 +123,7 @@
             uses=uses,
             holdings=self.untold_holdings(host_id, self.orders.holdings(), None),
             outcomes=self.state.health.tally.sum_of(here, now),
+            usage=self.state.quotas.usage.here(now),
             demand=self.most_wanted(here, now),
             live_hosts=self.fleet.live_hosts_here(),
         )
@@ -136,6 +138,7 @@
             shares=self.state.loads.all_but(host_id, now),
             holdings=self.untold_holdings(host_id, known, None),
             outcomes=self.state.health.tally.sum_of(others, now),
+            usage=self.state.quotas.usage.all_but(host_id, now),
             demand=self.most_wanted(others, now),
             live_hosts=self.fleet.live_hosts,
             notes=HubNotes(self.untold_members(host_id), self.fleet.neighbours()),
--- a/packages/daemon/src/sardinequay_daemon/exchange.py
+++ b/packages/daemon/src/sardinequay_daemon/exchange.py
@@ -10,6 +10,7 @@
 from sardinequay_core.after_attempt import AttemptsSoFar
 from sardinequay_core.clock import Instant, seconds
 from sardinequay_core.names import PoolName, TargetId
+from sardinequay_core.organisations import Organisation
 from sardinequay_core.serving import Route
 
 from .errors import DaemonError
@@ -36,6 +37,8 @@
         The earlier of the caller's and the route's, on this host's monotonic clock.
     guarded : GuardedRun
         The request as far as it concerns whether its content may run.
+    organisation : Organisation or None
+        Who asks, where that is known.
     tried : frozenset
         Targets that failed or rejected the request.
     """
@@ -51,11 +54,20 @@
     deadline: Instant
     span: Span
     guarded: GuardedRun
+    organisation: Organisation | None = None
     so_far: AttemptsSoFar = field(default_factory=AttemptsSoFar)
     tried: frozenset[TargetId] = frozenset()
     last_event: str = ""
     has_begun: bool = False
 
+    @property
+    def priority(self) -> int:
+        """Return the request's rank, 0 first: its organisation's before its route's."""
+        asks = self.organisation
+        if asks is not None and asks.priority is not None:
+            return asks.priority
+        return self.route.priority
+
     def left(self, now: Instant) -> timedelta:
         """Return the time that is left for an answer of this host's own."""
         return self.deadline - now - ANSWER_MARGIN
--- a/packages/daemon/src/sardinequay_daemon/relay_server.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_server.py
@@ -11,11 +11,14 @@
 
 from sardinequay_core.clock import Clock, Instant, seconds
 from sardinequay_core.content import content_id
-from sardinequay_core.outcome import Reason, Refusal, not_run
+from sardinequay_core.organisations import Organisation
+from sardinequay_core.outcome import Outcome, Reason, Refusal, not_run
+from sardinequay_core.quota_book import Admitted
 from sardinequay_core.serving import CallerLimits, Route, ServingConfig
 
 from .caller_answer import CallerAnswer
 from .caller_connection import CallerConnection
+from .caller_gate import CallerGate
 from .exchange import BrokenOffError, Exchange
 from .guarded_run import GuardedRun
 from .progress import Refused
@@ -47,6 +50,7 @@
     def __init__(
         self,
         relay: Relay,
+        gate: CallerGate,
         state: RelayState,
         dialect: CallDialect,
         metrics: ServingMetrics,
@@ -56,6 +60,7 @@
     ) -> None:
         super().__init__(self.handle, handler_cancellation=True)
         self.relay = relay
+        self.gate = gate
         self.state = state
         self.dialect = dialect
         self.metrics = metrics
@@ -118,6 +123,7 @@
     ) -> web.StreamResponse:
         """Check a request and serve it, or refuse it."""
         request_id = ""
+        admitted: Admitted | None = None
         answer = CallerAnswer(self, http, arrived)
         try:
             terms = self.read_terms(http)
@@ -125,8 +131,11 @@
             config, route = self.find_route(http)
             answer.route = route.name
             answer.goal_s = route.goal.total_seconds()
+            asks = self.gate.organisation(config, route, terms)
+            answer.organisation = asks.name if asks is not None else ""
             self.refuse_if_closing(route)
-            exchange = await self.exchange(http, terms, config, route, arrived)
+            admitted = None if asks is None else self.gate.admit(asks, terms)
+            exchange = await self.exchange(http, terms, config, route, asks, arrived)
             try:
                 await self.relay.serve(exchange, answer.sink())
             finally:
@@ -134,6 +143,8 @@
                 exchange.span.end()
             return await answer.end(request_id)
         except Refused as refused:
+            if admitted is not None and refused.refusal.outcome is Outcome.NOT_RUN:
+                self.gate.give_back(admitted)
             return await answer.refuse(request_id, refused.refusal)
         except BrokenOffError:
             return answer.cut_off(request_id, "the target's answer broke off")
@@ -188,6 +199,7 @@
         terms: RequestTerms,
         config: ServingConfig,
         route: Route,
+        asks: Organisation | None,
         arrived: Instant,
     ) -> Exchange:
         """Read the body and put the request together."""
@@ -196,7 +208,8 @@
         body = await self.read_body(http, config.limits, deadline)
         span = self.tracing.server_span("request", http.headers)
         host = http.headers.get("Host", "")
-        content = content_id(http.method, host, http.raw_path, terms.caller, body)
+        caller = terms.caller if asks is None else asks.name
+        content = content_id(http.method, host, http.raw_path, caller, body)
         return Exchange(
             terms,
             route,
@@ -209,6 +222,7 @@
             deadline,
             span,
             GuardedRun(terms.request_id, content),
+            asks,
             last_event=terms.last_event,
         )
 
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -11,6 +11,7 @@
 from sardinequay_core.adapter_demand import AdapterDemand
 from sardinequay_core.catalogue import Catalogue, PublishedTarget
 from sardinequay_core.clock import ZERO, Clock, Instant, seconds
+from sardinequay_core.fleet_share import ASSUMED_HOSTS, FleetShare
 from sardinequay_core.fleet_topology import Scope
 from sardinequay_core.load_view import PEER_SHARE_LIFE, LoadView
 from sardinequay_core.names import (
@@ -21,16 +22,19 @@
     parse_adapter_ref,
 )
 from sardinequay_core.quarantine import Quarantine
+from sardinequay_core.quota_book import QuotaBook, QuotaPolicy
 from sardinequay_core.rendezvous import rank
 from sardinequay_core.repeat_budget import RepeatBudget, RepeatPolicy
 from sardinequay_core.residency import AdapterUses, Held, Residency
 from sardinequay_core.service_choice import ServiceOption
 from sardinequay_core.target_choice import EngineOption, Holding
 from sardinequay_core.target_health import TargetHealth
+from sardinequay_core.usage_view import Told
 
-from .fleet_task import FleetTask, HeardDigest
+from .fleet_task import KNOWS_ALL_S, FleetTask, HeardDigest
 from .order_task import OrderTask
-from .serving_messages import AdapterUse, Contact, Digest, EngineHoldings
+from .peer_table import ALONE_AFTER
+from .serving_messages import AdapterUse, Contact, EngineHoldings
 from .serving_ports import RequestTerms
 
 GATHERING_PERIODS = 4
@@ -73,6 +77,7 @@
     random: Random
     repeat_policy: RepeatPolicy
     fleet: FleetTask
+    quotas: QuotaBook
     catalogue: Catalogue = field(default_factory=Catalogue)
     loads: LoadView = field(default_factory=LoadView)
     health: TargetHealth = field(default_factory=TargetHealth)
@@ -81,6 +86,7 @@
     budgets: dict[PoolName, RepeatBudget] = field(default_factory=dict)
     demand: AdapterDemand = field(default_factory=AdapterDemand)
     quarantine: Quarantine = field(default_factory=Quarantine)
+    fleet_share: FleetShare = field(default_factory=FleetShare)
     orders: OrderTask | None = None
     view_from: HostId | None = None
     view_at: Instant = ZERO
@@ -94,6 +100,10 @@
             was = before.targets.get(target_id)
             if was is not None and was.incarnation < published.incarnation:
                 self.forget_start(target_id)
+        config = catalogue.config
+        if config is not None and config is not before.config:
+            organisations = config.organisations or ()
+            self.quotas.take_organisations(organisations, self.clock.monotonic())
         known = frozenset(catalogue.targets)
         self.health.forget(known)
         self.residency.forget(known)
@@ -111,9 +121,9 @@
         self.loads.peer_life = max(PEER_SHARE_LIFE, self.fleet.longest_silence())
         match digest.scope:
             case Scope.HOST | Scope.DATA_CENTRE if self.gathers():
-                self.take_part(digest, heard.at)
+                self.take_part(heard)
             case Scope.FLEET if self.fleet.hub() == digest.host:
-                self.take_sum(digest, heard.at)
+                self.take_sum(heard)
         for holdings in digest.holdings:
             self.hear_holdings(holdings, heard.at)
 
@@ -121,8 +131,9 @@
         """Return whether this host hears others' parts, not their sum from a hub."""
         return self.fleet.is_mesh or self.fleet.is_hub()
 
-    def take_part(self, digest: Digest, now: Instant) -> None:
+    def take_part(self, heard: HeardDigest) -> None:
         """Take the part of one host, or of the hosts of one data centre."""
+        digest, now = heard.digest, heard.at
         host_id = digest.host.host_id
         if self.view_from is not None and not self.is_gathering(now):
             # The sum over all hosts, told until now by a hub, counts this one, too.
@@ -133,6 +144,7 @@
         self.loads.hear(host_id, digest.shares, now)
         self.health.tally.hear(host_id, digest.outcomes, now)
         self.demand.hear(host_id, digest.demand, now)
+        self.quotas.hear(host_id, told_of(heard), now)
         uses = {(u.target, u.adapter): u.count for u in digest.uses}
         self.uses.replace(host_id, uses)
 
@@ -147,14 +159,16 @@
             self.fleet.hub_period_s()
         )
 
-    def take_sum(self, digest: Digest, now: Instant) -> None:
+    def take_sum(self, heard: HeardDigest) -> None:
         """Take from this data centre's hub what all other hosts have and saw."""
+        digest, now = heard.digest, heard.at
         host_id = digest.host.host_id
         self.view_from = host_id
         self.view_at = now
         self.loads.hear_all(host_id, digest.shares, now)
         self.health.tally.hear_all(host_id, digest.outcomes, now)
         self.demand.hear_all(host_id, digest.demand, now)
+        self.quotas.hear_all(host_id, told_of(heard), now)
         for peer in tuple(self.uses.peers):
             self.uses.forget(peer)
 
@@ -191,6 +205,7 @@
         self.health.tally.forget(host_id)
         self.uses.forget(host_id)
         self.demand.forget(host_id)
+        self.quotas.forget(host_id, self.clock.monotonic())
 
     def adapter_uses(self) -> tuple[AdapterUse, ...]:
         """Return this host's uses of adapters, for its peers."""
@@ -214,6 +229,26 @@
         for budget in self.budgets.values():
             budget.policy = policy
 
+    def take_quota_policy(self, policy: QuotaPolicy) -> None:
+        """Take other bounds on what quotas may be exceeded by."""
+        self.quotas.policy = policy
+
+    def count_hosts(self) -> None:
+        """Take how many hosts live, for the part of quotas that is theirs."""
+        now = self.clock.monotonic()
+        live = self.fleet.live_hosts
+        self.fleet_share.count(live, now)
+        self.quotas.take_share(self.fleet_share.part(live, self.assumed_hosts()), now)
+
+    def assumed_hosts(self) -> int:
+        """Return how many hosts exist as far as a host knows that has just started."""
+        fleet = self.fleet
+        if not fleet.seeds or fleet.up_s() > ALONE_AFTER.total_seconds():
+            return 1
+        if fleet.joined_at is None:
+            return ASSUMED_HOSTS
+        return 1 if fleet.up_s() > KNOWS_ALL_S else len(fleet.peers) + 1
+
     # What a request sees.
 
     def budget(self, pool: PoolName) -> RepeatBudget:
@@ -396,3 +431,9 @@
                 )
             )
         return options
+
+
+def told_of(heard: HeardDigest) -> Told:
+    """Return what a digest tells of organisations' usage."""
+    digest = heard.digest
+    return Told(digest.scope, digest.usage, seconds(digest.up_s), heard.has_restarted)
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -13,9 +13,11 @@
 from sardinequay_core.clock import Clock, Instant, seconds
 from sardinequay_core.names import Address, HostId
 from sardinequay_core.order_lease import Ballot, OrderPolicy, Resign
+from sardinequay_core.quota_book import QuotaBook
 from sardinequay_core.target_health import turn_of
 
 from .attempt import RelayParts
+from .caller_gate import CallerGate
 from .connection_probe import ConnectionProbe
 from .content_guard import ContentGuard
 from .content_messages import AskPermit, PermitBack
@@ -133,7 +135,12 @@
             lambda: not self.fleet.is_mesh,
         )
         self.state = RelayState(
-            profile.data_centre, clock, random, bounds.repeats, self.fleet
+            profile.data_centre,
+            clock,
+            random,
+            bounds.repeats,
+            self.fleet,
+            QuotaBook(random.random, bounds.quotas),
         )
         self.state.health.turn = turn_of(profile.host_id)
         self.lease = OrderLeaseTask(
@@ -184,6 +191,7 @@
         )
         self.server = RelayServer(
             self.relay,
+            CallerGate(self.state, self.store_age_s, self.metrics),
             self.state,
             deployment.dialect,
             self.metrics,
@@ -227,6 +235,7 @@
         self.profile = replace(self.profile, seeds=profile.seeds, bounds=profile.bounds)
         self.fleet.set_seeds(profile.seeds)
         self.state.take_repeat_policy(profile.bounds.repeats)
+        self.state.take_quota_policy(profile.bounds.quotas)
         self.lease.take_policy(OrderPolicy(quiet=profile.bounds.order_quiet))
         log.info("settings reloaded", extra={"seeds": [str(s) for s in profile.seeds]})
 
@@ -312,6 +321,7 @@
             self.metrics.log_lines_left_out.set({}, self.output.left_out)
             self.metrics.in_flight.set({}, self.server.in_flight)
             self.guard.expire()
+            self.state.count_hosts()
             held = self.state.quarantine.held(self.clock.monotonic())
             self.metrics.quarantined.set({}, len(held))
             config = self.state.catalogue.config
@@ -346,6 +356,10 @@
         self.runners.append(runner)
         await web.TCPSite(runner, address.ip, address.port).start()
 
+    def store_age_s(self) -> float:
+        """Return how long ago this host or a peer heard the store, in seconds."""
+        return min(self.store.standing().age_s, self.fleet.freshest_store_age_s())
+
     def status(self) -> dict[str, object]:
         """Return what is in force on this host, for operators."""
         catalogue = self.store.catalogue
@@ -357,7 +371,7 @@
             "stopping": self.is_stopping,
             "config_version": catalogue.config.version if catalogue.config else 0,
             "store_revision": standing.revision,
-            "store_age_s": min(standing.age_s, self.fleet.freshest_store_age_s(), 1e6),
+            "store_age_s": min(self.store_age_s(), 1e6),
             "reads_store": self.fleet.is_reader(),
             "hub": "" if self.fleet.is_mesh else self.fleet.hub().host_id,
             "live_hosts": self.fleet.live_hosts,
--- a/packages/daemon/src/sardinequay_daemon/serving_messages.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_messages.py
@@ -10,7 +10,9 @@
 from sardinequay_core.load_view import EngineShare
 from sardinequay_core.names import AdapterRef, HostId, TargetId
 from sardinequay_core.order_lease import Ballot, Resign, Vote
+from sardinequay_core.organisations import OrganisationName
 from sardinequay_core.shared_outcomes import Outcomes
+from sardinequay_core.usage_view import Usage
 
 from .content_messages import ContentNews
 from .serving_ports import StoreItem
@@ -146,6 +148,8 @@
     has_missed : bool
         Whether the sender's last exchange with the receiver failed, so that what was
         told in it may be lost.
+    usage : dict
+        What organisations used since the sender started, where that changed lately.
     """
 
     host: Contact
@@ -167,6 +171,7 @@
     notes: HubNotes | None = None
     has_missed: bool = False
     contents: tuple[ContentNews, ...] = ()
+    usage: dict[OrganisationName, Usage] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/sardinequay_daemon/serving_metrics.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_metrics.py
@@ -7,6 +7,12 @@
 ]  # fmt: skip
 
 
+MAX_ORGANISATIONS = 50
+"""Organisations with a label of their own; further ones share one."""
+
+OTHERS = "others"
+
+
 class ServingMetrics(HostMetrics):
     """Counters, gauges and latency histograms; each names its unit."""
 
@@ -29,6 +35,19 @@
         self.whole_answer = self.histogram(
             "answer_seconds", "Time to the end of the answer", LATENCY_BUCKETS_S
         )
+        self.over_quota = self.counter(
+            "over_quota_total", "Requests beyond a quota, by organisation"
+        )
+        self.organisations: set[str] = set()
         self.load_wait = self.histogram(
             "load_wait_seconds", "Waits for an adapter", LATENCY_BUCKETS_S
         )
+
+    def organisation_label(self, name: str) -> str:
+        """Return the label under which an organisation is counted."""
+        if name not in self.organisations and len(self.organisations) >= (
+            MAX_ORGANISATIONS
+        ):
+            return OTHERS
+        self.organisations.add(name)
+        return name
--- a/packages/daemon/src/sardinequay_daemon/serving_ports.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_ports.py
@@ -14,7 +14,9 @@
 from sardinequay_core.catalogue import Change
 from sardinequay_core.engine_orders import EngineStatus, Order
 from sardinequay_core.names import Address, DataCentre, HostId
+from sardinequay_core.organisations import KeyDigest
 from sardinequay_core.outcome import Refusal
+from sardinequay_core.quota_book import QuotaPolicy
 from sardinequay_core.repeat_budget import RepeatPolicy
 from sardinequay_core.roster import Target
 
@@ -40,6 +42,10 @@
     caller : str
         By what the caller is known; empty if the request does not say. A secret: it
         enters digests only.
+    key : KeyDigest or None
+        The key that it came with, if any.
+    tokens : int or None
+        Tokens to be read and at most made for it; None if it does not say.
     """
 
     request_id: str
@@ -49,6 +55,8 @@
     wait: timedelta | None = None
     last_event: str = ""
     caller: str = ""
+    key: KeyDigest | None = None
+    tokens: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +73,8 @@
         The adapter's version that the engine must have; empty for any.
     resume_after : str
         The id of the last event passed on, for a stream that is taken up again.
+    organisation : str
+        The organisation that asks; empty if that is not known.
     """
 
     target: Target
@@ -72,6 +82,7 @@
     urgency: int | None = None
     version: str = ""
     resume_after: str = ""
+    organisation: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -218,6 +229,8 @@
         After the store's return, entries of targets that live are back within this.
     repeat_ratio, repeat_slack, repeat_window
         The bound on further arrivals at a pool, see `RepeatPolicy`.
+    quotas : QuotaPolicy
+        What organisations' quotas may be exceeded by.
     """
 
     order_quiet: timedelta = timedelta(seconds=3.3)
@@ -226,6 +239,7 @@
     repeat_ratio: float = 0.2
     repeat_slack: float = 50.0
     repeat_window: timedelta = timedelta(seconds=10)
+    quotas: QuotaPolicy = field(default_factory=QuotaPolicy)
 
     @property
     def repeats(self) -> RepeatPolicy:
--- a/packages/daemon/src/sardinequay_daemon/target_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/target_picker.py
@@ -10,7 +10,6 @@
 from sardinequay_core.names import AdapterRef, TargetId
 from sardinequay_core.outcome import Reason, Refusal, not_run
 from sardinequay_core.service_choice import choose_service
-from sardinequay_core.serving import Route
 from sardinequay_core.target_choice import (
     PATIENCE,
     Load,
@@ -152,7 +151,7 @@
         ask = WantAdapter(
             target,
             wanted,
-            worth_of(route),
+            worth_of(exchange.priority),
             goal_s,
             left_s * PATIENCE,
             exchange.waited_s(began),
@@ -228,9 +227,9 @@
     return {t: max(0.0, (at - now).total_seconds()) for t, at in due.items()}
 
 
-def worth_of(route: Route) -> float:
+def worth_of(priority: int) -> float:
     """Return what an answer is worth against another's: the more urgent, the more."""
-    return 1.0 + 1.0 / (1 + route.priority)
+    return 1.0 + 1.0 / (1 + priority)
 
 
 def come_back(random: Random, after: timedelta) -> timedelta:
