--- a/packages/core/src/sardinequay_core/fleet_share.py
+++ b/packages/core/src/sardinequay_core/fleet_share.py
@@ -14,7 +14,7 @@
 """How long hosts that fell silent keep their part: longer than a cut that must be
 borne."""
 
-ASSUMED_HOSTS = 25
+ASSUMED_HOSTS = 60
 """Hosts that one takes to exist that knows none yet. Each host of a large fleet gets so
 few requests of an organisation that this part of a quota serves its usual demand."""
 
--- a/packages/core/src/sardinequay_core/quota_book.py
+++ b/packages/core/src/sardinequay_core/quota_book.py
@@ -198,7 +198,7 @@
         """Take that a peer is gone."""
         if host in self.usage.sources:
             self.settle_all(now)
-            self.usage.forget(host)
+            self.usage.forget(host, now)
 
     def settle_all(self, now: Instant) -> None:
         """Bring all accounts up to now."""
--- a/packages/core/src/sardinequay_core/usage_view.py
+++ b/packages/core/src/sardinequay_core/usage_view.py
@@ -62,6 +62,12 @@
         )
         return Flow(max(0.0, asked), max(0.0, admitted))
 
+    def within(self, span_s: float) -> Usage:
+        """Return what is used in a time, in seconds."""
+        return Usage(
+            round(self.asked_per_s * span_s), round(self.admitted_per_s * span_s)
+        )
+
 
 NO_FLOW = Flow()
 
@@ -93,6 +99,11 @@
     at: Instant
     flows: dict[OrganisationName, Flow] = field(default_factory=dict)
 
+    def foreseen(self, now: Instant) -> Counts:
+        """Return what is expected to be used since the source was heard."""
+        since_s = (now - self.at).total_seconds()
+        return {o: flow.within(since_s) for o, flow in self.flows.items()}
+
 
 @dataclass(frozen=True, slots=True)
 class Gain:
@@ -180,9 +191,13 @@
             case Scope.DATA_CENTRE:
                 add(self.far, gain.organisation, gain.usage)
 
-    def forget(self, host: HostId) -> None:
+    def forget(self, host: HostId, now: Instant) -> None:
         """Take that a peer uses nothing any more; what it used stays counted."""
-        self.sources.pop(host, None)
+        source = self.sources.pop(host, None)
+        if source is not None and source.scope is Scope.DATA_CENTRE:
+            # It was foreseen in what others were told, so it may not vanish there.
+            for organisation, usage in source.foreseen(now).items():
+                add(self.far, organisation, usage)
 
     def only(self, host: HostId) -> None:
         """Forget all peers but one, that speaks for all."""
@@ -215,8 +230,17 @@
         return self.recent((self.own, self.near), now)
 
     def all_but(self, host: HostId, now: Instant) -> Counts:
-        """Return the counts of all hosts but one that changed lately."""
-        found = self.recent((self.own, self.near, self.far), now)
+        """Return the counts of all hosts but one that changed lately.
+
+        With what is foreseen of data centres since they were heard: a host that hears
+        only this sum could not tell one that is cut off from one that uses nothing.
+        """
+        far = [
+            source.foreseen(now)
+            for source in self.sources.values()
+            if source.scope is Scope.DATA_CENTRE
+        ]
+        found = self.recent((self.own, self.near, self.far, *far), now)
         its = self.gained.get(host, {})
         return {o: usage.less(its.get(o, NO_USAGE)) for o, usage in found.items()}
 
--- /dev/null
+++ b/packages/lab/src/sardinequay_lab/quota_policies.py
@@ -0,0 +1,211 @@
+"""Ways to keep a quota over all hosts: shared usage, leases, fixed shares."""
+
+from random import Random
+
+import msgspec
+
+from sardinequay_core.clock import ZERO, Instant, seconds
+from sardinequay_core.fleet_share import ASSUMED_HOSTS, FleetShare
+from sardinequay_core.fleet_topology import Scope
+from sardinequay_core.names import HostId
+from sardinequay_core.quota_book import Admitted, QuotaBook, QuotaPolicy
+from sardinequay_core.usage_view import Counts, Told
+
+from .quota_world import REACH_LOST_S, Scenario
+
+JOINS_AFTER_S = 0.4
+"""A host that started hears the first peer after this."""
+
+KNOWS_AFTER_S = 1.0
+"""All hosts are known to it after this."""
+
+ROUND_TRIP_S = 0.0015
+ASK_BYTES = 60
+ASK_TIMEOUT_S = 0.05
+TAKEOVER_S = 1.2
+"""How long it takes until another host grants in place of one that is lost."""
+
+
+class SharedUsage:
+    """Hosts admit by what all use together, as `quota_book` decides."""
+
+    def __init__(self, scenario: Scenario, policy: QuotaPolicy, seed: int) -> None:
+        self.scenario = scenario
+        self.policy = policy
+        self.random = Random(seed)
+        self.organisation = scenario.organisation()
+        self.messages = self.sent_bytes = 0
+        self.waits_s: list[float] = []
+        self.started: Instant = -seconds(60)
+        self.restart(self.started)
+
+    def restart(self, now: Instant) -> None:
+        """Let all hosts forget everything."""
+        self.started = now
+        hosts = range(self.scenario.hosts)
+        self.books = [QuotaBook(self.random.random, self.policy) for _ in hosts]
+        self.shares = [FleetShare() for _ in hosts]
+        for book in self.books:
+            book.take_organisations((self.organisation,), now)
+
+    def admits(self, host: int, tokens: int, now: Instant) -> bool:
+        """Return whether a host admits a request."""
+        self.count_hosts(host, now)
+        result = self.books[host].admit(self.organisation, tokens, now)
+        return isinstance(result, Admitted)
+
+    def count_hosts(self, host: int, now: Instant) -> None:
+        """Tell a host's book how many hosts live."""
+        up_s = (now - self.started).total_seconds()
+        live = self.scenario.live_for(host, now.total_seconds())
+        assumed = 1
+        if up_s < KNOWS_AFTER_S:
+            live = 1
+            assumed = ASSUMED_HOSTS if up_s < JOINS_AFTER_S else self.scenario.hosts
+        self.shares[host].count(live, now)
+        self.books[host].take_share(self.shares[host].part(live, assumed), now)
+
+    def exchange(self, host: int, now: Instant) -> None:
+        """Let a host exchange with its hub, or a hub with the other hubs."""
+        self.count_hosts(host, now)
+        if (now - self.started).total_seconds() < JOINS_AFTER_S:
+            return
+        hub = self.scenario.data_centre(host)
+        if host != hub:
+            self.tell(
+                host, hub, Scope.HOST, self.books[host].usage.own_counts(now), now
+            )
+            counts = self.books[hub].usage.all_but(HostId(str(host)), now)
+            self.tell(hub, host, Scope.FLEET, counts, now)
+            return
+        for other in range(hub):
+            if self.is_lost(hub, other, now):
+                self.books[hub].forget(HostId(str(other)), now)
+                self.books[other].forget(HostId(str(hub)), now)
+            elif not self.scenario.is_cut(hub, other, now.total_seconds()):
+                self.tell_hub(hub, other, now)
+                self.tell_hub(other, hub, now)
+
+    def is_lost(self, hub: int, other: int, now: Instant) -> bool:
+        """Return whether hubs have been cut off from one another for long."""
+        at_s = now.total_seconds()
+        was_cut = self.scenario.is_cut(hub, other, at_s - REACH_LOST_S)
+        return was_cut and self.scenario.is_cut(hub, other, at_s)
+
+    def tell_hub(self, hub: int, other: int, now: Instant) -> None:
+        """Tell another hub the sum of a data centre."""
+        counts = self.books[hub].usage.here(now)
+        self.tell(hub, other, Scope.DATA_CENTRE, counts, now)
+
+    def tell(
+        self, sender: int, to: int, scope: Scope, counts: Counts, now: Instant
+    ) -> None:
+        """Tell one host."""
+        self.messages += 1
+        self.sent_bytes += len(msgspec.msgpack.encode(counts))
+        told = Told(scope, dict(counts), now - self.started)
+        book, name = self.books[to], HostId(str(sender))
+        if scope is Scope.FLEET:
+            book.hear_all(name, told, now)
+        else:
+            book.hear(name, told, now)
+
+
+class Bucket:
+    """A token bucket that one party owns."""
+
+    def __init__(self, rate_per_s: float, burst: float, now: Instant) -> None:
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self.left = 0.0
+        self.at = now
+
+    def take(self, most: float, least: float, now: Instant) -> float:
+        """Take as much as there is of some tokens, or nothing if that is too little."""
+        elapsed_s = (now - self.at).total_seconds()
+        self.left = min(self.burst, self.left + elapsed_s * self.rate_per_s)
+        self.at = now
+        if self.left < least:
+            return 0.0
+        taken = min(most, self.left)
+        self.left -= taken
+        return taken
+
+
+class FixedShares:
+    """Each host has its part of the quota by the number of hosts."""
+
+    def __init__(self, scenario: Scenario, policy: QuotaPolicy, seed: int) -> None:
+        self.scenario = scenario
+        self.policy = policy
+        self.messages = self.sent_bytes = 0
+        self.waits_s: list[float] = []
+        self.restart(ZERO)
+
+    def restart(self, now: Instant) -> None:
+        """Let all hosts forget everything."""
+        quota = self.scenario.organisation().quota
+        assert quota is not None
+        part = 1 / self.scenario.hosts
+        rate, burst = self.policy.rate_per_s(quota), self.policy.burst(quota)
+        self.buckets = [
+            Bucket(rate * part, burst * part, now) for _ in range(self.scenario.hosts)
+        ]
+
+    def admits(self, host: int, tokens: int, now: Instant) -> bool:
+        """Return whether a host admits a request."""
+        return self.buckets[host].take(tokens, tokens, now) > 0
+
+    def exchange(self, host: int, now: Instant) -> None:
+        """Tell nobody anything."""
+
+
+class LeasedAllowance:
+    """One host of each part of the fleet grants what requests take, one by one."""
+
+    def __init__(self, scenario: Scenario, policy: QuotaPolicy, seed: int) -> None:
+        self.scenario = scenario
+        self.policy = policy
+        self.messages = self.sent_bytes = 0
+        self.waits_s: list[float] = []
+        self.blind_until = ZERO
+        self.restart(ZERO)
+
+    def restart(self, now: Instant) -> None:
+        """Let all hosts forget everything; a new granter is found after a while."""
+        if now > ZERO:
+            self.blind_until = now + seconds(TAKEOVER_S)
+        quota = self.scenario.organisation().quota
+        assert quota is not None
+        self.rate, self.burst = self.policy.rate_per_s(quota), self.policy.burst(quota)
+        self.whole = Bucket(self.rate, self.burst, now)
+        self.beyond: Bucket | None = None
+
+    def admits(self, host: int, tokens: int, now: Instant) -> bool:
+        """Return whether a request is granted."""
+        bucket = self.granter(host, now)
+        self.messages += 2
+        self.sent_bytes += 2 * ASK_BYTES
+        self.waits_s.append(ASK_TIMEOUT_S if bucket is None else ROUND_TRIP_S)
+        return bucket is not None and bucket.take(tokens, tokens, now) > 0
+
+    def granter(self, host: int, now: Instant) -> Bucket | None:
+        """Return who grants to a host; None while nobody does."""
+        scenario, at_s = self.scenario, now.total_seconds()
+        if now < self.blind_until:
+            return None
+        part = 1 / scenario.data_centres
+        is_cut = scenario.cut.holds(at_s)
+        is_beyond = scenario.data_centre(host) == scenario.data_centres - 1
+        self.whole.rate_per_s = self.rate * (1 - part if is_cut else 1)
+        if not is_cut or not is_beyond:
+            self.beyond = self.beyond if is_cut else None
+            return self.whole
+        if at_s < scenario.cut.begin_s + TAKEOVER_S:
+            return None
+        if self.beyond is None:
+            self.beyond = Bucket(self.rate * part, self.burst * part, now)
+        return self.beyond
+
+    def exchange(self, host: int, now: Instant) -> None:
+        """Tell nobody anything: hosts ask."""
