--- /dev/null
+++ b/packages/core/tests/test_usage_view.py
@@ -0,0 +1,94 @@
+"""Sums of counts over a fleet that hubs tell one another."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sardinequay_core.clock import Instant, seconds
+from sardinequay_core.fleet_topology import Scope
+from sardinequay_core.names import HostId
+from sardinequay_core.organisations import OrganisationName
+from sardinequay_core.usage_view import Counts, Told, Usage, UsageView
+
+NAME = OrganisationName("north")
+A, B, C, FAR = (HostId(name) for name in ("a", "b", "c", "far"))
+
+
+def tell(
+    view: UsageView, host: HostId, scope: Scope, counts: Counts, now: Instant
+) -> None:
+    view.hear(host, Told(scope, counts, seconds(0)), now)
+
+
+def test_hub_tells_each_host_what_all_others_used() -> None:
+    hub, now = UsageView(), seconds(10)
+    hub.note(NAME, Usage(1, 1), now)
+    tell(hub, A, Scope.HOST, {NAME: Usage(10, 10)}, now)
+    tell(hub, B, Scope.HOST, {NAME: Usage(100, 90)}, now)
+    tell(hub, FAR, Scope.DATA_CENTRE, {NAME: Usage(1_000, 900)}, now)
+    assert hub.all_but(A, now) == {NAME: Usage(1_101, 991)}
+    assert hub.here(now) == {NAME: Usage(111, 101)}
+
+
+def test_sum_for_a_host_does_not_fall_when_another_is_gone() -> None:
+    hub, now = UsageView(), seconds(10)
+    tell(hub, A, Scope.HOST, {NAME: Usage(10, 10)}, now)
+    tell(hub, B, Scope.HOST, {NAME: Usage(100, 100)}, now)
+    hub.forget(A, now)
+    assert hub.all_but(B, now) == {NAME: Usage(10, 10)}
+
+
+def test_own_use_of_a_host_that_comes_back_is_not_told_to_it() -> None:
+    hub, now = UsageView(), seconds(10)
+    tell(hub, A, Scope.HOST, {NAME: Usage(10, 10)}, now)
+    hub.forget(A, now)
+    tell(hub, A, Scope.HOST, {NAME: Usage(5, 5)}, now)
+    assert hub.all_but(A, now) == {NAME: Usage()}
+
+
+def test_sum_foresees_a_data_centre_that_fell_silent() -> None:
+    hub = UsageView()
+    for n in range(20):
+        counts = {NAME: Usage(100 * n, 100 * n)}
+        tell(hub, FAR, Scope.DATA_CENTRE, counts, seconds(10 + 0.1 * n))
+    heard = hub.all_but(A, seconds(11.9))[NAME].admitted
+    later = hub.all_but(A, seconds(13.9))[NAME].admitted
+    assert 1_800 < later - heard < 2_200
+    hub.forget(FAR, seconds(13.9))
+    assert hub.all_but(A, seconds(13.9))[NAME].admitted == later
+
+
+def test_counts_that_did_not_change_lately_are_not_told() -> None:
+    view = UsageView()
+    view.note(NAME, Usage(1, 1), seconds(10))
+    assert view.own_counts(seconds(11))
+    assert not view.own_counts(seconds(20))
+
+
+@settings(derandomize=True, max_examples=200)
+@given(
+    st.lists(st.tuples(st.sampled_from((A, B, C)), st.integers(0, 500)), max_size=60)
+)
+def test_hosts_behind_a_hub_know_just_what_all_others_used(
+    steps: list[tuple[HostId, int]],
+) -> None:
+    hub = UsageView()
+    hosts = {host: UsageView() for host in (A, B, C)}
+    known = dict.fromkeys(hosts, 0)
+    now = seconds(1)
+    for host, cost in steps:
+        now += seconds(0.1)
+        hosts[host].note(NAME, Usage(cost, cost), now)
+        tell(hub, host, Scope.HOST, hosts[host].own_counts(now), now)
+        told = Told(Scope.FLEET, hub.all_but(host, now), seconds(0))
+        gains = hosts[host].hear(HostId("hub"), told, now)
+        known[host] += sum(gain.usage.admitted for gain in gains)
+    for host in hosts:
+        told = Told(Scope.FLEET, hub.all_but(host, now), seconds(0))
+        gains = hosts[host].hear(HostId("hub"), told, now)
+        known[host] += sum(gain.usage.admitted for gain in gains)
+    total = sum(cost for _, cost in steps)
+    if not steps or now - seconds(3) > seconds(1.1):
+        return
+    for host, view in hosts.items():
+        own = view.own.get(NAME, Usage()).admitted
+        assert known[host] == total - own
--- a/packages/lab/src/sardinequay_lab/quota_world.py
+++ b/packages/lab/src/sardinequay_lab/quota_world.py
@@ -189,7 +189,10 @@
         self.asked += tokens
         if not is_admitted:
             self.refused += tokens
-            self.refused_within += tokens if self.left >= tokens else 0
+            if self.left >= tokens:
+                # It would have been admitted, and would have left less to others.
+                self.refused_within += tokens
+                self.left -= tokens
             return
         self.left -= tokens
         self.recent.append((at_s, tokens))
