Ask targets themselves whether they ended; an address that takes connections proves little

A target is now asked for its report or health, and a refusal or silence counts only where it isn't known to be busy; a later start that the store shows within 4 s tells of an end that was missed. The same for engines of sardinequayd.

--- a/packages/core/src/sardinequay_core/serving.py
+++ b/packages/core/src/sardinequay_core/serving.py
@@ -154,11 +154,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Pool:
-    """Targets that serve the same; `engines` is None for a plain service."""
+    """Targets that serve the same.
+
+    Parameters
+    ----------
+    engines : EnginePool or None
+        None for a plain service.
+    health_path : str
+        Where its targets tell their health; empty if they do not.
+    """
 
     name: PoolName
     max_connections: int
     engines: EnginePool | None = None
+    health_path: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/sardinequay_daemon/content_guard.py
+++ b/packages/daemon/src/sardinequay_daemon/content_guard.py
@@ -13,6 +13,7 @@
 from dataclasses import asdict, dataclass
 from typing import Protocol
 
+from sardinequay_core.catalogue import Catalogue
 from sardinequay_core.clock import Clock, Instant, seconds
 from sardinequay_core.names import Address, ContentId, HostId, TargetId
 from sardinequay_core.outcome import Reason, Refusal, not_run
@@ -164,13 +165,24 @@
         self, run: GuardedRun, target: Target, incarnation: int, ran_s: float
     ) -> None:
         """Take that a request's connection broke; nobody's answer waits for more."""
-        broken = BrokenRequest(run.request_id, run.content, target, incarnation, ran_s)
+        now = self.clock.monotonic()
+        broken = BrokenRequest(
+            run.request_id, run.content, target, incarnation, ran_s, now
+        )
         run.verdict = self.start(self.learn(broken))
 
     async def learn(self, broken: BrokenRequest) -> None:
         """Find out whether the target ended, and count that against the content."""
-        if not await self.ends.ended_under(broken):
-            return
+        if await self.ends.ended_under(broken):
+            self.count(broken)
+
+    def take_catalogue(self, catalogue: Catalogue) -> None:
+        """Count ends of targets that show by their later starts."""
+        for broken in self.ends.shown_by(catalogue, self.clock.monotonic()):
+            self.count(broken)
+
+    def count(self, broken: BrokenRequest) -> None:
+        """Count a target's end against the content of a request that was there."""
         now = self.clock.monotonic()
         end = TargetEnd(broken.target.target_id, broken.incarnation, now)
         if self.quarantine.add(broken.content, end, now):
--- a/packages/daemon/src/sardinequay_daemon/end_watch.py
+++ b/packages/daemon/src/sardinequay_daemon/end_watch.py
@@ -1,21 +1,32 @@
 """Finds out whether a target at which a request's connection broke has ended.
 
-Connections also break where a target gives up one answer, or a link is harmed. A target
-whose process has ended takes no new connection until it is started again.
+Connections also break where a target gives up one answer, or a link is harmed. So the
+target is asked whether it lives (`target_probe`); and if it seemed to, a later start of
+it that shows up in the store soon after tells that it had ended all the same.
 """
 
 import asyncio
 import logging
+from collections import deque
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from sardinequay_core.names import Address, ContentId, PoolName, TargetId
+from sardinequay_core.catalogue import Catalogue
+from sardinequay_core.clock import ZERO, Instant, seconds
+from sardinequay_core.names import ContentId, PoolName, TargetId
 from sardinequay_core.roster import Target
 
 ASK_AFTER_S = 0.02
 """A process that ends closes its connections and its listener one after the other."""
 
-Accepts = Callable[[Address], Awaitable[bool]]
+SHOWS_WITHIN = seconds(4)
+"""A target that starts again tells the store with its first entry, some heartbeats
+after it ended. A later start has other reasons."""
+
+MOST_BROKEN = 256
+"""Broken requests that are kept for that; the oldest go first."""
+
+Lives = Callable[[Target, int], Awaitable[bool]]
 log = logging.getLogger(__name__)
 
 
@@ -29,6 +40,8 @@
         The target's start that had it, in Unix milliseconds; 0 if it does not say.
     ran_s : float
         For how long the request had been there, in seconds.
+    at : timedelta
+        When the connection broke.
     """
 
     request_id: str
@@ -36,15 +49,16 @@
     target: Target
     incarnation: int
     ran_s: float
+    at: Instant = field(default=ZERO, compare=False)
 
 
 class EndWatch:
-    """Asks targets for a connection after requests broke there, once for all of them.
+    """Asks targets whether they live after requests broke there, once for all of them.
 
     Parameters
     ----------
-    accepts : callable
-        Returns whether something takes connections at an address.
+    lives : callable
+        Returns whether the start of a target that had a request still lives.
     is_live : callable
         Returns whether a target is listed and not about to leave. One that leaves may
         end while it has requests; none of them is at fault.
@@ -54,14 +68,15 @@
 
     def __init__(
         self,
-        accepts: Accepts,
+        lives: Lives,
         is_live: Callable[[TargetId], bool],
         note_end: Callable[[PoolName], None],
     ) -> None:
-        self.accepts = accepts
+        self.lives = lives
         self.is_live = is_live
         self.note_end = note_end
         self.asking: dict[tuple[TargetId, int], asyncio.Task[bool]] = {}
+        self.seemed_alive: deque[BrokenRequest] = deque(maxlen=MOST_BROKEN)
 
     async def ended_under(self, broken: BrokenRequest) -> bool:
         """Return whether a target ended, unplanned, while it had a request."""
@@ -71,18 +86,31 @@
         key = (target.target_id, broken.incarnation)
         asking = self.asking.get(key)
         if asking is None:
-            asking = asyncio.create_task(self.ask(target))
+            asking = asyncio.create_task(self.ask(target, broken.incarnation))
             self.asking[key] = asking
             asking.add_done_callback(lambda _: self.asking.pop(key, None))
         has_ended = await asyncio.shield(asking)
         if has_ended:
             self.note(broken)
+        else:
+            self.seemed_alive.append(broken)
         return has_ended
 
-    async def ask(self, target: Target) -> bool:
-        """Return whether a target takes no connection any more."""
+    def shown_by(self, catalogue: Catalogue, now: Instant) -> list[BrokenRequest]:
+        """Return requests whose targets had ended, by what the store lists now."""
+        since = now - SHOWS_WITHIN
+        while self.seemed_alive and self.seemed_alive[0].at < since:
+            self.seemed_alive.popleft()
+        shown = [b for b in self.seemed_alive if has_started_again(b, catalogue)]
+        for broken in shown:
+            self.seemed_alive.remove(broken)
+            self.note(broken)
+        return shown
+
+    async def ask(self, target: Target, incarnation: int) -> bool:
+        """Return whether a start of a target has ended."""
         await asyncio.sleep(ASK_AFTER_S)
-        has_ended = not await self.accepts(target.address)
+        has_ended = not await self.lives(target, incarnation)
         if has_ended:
             self.note_end(target.pool)
         return has_ended
@@ -99,3 +127,15 @@
                 "ran_s": round(broken.ran_s, 4),
             },
         )
+
+
+def has_started_again(broken: BrokenRequest, catalogue: Catalogue) -> bool:
+    """Return whether a later start of a request's target is listed."""
+    target = broken.target
+    listed = catalogue.targets.get(target.target_id)
+    if listed is not None:
+        return broken.incarnation < listed.incarnation and broken.incarnation > 0
+    return any(
+        other.target.address == target.address and other.target.pool == target.pool
+        for other in catalogue.targets.values()
+    )
--- a/packages/daemon/src/sardinequay_daemon/engines.py
+++ b/packages/daemon/src/sardinequay_daemon/engines.py
@@ -4,6 +4,7 @@
 request was written, or the engine's own refusal, proves that it has not run.
 """
 
+import asyncio
 from collections.abc import AsyncGenerator, AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -16,16 +17,20 @@
 from sardinequay_core.kept_engine import EngineReport
 from sardinequay_core.leases import Use
 from sardinequay_core.names import AdapterRef, Address, TargetId
-from sardinequay_core.roster import Target
+from sardinequay_core.roster import Target, TargetKind
 
 from .errors import TargetError, TargetFault
 from .server_sent_events import EventCutter, Events
+from .target_probe import Sign
 
 NOT_LOADED = "not_loaded"
 STALE_TOKEN = "stale_token"
 REFUSED_STATUSES = frozenset({400, 404, 413, 422, 429, 503})
 """Statuses by which an engine says that it did not start on a request."""
 REQUEST_HEADER = "X-Request-Id"
+LOOK_S = 0.4
+"""Bound on an engine's answer whether it lives; it waits for no place."""
+
 NOT_SENT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 BROKEN_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 
@@ -191,6 +196,24 @@
             return
 
 
+class EngineLooks:
+    """Asks engines whether they live; services here tell nothing of themselves."""
+
+    def __init__(self, engines: Engines) -> None:
+        self.engines = engines
+
+    async def look(self, target: Target, incarnation: int, health_path: str) -> Sign:
+        """Return what a target shows; its starts are not told apart here."""
+        if target.kind is not TargetKind.ENGINE:
+            return Sign.SOUND
+        try:
+            async with asyncio.timeout(LOOK_S):
+                report = await self.engines.report(target)
+        except TimeoutError:
+            return Sign.SILENT
+        return Sign.SOUND if isinstance(report, Success) else Sign.FAILING
+
+
 class TurnedErrors:
     """Turns the HTTP library's errors into what they prove.
 
--- a/packages/daemon/src/sardinequay_daemon/host.py
+++ b/packages/daemon/src/sardinequay_daemon/host.py
@@ -29,7 +29,7 @@
 from .content_spread import ContentSpread
 from .dispatch import ModelDispatcher, RetryBudgets
 from .end_watch import EndWatch
-from .engines import HttpEngines
+from .engines import EngineLooks, HttpEngines
 from .errors import StartError
 from .guard_task import GuardTask, claim_policy
 from .journal import Journal
@@ -58,6 +58,7 @@
 from .roster_task import RosterTask
 from .services import ServiceForwarder
 from .settings import Settings
+from .target_probe import TargetProbe
 from .tls import client_context, server_context
 from .tracing import Tracing
 
@@ -170,7 +171,7 @@
             self.journal,
             self.tracing,
         )
-        self.content_guard = self.make_content_guard()
+        self.content_guard = self.make_content_guard(engines)
         self.callers = self.make_callers(engines, pooled, fresh)
         self.operators = OperatorServer(
             self,
@@ -217,7 +218,7 @@
             self.hear,
         )
 
-    def make_content_guard(self) -> ContentGuard:
+    def make_content_guard(self, engines: HttpEngines) -> ContentGuard:
         """Make what stops requests under which targets end."""
         quarantine = Quarantine(QuarantinePolicy(same_end=SAME_END))
         self.spread = ContentSpread(
@@ -227,7 +228,12 @@
             self.settings.host_id,
             quarantine,
             EndWatch(
-                ConnectionProbe(self.listener.ip).accepts,
+                TargetProbe(
+                    ConnectionProbe(self.listener.ip).accepts,
+                    EngineLooks(engines),
+                    lambda _: False,
+                    lambda _: "",
+                ).lives,
                 lambda target: self.roster.roster.is_live(target),
                 lambda pool: self.metrics.target_ends.inc({"pool": pool}),
             ),
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -411,6 +411,20 @@
         """Return the host that orders a data centre's engines, if one is known."""
         return self.keepers((data_centre,)).get(data_centre)
 
+    def health_path(self, pool: PoolName) -> str:
+        """Return where the services of a pool tell their health; empty if nowhere."""
+        config = self.catalogue.config
+        listed = config.pools.get(pool) if config is not None else None
+        return listed.health_path if listed is not None else ""
+
+    def is_busy(self, target_id: TargetId) -> bool:
+        """Return whether a target has all its places taken, as far as is known."""
+        now = self.clock.monotonic()
+        listed = self.catalogue.targets.get(target_id)
+        if listed is None or self.health.is_full(target_id, now):
+            return True
+        return self.loads.share(target_id, now).running >= listed.slots
+
     def service_options(
         self, pool: PoolName, tried: frozenset[TargetId]
     ) -> list[ServiceOption]:
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -51,6 +51,7 @@
 )
 from .settings import TimingSettings
 from .store_task import StoreTask
+from .target_probe import TargetProbe
 from .tracing import Tracing
 from .upstream import Upstream
 from .wants import WantBoard
@@ -170,7 +171,12 @@
             profile.host_id,
             self.state.quarantine,
             EndWatch(
-                ConnectionProbe(profile.callers.ip).accepts,
+                TargetProbe(
+                    ConnectionProbe(profile.callers.ip).accepts,
+                    deployment.engines,
+                    self.state.is_busy,
+                    self.state.health_path,
+                ).lives,
                 lambda target: self.state.catalogue.is_live(target),
                 lambda pool: self.metrics.target_ends.inc({"pool": pool}),
             ),
@@ -212,6 +218,7 @@
         self.store.catalogues.subscribe(self.state.take_catalogue)
         self.store.catalogues.subscribe(self.orders.take_catalogue)
         self.store.catalogues.subscribe(self.tell_catalogue)
+        self.store.catalogues.subscribe(self.guard.take_catalogue)
         self.fleet.digests.subscribe(self.state.take_digest)
         self.fleet.digests.subscribe(self.take_contents)
         self.fleet.digests.subscribe(self.writer.take_digest)
--- a/packages/daemon/src/sardinequay_daemon/serving_ports.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_ports.py
@@ -21,6 +21,7 @@
 from sardinequay_core.roster import Target
 
 from .errors import PlatformError
+from .target_probe import Sign
 
 Headers = CIMultiDictProxy[str]
 
@@ -214,6 +215,9 @@
     ) -> Result[OrderAccepted | OrderRefused, PlatformError]:
         """Give an engine an order; a failure leaves open whether it was accepted."""
 
+    async def look(self, target: Target, incarnation: int, health_path: str) -> Sign:
+        """Return what a target shows of the start that had a request."""
+
 
 @dataclass(frozen=True, slots=True)
 class ServingBounds:
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/target_probe.py
@@ -0,0 +1,73 @@
+"""Finds out whether a target's process lives after a request's connection broke there.
+
+An address that takes connections proves little: a supervisor, a gateway or a parent
+process may own the socket of a worker that has ended. So the target is asked about
+itself, too, and what it says is weighed against what else explains it.
+"""
+
+from collections.abc import Awaitable, Callable
+from enum import Enum
+from typing import Protocol
+
+from sardinequay_core.names import Address, PoolName, TargetId
+from sardinequay_core.roster import Target
+
+
+class Sign(Enum):
+    """What a target shows when it is asked about itself."""
+
+    SOUND = "sound"
+    ANOTHER_START = "another_start"
+    FAILING = "failing"
+    REFUSING = "refusing"
+    SILENT = "silent"
+
+
+class Looks(Protocol):
+    """Asks a target about itself."""
+
+    async def look(self, target: Target, incarnation: int, health_path: str) -> Sign:
+        """Return what a target shows of the start that had a request.
+
+        Parameters
+        ----------
+        health_path : str
+            Where a plain service tells its health; empty if it does not.
+        """
+
+
+class TargetProbe:
+    """Weighs what a target shows.
+
+    Parameters
+    ----------
+    accepts : callable
+        Returns whether something takes connections at an address.
+    is_busy : callable
+        Returns whether a target is known to have all its places taken: then it refuses,
+        or keeps waiting, whoever asks.
+    health_path : callable
+        Returns where the services of a pool tell their health.
+    """
+
+    def __init__(
+        self,
+        accepts: Callable[[Address], Awaitable[bool]],
+        looks: Looks,
+        is_busy: Callable[[TargetId], bool],
+        health_path: Callable[[PoolName], str],
+    ) -> None:
+        self.accepts = accepts
+        self.looks = looks
+        self.is_busy = is_busy
+        self.health_path = health_path
+
+    async def lives(self, target: Target, incarnation: int) -> bool:
+        """Return whether the start of a target that had a request still lives."""
+        if not await self.accepts(target.address):
+            return False
+        path = self.health_path(target.pool)
+        sign = await self.looks.look(target, incarnation, path)
+        if sign in (Sign.REFUSING, Sign.SILENT):
+            return self.is_busy(target.target_id)
+        return sign is Sign.SOUND
--- a/packages/daemon/tests/test_end_watch.py
+++ b/packages/daemon/tests/test_end_watch.py
@@ -1,9 +1,12 @@
 """Whether a target has ended, or only one answer broke."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
+from sardinequay_core.catalogue import Catalogue, PublishedTarget
+from sardinequay_core.clock import seconds
 from sardinequay_core.names import (
     Address,
     ContentId,
@@ -13,7 +16,8 @@
 )
 from sardinequay_core.roster import Target, TargetKind
 from sardinequay_daemon.connection_probe import ConnectionProbe
-from sardinequay_daemon.end_watch import BrokenRequest, EndWatch
+from sardinequay_daemon.end_watch import SHOWS_WITHIN, BrokenRequest, EndWatch
+from sardinequay_daemon.target_probe import Sign, TargetProbe
 from sardinequay_lab.ports import free_port
 
 IP = "127.0.0.1"
@@ -37,7 +41,7 @@
         self.is_up = False
         self.count = 0
 
-    async def accepts(self, _: Address) -> bool:
+    async def lives(self, _: Target, incarnation: int) -> bool:
         self.count += 1
         return self.is_up
 
@@ -60,14 +64,14 @@
 
 @pytest.fixture
 def watch(asked: Asked, live: set[TargetId], ended: list[PoolName]) -> EndWatch:
-    return EndWatch(asked.accepts, live.__contains__, ended.append)
+    return EndWatch(asked.lives, live.__contains__, ended.append)
 
 
 async def test_target_that_takes_no_connection_has_ended(watch) -> None:
     assert await watch.ended_under(broken("c1"))
 
 
-async def test_target_that_takes_connections_gave_up_one_answer(watch, asked) -> None:
+async def test_target_that_lives_gave_up_one_answer(watch, asked) -> None:
     asked.is_up = True
     assert not await watch.ended_under(broken("c1"))
 
@@ -100,3 +104,67 @@
         address = Address(IP, server.sockets[0].getsockname()[1])
         assert await probe.accepts(address) is is_up
         server.close()
+
+
+class Shows:
+    """Shows a sign."""
+
+    def __init__(self, sign: Sign) -> None:
+        self.sign = sign
+
+    async def look(self, target: Target, incarnation: int, health_path: str) -> Sign:
+        return self.sign
+
+
+async def accepts(_: Address) -> bool:
+    return True
+
+
+@pytest.mark.parametrize(
+    ("sign", "is_busy", "lives"),
+    [
+        (Sign.SOUND, False, True),
+        (Sign.SOUND, True, True),
+        (Sign.ANOTHER_START, True, False),
+        (Sign.FAILING, True, False),
+        (Sign.REFUSING, False, False),
+        (Sign.REFUSING, True, True),
+        (Sign.SILENT, False, False),
+        (Sign.SILENT, True, True),
+    ],
+)
+async def test_what_a_target_shows_is_weighed(sign, is_busy, lives) -> None:
+    probe = TargetProbe(accepts, Shows(sign), lambda _: is_busy, lambda _: "/health")
+    assert await probe.lives(broken("c").target, 7) is lives
+
+
+def listed(name: str, incarnation: int) -> Catalogue:
+    target = replace(broken("c").target, target_id=TargetId(name))
+    published = PublishedTarget(target, 8, 1, incarnation=incarnation)
+    return Catalogue(targets={target.target_id: published})
+
+
+@pytest.mark.parametrize(
+    ("catalogue", "shown"),
+    [
+        (listed("e1", 7), 0),
+        (listed("e1", 8), 1),
+        (listed("e2", 8), 1),
+        (Catalogue(), 0),
+    ],
+)
+async def test_later_start_shows_an_end_that_was_not_seen(
+    watch, asked, catalogue, shown
+) -> None:
+    asked.is_up = True
+    sent = replace(broken("c"), at=seconds(10))
+    assert not await watch.ended_under(sent)
+    assert len(watch.shown_by(catalogue, seconds(11))) == shown
+    assert not watch.shown_by(catalogue, seconds(11))
+
+
+async def test_start_long_after_a_broken_answer_shows_nothing(watch, asked) -> None:
+    asked.is_up = True
+    await watch.ended_under(replace(broken("c"), at=seconds(10)))
+    late = seconds(10.1) + SHOWS_WITHIN
+    assert not watch.shown_by(listed("e1", 8), late)
