--- a/packages/cli/src/sardinequay_cli/log_verbs.py
+++ b/packages/cli/src/sardinequay_cli/log_verbs.py
@@ -7,7 +7,7 @@
 
 from .errors import EXIT_FINDINGS
 from .log_lines import LogLine, moment, read_lines
-from .loss_report import LossReport, RouteLosses, report_of
+from .loss_report import Losses, LossReport, report_of
 from .output import Output
 
 BEFORE = timedelta(seconds=5)
@@ -72,12 +72,8 @@
 
 def loss_lines(report: LossReport) -> list[str]:
     """Return a report of losses for people."""
-    lines = []
-    for route, found in sorted(report.routes.items(), key=most_lost_first):
-        lines.append(f"{route or '(no route)'}  asked {found.asked}")
-        lines.append(f"    on time {found.on_time}")
-        causes = sorted(found.causes.items(), key=lambda item: (-item[1], item[0]))
-        lines += [f"    {cause} {n}" for cause, n in causes]
+    lines = loss_table(report.routes, "(no route)")
+    lines += loss_table(report.organisations, "(nobody)", "organisation ")
     lines.append(f"loads ordered {report.loads}, never used {report.unused_loads}")
     for pause in report.pauses:
         lines.append(
@@ -86,7 +82,18 @@
     return lines
 
 
-def most_lost_first(item: tuple[str, RouteLosses]) -> tuple[int, str]:
-    """Return what routes are sorted by."""
-    route, found = item
-    return found.on_time - found.asked, route
+def loss_table(found: dict[str, Losses], unnamed: str, kind: str = "") -> list[str]:
+    """Return how requests ended, name by name."""
+    lines = []
+    for name, losses in sorted(found.items(), key=most_lost_first):
+        lines.append(f"{kind}{name or unnamed}  asked {losses.asked}")
+        lines.append(f"    on time {losses.on_time}")
+        causes = sorted(losses.causes.items(), key=lambda item: (-item[1], item[0]))
+        lines += [f"    {cause} {n}" for cause, n in causes]
+    return lines
+
+
+def most_lost_first(item: tuple[str, Losses]) -> tuple[int, str]:
+    """Return what names are sorted by."""
+    name, losses = item
+    return losses.on_time - losses.asked, name
--- a/packages/cli/src/sardinequay_cli/loss_report.py
+++ b/packages/cli/src/sardinequay_cli/loss_report.py
@@ -20,8 +20,8 @@
 
 
 @dataclass(slots=True)
-class RouteLosses:
-    """How the requests of one route ended."""
+class Losses:
+    """How the requests of one route, or of one organisation, ended."""
 
     asked: int = 0
     on_time: int = 0
@@ -39,9 +39,16 @@
 
 @dataclass(frozen=True, slots=True)
 class LossReport:
-    """Losses by route, and what engines' orders show."""
+    """Losses by route and by organisation, and what engines' orders show.
 
-    routes: dict[str, RouteLosses]
+    Parameters
+    ----------
+    organisations : dict
+        Empty where callers need no keys.
+    """
+
+    routes: dict[str, Losses]
+    organisations: dict[str, Losses]
     loads: int
     unused_loads: int
     pauses: tuple[OrderPause, ...]
@@ -59,8 +66,14 @@
     orders.sort(key=lambda line: line.time)
     loads = [o for o in orders if is_load(o)]
     unused = count_unused(loads, orders, uses_of(requests.values()))
+    by_organisation = losses_by("organisation", requests.values())
+    by_organisation.pop("", None)
     return LossReport(
-        routes_of(requests.values()), len(loads), unused, tuple(pauses_of(orders))
+        losses_by("route", requests.values()),
+        by_organisation,
+        len(loads),
+        unused,
+        tuple(pauses_of(orders)),
     )
 
 
@@ -72,21 +85,23 @@
     )
 
 
-def routes_of(requests: Iterable[Sequence[LogLine]]) -> dict[str, RouteLosses]:
-    """Return how requests ended, route by route."""
-    routes: dict[str, RouteLosses] = {}
+def losses_by(
+    field_name: str, requests: Iterable[Sequence[LogLine]]
+) -> dict[str, Losses]:
+    """Return how requests ended, by a field of the line that tells their end."""
+    found: dict[str, Losses] = {}
     for lines in requests:
         end = next((x for x in reversed(lines) if x.event in ENDS), None)
         if end is None:
             continue
-        losses = routes.setdefault(str(end.fields.get("route", "")), RouteLosses())
+        losses = found.setdefault(str(end.fields.get(field_name, "")), Losses())
         losses.asked += 1
         cause = cause_of(lines, end)
         if cause:
             losses.causes[cause] = losses.causes.get(cause, 0) + 1
         else:
             losses.on_time += 1
-    return routes
+    return found
 
 
 def cause_of(lines: Sequence[LogLine], end: LogLine) -> str:
--- a/packages/cli/tests/test_losses.py
+++ b/packages/cli/tests/test_losses.py
@@ -109,3 +109,20 @@
     path = tmp_path / "empty.log"
     path.write_text("")
     assert main(["logs", "losses", str(path)]) == EXIT_FINDINGS
+
+
+def test_losses_are_told_by_organisation(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    over = "over_quota, not_run: organisation north asks for 900 of 200 a second"
+    ends = [
+        line(1, "refused", request="r1", organisation="north", detail=over),
+        line(2, "answered", request="r2", organisation="south", result="200"),
+        line(3, "answered", request="r3", organisation="", result="200"),
+    ]
+    path = tmp_path / "hosts.log"
+    path.write_text("\n".join(ends))
+    assert main(["--json", "logs", "losses", str(path)]) == 0
+    found = json.loads(capsys.readouterr().out)["organisations"]
+    assert found["north"]["causes"] == {"refused: over_quota": 1}
+    assert set(found) == {"north", "south"}
