Let cheap requests of an organisation over its quota pass

An organisation at four times its quota had its plain requests of 200 tokens refused as often as its generations of 2,600, though a bucket over all hosts had room for them: four requests of ten, a twentieth of the tokens. One that costs less than a quarter of the usual is let through unless the quota is far overdrawn; the generations make up for it.

Only accounts that a message concerns are brought up to now.

--- a/packages/core/src/sardinequay_core/quota_book.py
+++ b/packages/core/src/sardinequay_core/quota_book.py
@@ -12,7 +12,7 @@
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -36,6 +36,14 @@
 """Time constant of what this host is asked for, in seconds: requests of one
 organisation come to one host seconds apart."""
 
+CHEAP_PART = 0.25
+"""A request that costs less than this part of the usual one of its organisation is let
+through while the quota is not far overdrawn: many of them take few tokens, and all that
+an organisation gets for its quota grows by them."""
+
+USUAL_OVER = 20
+"""Requests over which the usual cost is reckoned."""
+
 FEW = 1e-9
 WINDOW = seconds(8)
 
@@ -115,6 +123,8 @@
         Of requests that were let through in part, what adds up to the next whole one.
     asked : float
         What this host was asked for lately, decayed, as of `asked_at`.
+    usual_cost : float
+        Of a request, over the last ones.
     """
 
     quota: Quota
@@ -123,6 +133,8 @@
     left: float = 0.0
     asked: float = 0.0
     asked_at: Instant = ZERO
+    usual_cost: float = 0.0
+    seen: int = 0
 
     def own_asked_per_s(self, now: Instant) -> float:
         """Return what this host is asked for a second."""
@@ -133,6 +145,8 @@
         """Count what this host is asked for."""
         self.asked = self.own_asked_per_s(now) * OWN_MEMORY_S + cost
         self.asked_at = now
+        self.seen = min(self.seen + 1, USUAL_OVER)
+        self.usual_cost += (cost - self.usual_cost) / self.seen
 
 
 @dataclass(slots=True)
@@ -182,7 +196,7 @@
 
     def hear(self, host: HostId, told: Told, now: Instant) -> None:
         """Take what a peer counted, itself or over all hosts behind it."""
-        self.settle_all(now)
+        self.settle_some(self.usage.concerned(host, told.counts), now)
         for gain in self.usage.hear(host, told, now):
             account = self.accounts.get(gain.organisation)
             if account is not None:
@@ -190,8 +204,9 @@
 
     def hear_all(self, host: HostId, told: Told, now: Instant) -> None:
         """Take from one peer what all others counted."""
-        self.settle_all(now)
-        self.usage.only(host)
+        if self.usage.sources.keys() != {host}:
+            self.settle_all(now)
+            self.usage.only(host)
         self.hear(host, told, now)
 
     def forget(self, host: HostId, now: Instant) -> None:
@@ -200,6 +215,13 @@
             self.settle_all(now)
             self.usage.forget(host, now)
 
+    def settle_some(self, names: Iterable[OrganisationName], now: Instant) -> None:
+        """Bring the accounts of some organisations up to now."""
+        for name in names:
+            account = self.accounts.get(name)
+            if account is not None:
+                self.settle(name, account, now)
+
     def settle_all(self, now: Instant) -> None:
         """Bring all accounts up to now."""
         for name, account in self.accounts.items():
@@ -241,7 +263,7 @@
         if cost > self.policy.largest(account.quota):
             return self.over(organisation.name, account, cost, now, None)
         self.settle(organisation.name, account, now)
-        fraction = self.fraction(organisation.name, account, now)
+        fraction = self.fraction(organisation.name, account, cost, now)
         account.note_asked(cost, now)
         account.carry += fraction
         if account.carry < 1 - FEW:
@@ -260,12 +282,16 @@
             account.left += admitted.cost
             self.usage.note(admitted.organisation, Usage(0, -admitted.cost), now)
 
-    def fraction(self, name: OrganisationName, account: Account, now: Instant) -> float:
-        """Return which part of the requests fits, over all hosts."""
+    def fraction(
+        self, name: OrganisationName, account: Account, cost: int, now: Instant
+    ) -> float:
+        """Return which part of requests of some cost fits, over all hosts."""
         free_per_s = self.rate_per_s(account) + account.left / HORIZON_S
         asked_per_s = self.asked_per_s(name, account, now)
         if free_per_s <= 0:
             return 0.0
+        if cost <= CHEAP_PART * account.usual_cost:
+            return 1.0
         return min(1.0, free_per_s / max(asked_per_s, FEW))
 
     def asked_per_s(
--- a/packages/core/src/sardinequay_core/usage_view.py
+++ b/packages/core/src/sardinequay_core/usage_view.py
@@ -19,6 +19,9 @@
 FLOW_MEMORY_S = 0.5
 """Time constant of a peer's measured flow, in seconds: about two exchanges."""
 
+LEAST_FLOW = 0.01
+"""A flow below this, in the quota's unit a second, is none."""
+
 JUST_STARTED = seconds(3)
 """What a peer counted that has been up for less than this is all recent."""
 
@@ -99,6 +102,13 @@
     at: Instant
     flows: dict[OrganisationName, Flow] = field(default_factory=dict)
 
+    def note_flow(self, organisation: OrganisationName, flow: Flow) -> None:
+        """Take what an organisation uses there now; next to nothing is nothing."""
+        if max(flow.asked_per_s, flow.admitted_per_s) < LEAST_FLOW:
+            self.flows.pop(organisation, None)
+        else:
+            self.flows[organisation] = flow
+
     def foreseen(self, now: Instant) -> Counts:
         """Return what is expected to be used since the source was heard."""
         since_s = (now - self.at).total_seconds()
@@ -164,6 +174,11 @@
         source.at = now
         return gains
 
+    def concerned(self, host: HostId, told: Counts) -> set[OrganisationName]:
+        """Return the organisations of which a peer says something by these counts."""
+        source = self.sources.get(host)
+        return {*told, *(source.flows if source is not None else ())}
+
     def gain(
         self,
         source: Source,
@@ -176,7 +191,7 @@
         usage = told.get(organisation, before).less(before)
         flow = source.flows.get(organisation, NO_FLOW)
         if over_s > 0:
-            source.flows[organisation] = flow.towards(usage, over_s)
+            source.note_flow(organisation, flow.towards(usage, over_s))
         return Gain(organisation, usage, flow.admitted_per_s * over_s)
 
     def keep(self, host: HostId, scope: Scope, gain: Gain, now: Instant) -> None:
--- a/packages/core/tests/test_quota_book.py
+++ b/packages/core/tests/test_quota_book.py
@@ -187,3 +187,23 @@
     digests = {key_digest(text) for text in ("", "a", "b", "\udcff", "é" * 9_000)}
     assert len(digests) == 5
     assert {len(d) for d in digests} == {32}
+
+
+def test_cheap_requests_pass_beside_dear_ones_that_are_too_many(book) -> None:
+    # An organisation at ten times its quota: generations of 900 tokens, and between
+    # them plain requests of 10.
+    cheap = dear = 0
+    for n in range(2_000):
+        at = seconds(60 + n * 0.02)
+        if n % 5:
+            cheap += isinstance(book.admit(NORTH, 10, at), Admitted)
+        else:
+            dear += isinstance(book.admit(NORTH, 900, at), Admitted)
+    assert cheap > 1_500
+    assert dear > 15
+
+
+def test_requests_that_are_all_cheap_are_not_let_through(book: QuotaBook) -> None:
+    results = [book.admit(NORTH, 20, seconds(60 + n / 200)) for n in range(4_000)]
+    admitted = sum(r.cost for r in results if isinstance(r, Admitted))
+    assert admitted <= 20_000 + 2 * QUOTA.burst
