Take a count that a peer tells for the first time long after its start as known

Peers tell only counts that changed lately. A peer first heard after hours brought, with an organisation's next request, the count of all those hours: taken as used just now, it had the organisation refused for seconds.

--- a/packages/core/src/sardinequay_core/usage_view.py
+++ b/packages/core/src/sardinequay_core/usage_view.py
@@ -95,11 +95,19 @@
 
 @dataclass(slots=True)
 class Source:
-    """What one peer told, for itself or for all behind it."""
+    """What one peer told, for itself or for all behind it.
+
+    Parameters
+    ----------
+    since_start : bool
+        Whether all that it counted is known, or is to be. Else a count that is told
+        for the first time may be hours old.
+    """
 
     scope: Scope
     told: Counts
     at: Instant
+    since_start: bool
     flows: dict[OrganisationName, Flow] = field(default_factory=dict)
 
     def note_flow(self, organisation: OrganisationName, flow: Flow) -> None:
@@ -187,7 +195,8 @@
         over_s: float,
     ) -> Gain:
         """Return what a source says of one organisation that was not known."""
-        before = source.told.get(organisation, NO_USAGE)
+        first = NO_USAGE if source.since_start else told.get(organisation, NO_USAGE)
+        before = source.told.get(organisation, first)
         usage = told.get(organisation, before).less(before)
         flow = source.flows.get(organisation, NO_FLOW)
         if over_s > 0:
@@ -279,8 +288,8 @@
     now on, since it may have counted for hours.
     """
     if told.has_restarted or told.up < JUST_STARTED:
-        return Source(told.scope, {}, now - seconds(FLOW_MEMORY_S))
-    return Source(told.scope, dict(told.counts), now)
+        return Source(told.scope, {}, now - seconds(FLOW_MEMORY_S), since_start=True)
+    return Source(told.scope, dict(told.counts), now, since_start=False)
 
 
 def add(counts: Counts, organisation: OrganisationName, usage: Usage) -> None:
--- a/packages/core/tests/test_usage_view.py
+++ b/packages/core/tests/test_usage_view.py
@@ -92,3 +92,26 @@
     for host, view in hosts.items():
         own = view.own.get(NAME, Usage()).admitted
         assert known[host] == total - own
+
+
+def test_count_of_long_ago_that_is_told_again_is_no_news() -> None:
+    # Peers tell only what changed lately. A peer heard for the first time after an hour
+    # said nothing of an organisation that asked nothing just then; its next request
+    # brought the count of the whole hour, and the organisation was refused for seconds.
+    view, quiet = UsageView(), OrganisationName("quiet")
+    up = seconds(3600)
+    view.hear(A, Told(Scope.HOST, {NAME: Usage(5, 5)}, up), seconds(10))
+    later = {NAME: Usage(5, 5), quiet: Usage(10**6, 10**6)}
+    gains = view.hear(A, Told(Scope.HOST, later, up), seconds(11))
+    assert sum(gain.usage.admitted for gain in gains) == 0
+    later[quiet] = Usage(10**6 + 7, 10**6 + 7)
+    gains = view.hear(A, Told(Scope.HOST, later, up), seconds(11.3))
+    assert sum(gain.usage.admitted for gain in gains) == 7
+
+
+def test_first_count_of_a_peer_heard_since_its_start_is_news() -> None:
+    view = UsageView()
+    view.hear(A, Told(Scope.HOST, {}, seconds(0.5)), seconds(10))
+    told = Told(Scope.HOST, {NAME: Usage(7, 7)}, seconds(60))
+    gains = view.hear(A, told, seconds(70))
+    assert sum(gain.usage.admitted for gain in gains) == 7
