Tell whoever hears first of all organisations; keep quotas' wiring in a module of its own

Peers are told of all organisations at first, those without use included, and one that the configuration brings later is new to all. The wiring of quotas leaves the relay's state.

--- a/packages/core/src/sardinequay_core/quota_book.py
+++ b/packages/core/src/sardinequay_core/quota_book.py
@@ -178,11 +178,13 @@
         quotas = {o.name: o.quota for o in organisations if o.quota is not None}
         for name in [n for n in self.accounts if n not in quotas]:
             del self.accounts[name]
+            self.usage.opened_at.pop(name, None)
         for name, quota in quotas.items():
             account = self.accounts.get(name)
             if account is None:
                 # Empty: another host may have used the burst just now.
                 self.accounts[name] = Account(quota, now, self.draw())
+                self.usage.opened_at[name] = now
             elif account.quota != quota:
                 self.settle(name, account, now)
                 account.quota = quota
--- a/packages/core/src/sardinequay_core/usage_view.py
+++ b/packages/core/src/sardinequay_core/usage_view.py
@@ -47,6 +47,7 @@
 
 NO_USAGE = Usage()
 Counts = dict[OrganisationName, Usage]
+Names = Iterable[OrganisationName]
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +100,8 @@
 
     Parameters
     ----------
+    first_at : timedelta
+        When it was heard first.
     since_start : bool
         Whether all that it counted is known, or is to be. Else a count that is told
         for the first time may be hours old.
@@ -107,6 +110,7 @@
     scope: Scope
     told: Counts
     at: Instant
+    first_at: Instant
     since_start: bool
     flows: dict[OrganisationName, Flow] = field(default_factory=dict)
 
@@ -151,6 +155,8 @@
         The part of `near` of each host.
     changed_at : dict
         When a count of an organisation changed last.
+    opened_at : dict
+        When an organisation became known here.
     """
 
     own: Counts = field(default_factory=dict)
@@ -159,6 +165,7 @@
     far: Counts = field(default_factory=dict)
     gained: dict[HostId, Counts] = field(default_factory=dict)
     changed_at: dict[OrganisationName, Instant] = field(default_factory=dict)
+    opened_at: dict[OrganisationName, Instant] = field(default_factory=dict)
 
     def note(self, organisation: OrganisationName, usage: Usage, now: Instant) -> None:
         """Count what this host was asked for or admitted."""
@@ -195,7 +202,11 @@
         over_s: float,
     ) -> Gain:
         """Return what a source says of one organisation that was not known."""
-        first = NO_USAGE if source.since_start else told.get(organisation, NO_USAGE)
+        # Whoever is told first hears of all organisations, so one that was not among
+        # them is new to both, or was counted before the source was heard.
+        is_new = self.opened_at.get(organisation, ZERO) > source.first_at
+        is_known = source.since_start or is_new
+        first = NO_USAGE if is_known else told.get(organisation, NO_USAGE)
         before = source.told.get(organisation, first)
         usage = told.get(organisation, before).less(before)
         flow = source.flows.get(organisation, NO_FLOW)
@@ -243,18 +254,19 @@
         oldest = min((s.at for s in self.sources.values()), default=now)
         return max(ZERO, now - oldest)
 
-    # What peers are told.
+    # What peers are told. Who is told for the first time is told of all organisations,
+    # also of those that used nothing: their next count says then what they used since.
 
-    def own_counts(self, now: Instant) -> Counts:
-        """Return this host's counts that changed lately."""
-        return self.recent((self.own,), now)
+    def own_counts(self, now: Instant, also: Names = ()) -> Counts:
+        """Return this host's counts that changed lately, and those named."""
+        return self.recent((self.own,), now, also)
 
-    def here(self, now: Instant) -> Counts:
-        """Return the counts of this data centre's hosts that changed lately."""
-        return self.recent((self.own, self.near), now)
+    def here(self, now: Instant, also: Names = ()) -> Counts:
+        """Return this data centre's counts that changed lately, and those named."""
+        return self.recent((self.own, self.near), now, also)
 
-    def all_but(self, host: HostId, now: Instant) -> Counts:
-        """Return the counts of all hosts but one that changed lately.
+    def all_but(self, host: HostId, now: Instant, also: Names = ()) -> Counts:
+        """Return the counts of all hosts but one that changed lately, and those named.
 
         With what is foreseen of data centres since they were heard: a host that hears
         only this sum could not tell one that is cut off from one that uses nothing.
@@ -264,19 +276,23 @@
             for source in self.sources.values()
             if source.scope is Scope.DATA_CENTRE
         ]
-        found = self.recent((self.own, self.near, self.far, *far), now)
+        found = self.recent((self.own, self.near, self.far, *far), now, also)
         its = self.gained.get(host, {})
         return {o: usage.less(its.get(o, NO_USAGE)) for o, usage in found.items()}
 
     def recent(
-        self, parts: Iterable[Mapping[OrganisationName, Usage]], now: Instant
+        self,
+        parts: Iterable[Mapping[OrganisationName, Usage]],
+        now: Instant,
+        also: Names,
     ) -> Counts:
-        """Return the sum of counts that changed lately."""
+        """Return the sum of counts that changed lately, and of those named."""
         since = now - TELL_FOR
-        found: Counts = {}
+        found: Counts = dict.fromkeys(also, NO_USAGE)
         for part in parts:
             for organisation, usage in part.items():
-                if self.changed_at.get(organisation, ZERO) >= since:
+                changed_at = self.changed_at.get(organisation, ZERO)
+                if changed_at >= since or organisation in found:
                     add(found, organisation, usage)
         return found
 
@@ -288,8 +304,9 @@
     now on, since it may have counted for hours.
     """
     if told.has_restarted or told.up < JUST_STARTED:
-        return Source(told.scope, {}, now - seconds(FLOW_MEMORY_S), since_start=True)
-    return Source(told.scope, dict(told.counts), now, since_start=False)
+        lately = now - seconds(FLOW_MEMORY_S)
+        return Source(told.scope, {}, lately, now, since_start=True)
+    return Source(told.scope, dict(told.counts), now, now, since_start=False)
 
 
 def add(counts: Counts, organisation: OrganisationName, usage: Usage) -> None:
--- a/packages/core/tests/test_usage_view.py
+++ b/packages/core/tests/test_usage_view.py
@@ -115,3 +115,25 @@
     told = Told(Scope.HOST, {NAME: Usage(7, 7)}, seconds(60))
     gains = view.hear(A, told, seconds(70))
     assert sum(gain.usage.admitted for gain in gains) == 7
+
+
+def test_who_is_told_first_hears_of_organisations_that_used_nothing() -> None:
+    hub, host, quiet = UsageView(), UsageView(), OrganisationName("quiet")
+    hub.note(NAME, Usage(9, 9), seconds(1))
+    up = seconds(60)
+    first = hub.all_but(A, seconds(60), also=(NAME, quiet))
+    assert first == {NAME: Usage(9, 9), quiet: Usage()}
+    host.hear(HostId("hub"), Told(Scope.FLEET, first, up), seconds(60))
+    hub.note(quiet, Usage(5, 5), seconds(60.1))
+    told = Told(Scope.FLEET, hub.all_but(A, seconds(60.3)), up)
+    gains = host.hear(HostId("hub"), told, seconds(60.3))
+    assert sum(gain.usage.admitted for gain in gains) == 5
+
+
+def test_first_count_of_an_organisation_that_came_later_is_news() -> None:
+    view, new, up = UsageView(), OrganisationName("new"), seconds(3600)
+    view.hear(A, Told(Scope.HOST, {NAME: Usage(5, 5)}, up), seconds(10))
+    view.opened_at[new] = seconds(20)
+    told = Told(Scope.HOST, {new: Usage(8, 8)}, up)
+    gains = view.hear(A, told, seconds(21))
+    assert sum(gain.usage.admitted for gain in gains) == 8
--- a/packages/daemon/src/sardinequay_daemon/caller_gate.py
+++ b/packages/daemon/src/sardinequay_daemon/caller_gate.py
@@ -92,8 +92,8 @@
             If it is beyond the quota.
         """
         now = self.state.clock.monotonic()
-        self.state.count_hosts()
-        result = self.state.quotas.admit(organisation, terms.tokens, now)
+        self.state.quotas.count_hosts()
+        result = self.state.quotas.book.admit(organisation, terms.tokens, now)
         if not isinstance(result, OverQuota):
             return result
         self.metrics.over_quota.inc(
@@ -118,4 +118,4 @@
 
     def give_back(self, admitted: Admitted) -> None:
         """Take back what was counted for a request that did not run."""
-        self.state.quotas.give_back(admitted, self.state.clock.monotonic())
+        self.state.quotas.book.give_back(admitted, self.state.clock.monotonic())
--- a/packages/daemon/src/sardinequay_daemon/digest_writer.py
+++ b/packages/daemon/src/sardinequay_daemon/digest_writer.py
@@ -8,6 +8,7 @@
 from sardinequay_core.clock import Clock, Instant, seconds
 from sardinequay_core.fleet_topology import Scope, scope_to_tell
 from sardinequay_core.names import HostId
+from sardinequay_core.usage_view import Counts
 
 from .content_messages import ContentNews
 from .content_news import news_of
@@ -51,6 +52,7 @@
         self.contacts_told: dict[HostId, int] = {}
         self.members_told: dict[HostId, MemberState] = {}
         self.contents_told: dict[HostId, int] = {}
+        self.usage_told: dict[HostId, Scope] = {}
         self.greeted: set[HostId] = set()
 
     def digest(self, host_id: HostId) -> Digest:
@@ -95,6 +97,7 @@
                 return self.of_data_centre(digest, peer)
             case Scope.FLEET:
                 return self.of_fleet(digest, host_id)
+        self.usage_told.pop(host_id, None)
         return digest
 
     def of_host(self, digest: Digest, host_id: HostId) -> Digest:
@@ -107,7 +110,7 @@
             uses=self.state.adapter_uses(),
             holdings=self.untold_holdings(host_id, self.orders.holdings(), TELL_AGAIN),
             outcomes=self.state.health.tally.to_tell(now),
-            usage=self.state.quotas.usage.own_counts(now),
+            usage=self.untold_usage(host_id, Scope.HOST),
             demand=NO_DEMAND if self.fleet.is_mesh else self.state.demand.own(now),
         )
 
@@ -123,7 +126,7 @@
             uses=uses,
             holdings=self.untold_holdings(host_id, self.orders.holdings(), None),
             outcomes=self.state.health.tally.sum_of(here, now),
-            usage=self.state.quotas.usage.here(now),
+            usage=self.untold_usage(host_id, Scope.DATA_CENTRE),
             demand=self.most_wanted(here, now),
             live_hosts=self.fleet.live_hosts_here(),
         )
@@ -138,7 +141,7 @@
             shares=self.state.loads.all_but(host_id, now),
             holdings=self.untold_holdings(host_id, known, None),
             outcomes=self.state.health.tally.sum_of(others, now),
-            usage=self.state.quotas.usage.all_but(host_id, now),
+            usage=self.untold_usage(host_id, Scope.FLEET),
             demand=self.most_wanted(others, now),
             live_hosts=self.fleet.live_hosts,
             notes=HubNotes(self.untold_members(host_id), self.fleet.neighbours()),
@@ -167,6 +170,7 @@
         self.contacts_told.pop(host_id, None)
         self.members_told.pop(host_id, None)
         self.contents_told.pop(host_id, None)
+        self.usage_told.pop(host_id, None)
         self.told.pop(host_id, None)
 
     def untold_contacts(self, host_id: HostId) -> tuple[Contact, ...]:
@@ -194,6 +198,18 @@
         now = self.clock.monotonic()
         return tuple(news_of(quarantine, content, now) for content in changed)
 
+    def untold_usage(self, host_id: HostId, scope: Scope) -> Counts:
+        """Return what organisations used where that changed lately; all at first."""
+        book, now = self.state.quotas.book, self.clock.monotonic()
+        is_first = self.usage_told.get(host_id) is not scope
+        self.usage_told[host_id] = scope
+        also = tuple(book.accounts) if is_first else ()
+        if scope is Scope.HOST:
+            return book.usage.own_counts(now, also)
+        if scope is Scope.DATA_CENTRE:
+            return book.usage.here(now, also)
+        return book.usage.all_but(host_id, now, also)
+
     def untold_members(self, host_id: HostId) -> tuple[Member, ...] | None:
         """Return the live hosts here, or None if a peer knows just these."""
         members = self.fleet.members()
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -11,7 +11,6 @@
 from sardinequay_core.adapter_demand import AdapterDemand
 from sardinequay_core.catalogue import Catalogue, PublishedTarget
 from sardinequay_core.clock import ZERO, Clock, Instant, seconds
-from sardinequay_core.fleet_share import ASSUMED_HOSTS, FleetShare
 from sardinequay_core.fleet_topology import Scope
 from sardinequay_core.load_view import PEER_SHARE_LIFE, LoadView
 from sardinequay_core.names import (
@@ -22,18 +21,16 @@
     parse_adapter_ref,
 )
 from sardinequay_core.quarantine import Quarantine
-from sardinequay_core.quota_book import QuotaBook, QuotaPolicy
 from sardinequay_core.rendezvous import rank
 from sardinequay_core.repeat_budget import RepeatBudget, RepeatPolicy
 from sardinequay_core.residency import AdapterUses, Held, Residency
 from sardinequay_core.service_choice import ServiceOption
 from sardinequay_core.target_choice import EngineOption, Holding
 from sardinequay_core.target_health import TargetHealth
-from sardinequay_core.usage_view import Told
 
-from .fleet_task import KNOWS_ALL_S, FleetTask, HeardDigest
+from .fleet_quotas import FleetQuotas
+from .fleet_task import FleetTask, HeardDigest
 from .order_task import OrderTask
-from .peer_table import ALONE_AFTER
 from .serving_messages import AdapterUse, Contact, EngineHoldings
 from .serving_ports import RequestTerms
 
@@ -85,15 +82,14 @@
     budgets: dict[PoolName, RepeatBudget] = field(default_factory=dict)
     demand: AdapterDemand = field(default_factory=AdapterDemand)
     quarantine: Quarantine = field(default_factory=Quarantine)
-    fleet_share: FleetShare = field(default_factory=FleetShare)
     orders: OrderTask | None = None
     view_from: HostId | None = None
     view_at: Instant = ZERO
-    quotas: QuotaBook = field(init=False)
+    quotas: FleetQuotas = field(init=False)
 
     def __post_init__(self) -> None:
         """Open the book of quotas."""
-        self.quotas = QuotaBook(self.random.random)
+        self.quotas = FleetQuotas(self.fleet, self.clock, self.random.random)
 
     # What comes in.
 
@@ -104,10 +100,7 @@
             was = before.targets.get(target_id)
             if was is not None and was.incarnation < published.incarnation:
                 self.forget_start(target_id)
-        config = catalogue.config
-        if config is not None and config is not before.config:
-            organisations = config.organisations or ()
-            self.quotas.take_organisations(organisations, self.clock.monotonic())
+        self.quotas.take_catalogue(before, catalogue)
         known = frozenset(catalogue.targets)
         self.health.forget(known)
         self.residency.forget(known)
@@ -148,7 +141,7 @@
         self.loads.hear(host_id, digest.shares, now)
         self.health.tally.hear(host_id, digest.outcomes, now)
         self.demand.hear(host_id, digest.demand, now)
-        self.quotas.hear(host_id, told_of(heard), now)
+        self.quotas.take_part(heard)
         uses = {(u.target, u.adapter): u.count for u in digest.uses}
         self.uses.replace(host_id, uses)
 
@@ -172,7 +165,7 @@
         self.loads.hear_all(host_id, digest.shares, now)
         self.health.tally.hear_all(host_id, digest.outcomes, now)
         self.demand.hear_all(host_id, digest.demand, now)
-        self.quotas.hear_all(host_id, told_of(heard), now)
+        self.quotas.take_sum(heard)
         for peer in tuple(self.uses.peers):
             self.uses.forget(peer)
 
@@ -211,7 +204,7 @@
         self.health.tally.forget(host_id)
         self.uses.forget(host_id)
         self.demand.forget(host_id)
-        self.quotas.forget(host_id, self.clock.monotonic())
+        self.quotas.forget(host_id)
 
     def adapter_uses(self) -> tuple[AdapterUse, ...]:
         """Return this host's uses of adapters, for its peers."""
@@ -235,26 +228,6 @@
         for budget in self.budgets.values():
             budget.policy = policy
 
-    def take_quota_policy(self, policy: QuotaPolicy) -> None:
-        """Take other bounds on what quotas may be exceeded by."""
-        self.quotas.policy = policy
-
-    def count_hosts(self) -> None:
-        """Take how many hosts live, for the part of quotas that is theirs."""
-        now = self.clock.monotonic()
-        live = self.fleet.live_hosts
-        self.fleet_share.count(live, now)
-        self.quotas.take_share(self.fleet_share.part(live, self.assumed_hosts()), now)
-
-    def assumed_hosts(self) -> int:
-        """Return how many hosts exist as far as a host knows that has just started."""
-        fleet = self.fleet
-        if not fleet.seeds or fleet.up_s() > ALONE_AFTER.total_seconds():
-            return 1
-        if fleet.joined_at is None:
-            return ASSUMED_HOSTS
-        return 1 if fleet.up_s() > KNOWS_ALL_S else len(fleet.peers) + 1
-
     # What a request sees.
 
     def budget(self, pool: PoolName) -> RepeatBudget:
@@ -451,9 +424,3 @@
                 )
             )
         return options
-
-
-def told_of(heard: HeardDigest) -> Told:
-    """Return what a digest tells of organisations' usage."""
-    digest = heard.digest
-    return Told(digest.scope, digest.usage, seconds(digest.up_s), heard.has_restarted)
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -138,7 +138,7 @@
         self.state = RelayState(
             profile.data_centre, clock, random, bounds.repeats, self.fleet
         )
-        self.state.take_quota_policy(bounds.quotas)
+        self.state.quotas.take_policy(bounds.quotas)
         self.state.health.turn = turn_of(profile.host_id)
         self.lease = OrderLeaseTask(
             profile.host_id,
@@ -238,7 +238,7 @@
         self.profile = replace(self.profile, seeds=profile.seeds, bounds=profile.bounds)
         self.fleet.set_seeds(profile.seeds)
         self.state.take_repeat_policy(profile.bounds.repeats)
-        self.state.take_quota_policy(profile.bounds.quotas)
+        self.state.quotas.take_policy(profile.bounds.quotas)
         self.lease.take_policy(OrderPolicy(quiet=profile.bounds.order_quiet))
         log.info("settings reloaded", extra={"seeds": [str(s) for s in profile.seeds]})
 
@@ -324,7 +324,7 @@
             self.metrics.log_lines_left_out.set({}, self.output.left_out)
             self.metrics.in_flight.set({}, self.server.in_flight)
             self.guard.expire()
-            self.state.count_hosts()
+            self.state.quotas.count_hosts()
             held = self.state.quarantine.held(self.clock.monotonic())
             self.metrics.quarantined.set({}, len(held))
             config = self.state.catalogue.config
--- a/packages/daemon/tests/test_large_fleet.py
+++ b/packages/daemon/tests/test_large_fleet.py
@@ -540,8 +540,10 @@
 def use(host: Host, requests: int, tokens: int = 1) -> int:
     """Send a host requests of an organisation; return how many tokens it admits."""
     now = host.fleet.clock.monotonic()
-    host.state.count_hosts()
-    results = [host.state.quotas.admit(NORTH, tokens, now) for _ in range(requests)]
+    host.state.quotas.count_hosts()
+    results = [
+        host.state.quotas.book.admit(NORTH, tokens, now) for _ in range(requests)
+    ]
     return sum(result.cost for result in results if isinstance(result, Admitted))
 
 
@@ -550,7 +552,7 @@
     """The fleet with an organisation whose quota has been whole for long."""
     for host in world.hosts:
         now = world.clock.monotonic()
-        host.state.quotas.take_organisations((NORTH,), now)
+        host.state.quotas.book.take_organisations((NORTH,), now)
     world.pass_time(4.0)
     return world
 
@@ -564,8 +566,8 @@
         use(host, 200)
     world.pass_time(1.5)
     for host in (world.hosts[0], world.hosts[41], world.hosts[43]):
-        host.state.quotas.settle_all(world.clock.monotonic())
-        usage = host.state.quotas.usage
+        host.state.quotas.book.settle_all(world.clock.monotonic())
+        usage = host.state.quotas.book.usage
         own = usage.own.get(NORTH.name, Usage()).admitted
         hub = host.fleet.hub()
         assert hub != host.me
@@ -588,10 +590,10 @@
     world, shares = with_quota, {}
     islands = (world.hosts[0], world.hosts[1])
     for host in islands:
-        host.state.count_hosts()
+        host.state.quotas.count_hosts()
     world.cut = {"za"}
     world.pass_time(6.0)
     for host in islands:
-        host.state.count_hosts()
-        shares[host.me.data_centre] = host.state.quotas.share
+        host.state.quotas.count_hosts()
+        shares[host.me.data_centre] = host.state.quotas.book.share
     assert sum(shares.values()) == pytest.approx(1.0, abs=0.05)
