Don't take digests that cross for a restart of their sender

Exchanges that cross bring digests out of order, milliseconds apart. The older one's time since its sender's start was a little less, which was read as a restart. A restart is now one that explains more than a call lasts. The test failed before.

--- a/packages/daemon/src/sardinequay_daemon/fleet_task.py
+++ b/packages/daemon/src/sardinequay_daemon/fleet_task.py
@@ -337,9 +337,19 @@
         if digest.contacts and digest.up_s > KNOWS_ALL_S:
             self.was_told_of_all = True
         self.count_near()
-        has_restarted = known is not None and known.up_s > digest.up_s
+        has_restarted = self.has_restarted(known, digest)
         self.digests.on_next(HeardDigest(digest, now, has_restarted))
 
+    def has_restarted(self, known: Peer | None, digest: Digest) -> bool:
+        """Return whether a peer has started anew since it was heard.
+
+        Exchanges that cross bring digests out of order: one that was written earlier by
+        less than a call lasts tells of no restart.
+        """
+        if known is None or known.told_at == ZERO:
+            return False
+        return self.up_of(known) > digest.up_s + CALL_S
+
     def hear_of_hub(self, digest: Digest) -> None:
         """Take what a digest says of hubs."""
         sender = digest.host
--- a/packages/daemon/tests/test_fleet_task.py
+++ b/packages/daemon/tests/test_fleet_task.py
@@ -189,3 +189,24 @@
     assert not fleet.was_told_of_all
     fleet.hear(digest("h3", up_s=9.0, contacts=contacts))
     assert fleet.was_told_of_all
+
+
+def test_digests_out_of_order_tell_of_no_restart(fleet, clock) -> None:
+    # Two exchanges crossed after a cut was healed: the later answer came first. Taken
+    # for a restart, the second one brought all that its sender had ever counted as news,
+    # and hosts refused organisations for seconds that were within their quotas.
+    heard = []
+    fleet.digests.subscribe(lambda h: heard.append(h.has_restarted))
+    fleet.hear(digest("h2", up_s=50.02))
+    clock.turn(0.006)
+    fleet.hear(digest("h2", up_s=50.0))
+    assert heard == [False, False]
+
+
+def test_peer_back_after_a_second_has_restarted(fleet, clock) -> None:
+    heard = []
+    fleet.digests.subscribe(lambda h: heard.append(h.has_restarted))
+    fleet.hear(digest("h2", up_s=0.2))
+    clock.turn(1.0)
+    fleet.hear(digest("h2", up_s=0.1))
+    assert heard == [False, True]
--- a/packages/daemon/tests/test_large_fleet.py
+++ b/packages/daemon/tests/test_large_fleet.py
@@ -597,3 +597,20 @@
         host.state.quotas.count_hosts()
         shares[host.me.data_centre] = host.state.quotas.book.share
     assert sum(shares.values()) == pytest.approx(1.0, abs=0.05)
+
+
+def test_healed_cut_brings_no_use_of_long_ago(with_quota: World) -> None:
+    # When a data centre that had been cut off was back, its hosts took all that the
+    # others had ever used for used just now, and refused everybody for seconds.
+    world = with_quota
+    most = 0.0
+    for step in range(300):
+        world.cut = {"za"} if 100 <= step < 150 else set()
+        for host in world.hosts[::2]:
+            use(host, 4, tokens=4)
+        world.pass_time(STEP_S)
+        for host in world.hosts:
+            book, now = host.state.quotas.book, world.clock.monotonic()
+            account = book.accounts[NORTH.name]
+            most = max(most, book.asked_per_s(NORTH.name, account, now))
+    assert most <= 3 * 25 * 4 * 4 / STEP_S
