--- a/packages/daemon/tests/test_fleet_task.py
+++ b/packages/daemon/tests/test_fleet_task.py
@@ -193,7 +193,7 @@
 
 def test_digests_out_of_order_tell_of_no_restart(fleet, clock) -> None:
     # Two exchanges crossed after a cut was healed: the later answer came first. Taken
-    # for a restart, the second one brought all that its sender had ever counted as news,
+    # for a restart, the second brought all that its sender had ever counted as news,
     # and hosts refused organisations for seconds that were within their quotas.
     heard = []
     fleet.digests.subscribe(lambda h: heard.append(h.has_restarted))
