Tell a digest that a cut held up from one of a host that has just started

Only what a host counted that has been up for less than three seconds is all recent. The test failed before by its count.

--- a/packages/core/src/sardinequay_core/usage_view.py
+++ b/packages/core/src/sardinequay_core/usage_view.py
@@ -301,9 +301,10 @@
     """Return a peer that was not heard before.
 
     All that it counted is news if it has just started; else only what it counts from
-    now on, since it may have counted for hours.
+    now on, since it may have counted for hours. What a cut held up looks like a restart,
+    but comes from a peer that has been up for long.
     """
-    if told.has_restarted or told.up < JUST_STARTED:
+    if told.up < JUST_STARTED:
         lately = now - seconds(FLOW_MEMORY_S)
         return Source(told.scope, {}, lately, now, since_start=True)
     return Source(told.scope, dict(told.counts), now, now, since_start=False)
--- a/packages/core/tests/test_quota_book.py
+++ b/packages/core/tests/test_quota_book.py
@@ -104,7 +104,8 @@
 
 def test_all_that_a_peer_counted_since_its_restart_is_news(book: QuotaBook) -> None:
     book.hear(PEER, told(10**6, 10**6), seconds(60))
-    book.hear(PEER, told(2_500, 2_500, has_restarted=True), seconds(60.3))
+    again = Told(Scope.HOST, {NAME: Usage(2_500, 2_500)}, seconds(0.5), True)
+    book.hear(PEER, again, seconds(60.3))
     assert isinstance(ask(book, 60.3), OverQuota)
 
 
--- a/packages/core/tests/test_usage_view.py
+++ b/packages/core/tests/test_usage_view.py
@@ -137,3 +137,14 @@
     told = Told(Scope.HOST, {new: Usage(8, 8)}, up)
     gains = view.hear(A, told, seconds(21))
     assert sum(gain.usage.admitted for gain in gains) == 8
+
+
+def test_what_a_cut_held_up_is_no_restart() -> None:
+    # A digest of half a second ago came after a later one, once a cut was healed.
+    view = UsageView()
+    view.hear(A, Told(Scope.HOST, {NAME: Usage(900, 900)}, seconds(50)), seconds(10))
+    late = Told(Scope.HOST, {NAME: Usage(800, 800)}, seconds(49.5), has_restarted=True)
+    gains = view.hear(A, late, seconds(10))
+    told = Told(Scope.HOST, {NAME: Usage(910, 910)}, seconds(50.2))
+    gains += view.hear(A, told, seconds(10.2))
+    assert sum(gain.usage.admitted for gain in gains) == 110
