--- a/packages/core/src/sardinequay_core/usage_view.py
+++ b/packages/core/src/sardinequay_core/usage_view.py
@@ -301,8 +301,8 @@
     """Return a peer that was not heard before.
 
     All that it counted is news if it has just started; else only what it counts from
-    now on, since it may have counted for hours. What a cut held up looks like a restart,
-    but comes from a peer that has been up for long.
+    now on, since it may have counted for hours. What a cut held up looks like a
+    restart, but comes from a peer that has been up for long.
     """
     if told.up < JUST_STARTED:
         lately = now - seconds(FLOW_MEMORY_S)
