--- a/packages/lab/src/sardinequay_lab/quota_policies.py
+++ b/packages/lab/src/sardinequay_lab/quota_policies.py
@@ -8,10 +8,11 @@
 from sardinequay_core.fleet_share import ASSUMED_HOSTS, FleetShare
 from sardinequay_core.fleet_topology import Scope
 from sardinequay_core.names import HostId
+from sardinequay_core.organisations import OrganisationName
 from sardinequay_core.quota_book import Admitted, QuotaBook, QuotaPolicy
 from sardinequay_core.usage_view import Counts, Told
 
-from .quota_world import REACH_LOST_S, Scenario
+from .quota_world import ORGANISATION, REACH_LOST_S, Scenario
 
 JOINS_AFTER_S = 0.4
 """A host that started hears the first peer after this."""
@@ -45,6 +46,7 @@
         hosts = range(self.scenario.hosts)
         self.books = [QuotaBook(self.random.random, self.policy) for _ in hosts]
         self.shares = [FleetShare() for _ in hosts]
+        self.acquainted: set[tuple[int, int]] = set()
         for book in self.books:
             book.take_organisations((self.organisation,), now)
 
@@ -72,11 +74,11 @@
             return
         hub = self.scenario.data_centre(host)
         if host != hub:
-            self.tell(
-                host, hub, Scope.HOST, self.books[host].usage.own_counts(now), now
-            )
-            counts = self.books[hub].usage.all_but(HostId(str(host)), now)
-            self.tell(hub, host, Scope.FLEET, counts, now)
+            usage = self.books[host].usage.own_counts(now, self.at_first(host, hub))
+            self.tell(host, hub, Scope.HOST, usage, now)
+            also = self.at_first(hub, host)
+            usage = self.books[hub].usage.all_but(HostId(str(host)), now, also)
+            self.tell(hub, host, Scope.FLEET, usage, now)
             return
         for other in range(hub):
             if self.is_lost(hub, other, now):
@@ -94,9 +96,16 @@
 
     def tell_hub(self, hub: int, other: int, now: Instant) -> None:
         """Tell another hub the sum of a data centre."""
-        counts = self.books[hub].usage.here(now)
+        counts = self.books[hub].usage.here(now, self.at_first(hub, other))
         self.tell(hub, other, Scope.DATA_CENTRE, counts, now)
 
+    def at_first(self, sender: int, to: int) -> tuple[OrganisationName, ...]:
+        """Return whom to tell of in any case, as hosts do when they tell one first."""
+        if (sender, to) in self.acquainted:
+            return ()
+        self.acquainted.add((sender, to))
+        return (ORGANISATION,)
+
     def tell(
         self, sender: int, to: int, scope: Scope, counts: Counts, now: Instant
     ) -> None:
