Drop a logger that nobody uses; let the replay's bucket take a whole request or nothing

Found by reading the change once more: the gate logs by the refusal's line, and both ways of the replay only ever asked for all or nothing.

--- a/packages/daemon/src/sardinequay_daemon/caller_gate.py
+++ b/packages/daemon/src/sardinequay_daemon/caller_gate.py
@@ -4,7 +4,6 @@
 and no place that others wait for.
 """
 
-import logging
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -30,7 +29,6 @@
 """Callers that are over a quota come back spread over this part of their wait."""
 
 SOONEST = seconds(0.1)
-log = logging.getLogger(__name__)
 
 
 class CallerGate:
--- a/packages/lab/src/sardinequay_lab/quota_policies.py
+++ b/packages/lab/src/sardinequay_lab/quota_policies.py
@@ -129,16 +129,15 @@
         self.left = 0.0
         self.at = now
 
-    def take(self, most: float, least: float, now: Instant) -> float:
-        """Take as much as there is of some tokens, or nothing if that is too little."""
+    def take(self, tokens: int, now: Instant) -> bool:
+        """Take some tokens; return whether they were there."""
         elapsed_s = (now - self.at).total_seconds()
         self.left = min(self.burst, self.left + elapsed_s * self.rate_per_s)
         self.at = now
-        if self.left < least:
-            return 0.0
-        taken = min(most, self.left)
-        self.left -= taken
-        return taken
+        if self.left < tokens:
+            return False
+        self.left -= tokens
+        return True
 
 
 class FixedShares:
@@ -163,7 +162,7 @@
 
     def admits(self, host: int, tokens: int, now: Instant) -> bool:
         """Return whether a host admits a request."""
-        return self.buckets[host].take(tokens, tokens, now) > 0
+        return self.buckets[host].take(tokens, now)
 
     def exchange(self, host: int, now: Instant) -> None:
         """Tell nobody anything."""
@@ -196,7 +195,7 @@
         self.messages += 2
         self.sent_bytes += 2 * ASK_BYTES
         self.waits_s.append(ASK_TIMEOUT_S if bucket is None else ROUND_TRIP_S)
-        return bucket is not None and bucket.take(tokens, tokens, now) > 0
+        return bucket is not None and bucket.take(tokens, now)
 
     def granter(self, host: int, now: Instant) -> Bucket | None:
         """Return who grants to a host; None while nobody does."""
