Never choose a port twice for processes of one trial

Ruled out: outgoing connections (they get ports from 32,768 on, 15804 is below), stand-ins (port 0, the kernel's range).

--- a/packages/lab/src/sardinequay_lab/ports.py
+++ b/packages/lab/src/sardinequay_lab/ports.py
@@ -3,20 +3,22 @@
 import socket
 from random import SystemRandom
 
-PORTS = (12_000, 32_000)
+PORTS = range(12_000, 32_000)
+"""Below those that the kernel gives to outgoing connections of any process."""
 
+_chosen: set[int] = set()
 
-def free_port(ip: str) -> int:
-    """Return a port that is free on an address and stays so.
 
-    It lies below those that the kernel gives to outgoing connections: one of these,
-    of any process, took a port between its choice and its use.
-    """
+def free_port(ip: str) -> int:
+    """Return a port that is free on an address, another one at each call."""
     while True:
-        port = SystemRandom().randrange(*PORTS)
+        port = SystemRandom().choice(PORTS)
+        if port in _chosen:
+            continue
         with socket.socket() as listener:
             try:
                 listener.bind((ip, port))
             except OSError:
                 continue
-            return port
+        _chosen.add(port)
+        return port
