Tell peers of renewed entries of the store now and then

What changes nothing but revisions is now told two seconds after the last telling; any other change at once. Ruled out: not telling renewals at all - a store that gives only the last of several changes of a key could then leave a host with an older content for good.

Test: eleven reads of renewals move what peers are told once; a changed entry moves it at once.

--- a/packages/core/src/sardinequay_core/catalogue.py
+++ b/packages/core/src/sardinequay_core/catalogue.py
@@ -124,6 +124,23 @@
         return listed is not None and listed.target.presence is Presence.LIVE
 
 
+def says_the_same(one: Catalogue, other: Catalogue) -> bool:
+    """Return whether two catalogues differ in nothing but revisions.
+
+    Targets renew their entries all the time, most often with the same content.
+    """
+    return (
+        one.config == other.config
+        and one.unconfirmed == other.unconfirmed
+        and one.newest == other.newest
+        and one.targets.keys() == other.targets.keys()
+        and all(
+            was is is_now or replace(was, revision=is_now.revision) == is_now
+            for was, is_now in ((one.targets[t], other.targets[t]) for t in one.targets)
+        )
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class Absence:
     """How an entry's removal is taken.
--- a/packages/core/tests/test_catalogue.py
+++ b/packages/core/tests/test_catalogue.py
@@ -16,6 +16,7 @@
     expire,
     fold,
     replace_listing,
+    says_the_same,
 )
 from sardinequay_core.clock import seconds
 from sardinequay_core.names import Address, DataCentre, PoolName, TargetId
@@ -121,3 +122,23 @@
     changes = (TargetUnreadable(TargetId("a"), "spoiled"), published("b", 8))
     listed = replace_listing(one, changes, 9, PATIENT)
     assert set(listed.targets) == {"b"}
+
+
+def test_a_renewed_entry_says_nothing_new(one: Catalogue) -> None:
+    renewed = fold(published("a", 6), one, PROMPT)
+    assert says_the_same(one, replace(renewed, revision=6))
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        published("a", 6, Presence.LEAVING),
+        published("b", 6),
+        TargetRemoved(TargetId("a")),
+        VersionPublished("m/x", "2"),
+        config(1),
+    ],
+)
+def test_any_other_change_says_something_new(one: Catalogue, change) -> None:
+    assert not says_the_same(one, fold(change, one, PROMPT))
+    assert not says_the_same(one, fold(change, one, PATIENT))
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -366,14 +366,13 @@
     def status(self) -> dict[str, object]:
         """Return what is in force on this host, for operators."""
         catalogue = self.store.catalogue
-        standing = self.store.standing()
         return {
             "host": self.profile.host_id,
             "data_centre": self.profile.data_centre,
             "ready": self.is_ready(),
             "stopping": self.is_stopping,
             "config_version": catalogue.config.version if catalogue.config else 0,
-            "store_revision": standing.revision,
+            "store_revision": catalogue.revision,
             "store_age_s": min(self.store_age_s(), 1e6),
             "reads_store": self.fleet.is_reader(),
             "hub": "" if self.fleet.is_mesh else self.fleet.hub().host_id,
--- a/packages/daemon/src/sardinequay_daemon/store_task.py
+++ b/packages/daemon/src/sardinequay_daemon/store_task.py
@@ -24,6 +24,7 @@
     expire,
     fold,
     replace_listing,
+    says_the_same,
 )
 from sardinequay_core.clock import Clock, Instant, seconds
 
@@ -52,6 +53,10 @@
 IDLE_S = 0.1
 """How often a host that does not read looks whether it must."""
 
+RENEWALS_TOLD = seconds(2)
+"""How often peers are told of a revision that brought nothing but renewed entries: all
+hosts would fetch dozens of entries a second that say what they know already."""
+
 LAPSE_AFTER_S = 2.0
 """Once nobody has heard the store for so long, entries may have lapsed in it: a target
 renews its own about every 1.2 s, and it lapses after three renewals that failed. After
@@ -68,7 +73,15 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreStanding:
-    """What this host tells its peers of the store."""
+    """What this host tells its peers of the store.
+
+    Parameters
+    ----------
+    revision : int
+        Up to where it knows something that peers should fetch.
+    age_s : float
+        How long ago it heard the store itself, in seconds; infinite if never.
+    """
 
     revision: int
     age_s: float
@@ -114,6 +127,8 @@
         self.failures = 0
         self.must_list = True
         self.unreadable: set[str] = set()
+        self.told_revision = 0
+        self.told_at = clock.monotonic()
 
     @property
     def catalogue(self) -> Catalogue:
@@ -294,6 +309,10 @@
         if catalogue == before:
             return
         self.log_differences(before, catalogue)
+        is_due = self.clock.monotonic() - self.told_at >= RENEWALS_TOLD
+        if is_due or not says_the_same(before, catalogue):
+            self.told_revision = catalogue.revision
+            self.told_at = self.clock.monotonic()
         self.catalogues.on_next(catalogue)
 
     def log_differences(self, before: Catalogue, after: Catalogue) -> None:
@@ -338,7 +357,7 @@
         age = float("inf")
         if heard is not None:
             age = (self.clock.monotonic() - heard).total_seconds()
-        return StoreStanding(self.catalogue.revision, age)
+        return StoreStanding(self.told_revision, age)
 
     async def answer_fetch(self, message: FetchItems) -> ItemsReply:
         """Give a peer what changed after the revision that it knows."""
--- a/packages/daemon/tests/test_store_task.py
+++ b/packages/daemon/tests/test_store_task.py
@@ -7,8 +7,15 @@
 import pytest
 from returns.result import Failure, Success
 
-from sardinequay_core.catalogue import Change, ConfigPublished
+from sardinequay_core.catalogue import (
+    Change,
+    ConfigPublished,
+    PublishedTarget,
+    TargetPublished,
+)
 from sardinequay_core.clock import seconds
+from sardinequay_core.names import Address, DataCentre, PoolName, TargetId
+from sardinequay_core.roster import Target, TargetKind
 from sardinequay_core.serving import CallerLimits, make_config
 from sardinequay_daemon.errors import PlatformError
 from sardinequay_daemon.serving_messages import FetchItems, ItemsReply
@@ -22,6 +29,21 @@
     return StoreItem("config", revision, str(version).encode())
 
 
+def published(port: str, revision: int) -> TargetPublished:
+    target = Target(
+        TargetId("t"),
+        PoolName("pool"),
+        TargetKind.SERVICE,
+        DataCentre("here"),
+        Address("127.0.0.1", int(port)),
+    )
+    return TargetPublished(PublishedTarget(target, 4, revision))
+
+
+def entry(port: int, revision: int) -> StoreItem:
+    return StoreItem("target", revision, str(port).encode())
+
+
 class ScriptedStore:
     """Gives the answers that a test prepared."""
 
@@ -39,6 +61,8 @@
     def decode(self, found: StoreItem) -> Change | None:
         if found.value is None:
             return None
+        if found.key == "target":
+            return published(found.value.decode(), found.revision)
         if found.value == b"spoiled":
             raise PlatformError("config", "spoiled")
         made = make_config(int(found.value), (), (), CallerLimits())
@@ -266,3 +290,37 @@
     assert task.may_rely_on_peers()
     peers |= {"is_reader": True}
     assert not task.may_rely_on_peers()
+
+
+async def test_peers_are_told_of_renewed_entries_now_and_then(
+    task: StoreTask, scripted: ScriptedStore, clock: TurnedClock
+) -> None:
+    # 30 engines renew their entries each second or so, and 87 hosts fetched them four
+    # times a second.
+    clock.turn(10)
+    scripted.answers = [read(entry(1, 5), revision=5)]
+    scripted.answers += [read(entry(1, r), revision=r) for r in range(6, 16)]
+    told = []
+    for _ in range(11):
+        await task.read_once()
+        told.append(task.standing().revision)
+        clock.turn(0.3)
+    assert told[0] == 5
+    assert len(set(told)) == 2
+    assert task.catalogue.revision == 15
+    reply = await task.answer_fetch(FetchItems(5))
+    assert reply.revision == 15
+
+
+async def test_peers_are_told_of_a_changed_entry_at_once(
+    task: StoreTask, scripted: ScriptedStore, clock: TurnedClock
+) -> None:
+    scripted.answers = [
+        read(entry(1, 5), revision=5),
+        read(entry(1, 6), revision=6),
+        read(entry(2, 7), revision=7),
+    ]
+    clock.turn(10)
+    for _ in range(3):
+        await task.read_once()
+    assert task.standing().revision == 7
