Load nothing of the bundles' wing in hosts before a platform's targets

Cause: a start costs 0.45 to 0.7 s of processor time, most of it imports, and after a loss of all hosts it is time in which nobody serves. `upstream` loaded `engines` for the translation of the library's errors, and with it reports and leases of the other wing; `peers` and `tracing` loaded all its settings.

Ruled out: what the libraries load (aiohttp 105 ms, reactivex 46, opentelemetry 29) cannot be left out; 171 frozen data classes take 155 ms of the rest.

--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -12,13 +12,13 @@
 from sardinequay_core.names import AdapterRef
 from sardinequay_core.target_health import Verdict
 
-from .engines import TurnedErrors
 from .errors import TargetError, TargetFault
 from .exchange import AnswerHead, Exchange, Sink
 from .relay_state import RelayState
 from .server_sent_events import EventCutter
 from .serving_metrics import ServingMetrics
 from .serving_ports import AnswerFacts, CallDialect, SendTerms
+from .target_errors import TurnedErrors
 from .tracing import Tracing
 from .upstream import MAX_WHOLE_BYTES, Outgoing, Upstream
 from .wants import WantBoard
--- a/packages/daemon/src/sardinequay_daemon/engines.py
+++ b/packages/daemon/src/sardinequay_daemon/engines.py
@@ -21,6 +21,7 @@
 
 from .errors import TargetError, TargetFault
 from .server_sent_events import EventCutter, Events
+from .target_errors import TurnedErrors
 from .target_probe import Sign
 
 NOT_LOADED = "not_loaded"
@@ -31,9 +32,6 @@
 LOOK_S = 0.4
 """Bound on an engine's answer whether it lives; it waits for no place."""
 
-NOT_SENT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
-BROKEN_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
-
 
 @dataclass(frozen=True, slots=True)
 class EngineRequest:
@@ -214,25 +212,6 @@
         return Sign.SOUND if isinstance(report, Success) else Sign.FAILING
 
 
-class TurnedErrors:
-    """Turns the HTTP library's errors into what they prove.
-
-    A class, not a generator: it stands on the path of every request.
-    """
-
-    def __enter__(self) -> None:
-        """Begin."""
-
-    def __exit__(self, kind: object, error: BaseException | None, _: object) -> None:
-        """Raise what an error of the library proves."""
-        if error is None:
-            return
-        if isinstance(error, NOT_SENT_ERRORS):
-            raise TargetError(TargetFault.NOT_SENT, repr(error)) from error
-        if isinstance(error, BROKEN_ERRORS):
-            raise TargetError(TargetFault.BROKEN, repr(error)) from error
-
-
 async def events_of(answer: aiohttp.ClientResponse) -> AsyncGenerator[Events, None]:
     """Yield whole events of a stream as they come."""
     cutter = EventCutter()
--- a/packages/daemon/src/sardinequay_daemon/keeper_task.py
+++ b/packages/daemon/src/sardinequay_daemon/keeper_task.py
@@ -65,7 +65,8 @@
 )
 from .metrics import Metrics
 from .peers import PeerCaller
-from .settings import LimitSettings, TimingSettings
+from .settings import LimitSettings
+from .shared_settings import TimingSettings
 
 TICK_S = 0.05
 LOAD_BURST = 2.0
--- a/packages/daemon/src/sardinequay_daemon/lease_task.py
+++ b/packages/daemon/src/sardinequay_daemon/lease_task.py
@@ -38,7 +38,7 @@
 )
 from .metrics import Metrics
 from .peers import PeerCaller
-from .settings import TimingSettings
+from .shared_settings import TimingSettings
 
 RENEWALS_PER_LEASE = 4
 AVOID_FOR = timedelta(seconds=3)
--- a/packages/daemon/src/sardinequay_daemon/membership_task.py
+++ b/packages/daemon/src/sardinequay_daemon/membership_task.py
@@ -20,7 +20,7 @@
 from .messages import InForce, Offer, Ping, Pong, Taken
 from .metrics import Metrics
 from .peers import PeerCaller
-from .settings import TimingSettings
+from .shared_settings import TimingSettings
 
 READERS = 2
 """Hosts of a data centre that watch the platform: one may be lost unnoticed."""
--- a/packages/daemon/src/sardinequay_daemon/peers.py
+++ b/packages/daemon/src/sardinequay_daemon/peers.py
@@ -21,7 +21,7 @@
 
 from .errors import PeerError
 from .metrics import HostMetrics
-from .settings import TimingSettings
+from .shared_settings import TimingSettings
 from .wire import (
     Frame,
     FrameError,
--- a/packages/daemon/src/sardinequay_daemon/rollout_task.py
+++ b/packages/daemon/src/sardinequay_daemon/rollout_task.py
@@ -29,7 +29,7 @@
 from .metrics import Metrics
 from .peers import PeerCaller
 from .platform import ConfigurationService, Value
-from .settings import TimingSettings
+from .shared_settings import TimingSettings
 
 RETRY_S = 0.5
 FETCH_TIMEOUT_S = 10.0
--- a/packages/daemon/src/sardinequay_daemon/roster_task.py
+++ b/packages/daemon/src/sardinequay_daemon/roster_task.py
@@ -16,7 +16,7 @@
 from .metrics import Metrics
 from .peers import PeerCaller
 from .platform import HostList
-from .settings import TimingSettings
+from .shared_settings import TimingSettings
 
 RETRY_S = 0.5
 log = logging.getLogger(__name__)
--- a/packages/daemon/src/sardinequay_daemon/services.py
+++ b/packages/daemon/src/sardinequay_daemon/services.py
@@ -22,11 +22,11 @@
 from .claimer import Claimer, WonClaim
 from .content_guard import PROBE_WAIT_S, ContentGuard
 from .dispatch import RetryBudgets
-from .engines import BROKEN_ERRORS, TurnedErrors
 from .errors import TargetError, TargetFault
 from .journal import Journal
 from .metrics import Metrics
 from .progress import Progress, Refused, too_late
+from .target_errors import BROKEN_ERRORS, TurnedErrors
 from .tracing import Tracing
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -48,7 +48,7 @@
     HostProfile,
     MetadataStore,
 )
-from .settings import TimingSettings
+from .shared_settings import TimingSettings
 from .store_task import StoreTask, head_start_s
 from .target_probe import TargetProbe
 from .tracing import Tracing
--- a/packages/daemon/src/sardinequay_daemon/settings.py
+++ b/packages/daemon/src/sardinequay_daemon/settings.py
@@ -2,14 +2,10 @@
 
 from dataclasses import dataclass, field
 from datetime import datetime
-from typing import Any
 
 from sardinequay_core.names import DataCentre, HostId
 
-
-def ranged(default: float, low: float, high: float) -> Any:
-    """Declare a number with its default and the range that is allowed."""
-    return field(default=default, metadata={"range": (low, high)})
+from .shared_settings import TimingSettings, TraceSettings, ranged
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,25 +58,6 @@
     max_attempts: int = field(default=3, metadata={"range": (1, 10)})
 
 
-@dataclass(frozen=True, slots=True)
-class TimingSettings:
-    """Periods and bounds between the system's own processes."""
-
-    gossip_s: float = ranged(0.5, 0.05, 60)
-    suspect_s: float = ranged(2, 0.1, 600)
-    lease_s: float = ranged(10, 0.5, 600)
-    report_s: float = ranged(0.5, 0.05, 60)
-    report_lag_s: float = ranged(2, 0, 60)
-    call_timeout_s: float = ranged(1, 0.05, 60)
-    silence_s: float = ranged(3, 0.2, 600)
-    connect_timeout_s: float = ranged(1, 0.05, 60)
-    platform_wait_s: float = ranged(10, 0.1, 600)
-    list_confirm_s: float = ranged(60, 0.1, 3600)
-    join_wait_s: float = ranged(5, 0, 600)
-    shutdown_s: float = ranged(130, 0, 3600)
-    leave_notice_s: float = ranged(1, 0, 60)
-
-
 @dataclass(frozen=True, slots=True)
 class LogSettings:
     """What is logged."""
@@ -90,21 +67,6 @@
     )
 
 
-@dataclass(frozen=True, slots=True)
-class TraceSettings:
-    """Where spans go: an OTLP/HTTP address, a file of JSON lines, or nowhere.
-
-    Parameters
-    ----------
-    sample : float
-        Share of requests traced when the caller does not decide, 0 to 1.
-    """
-
-    otlp: str = ""
-    file: str = ""
-    sample: float = ranged(1, 0, 1)
-
-
 @dataclass(frozen=True, slots=True)
 class TlsSettings:
     """Files of one listener's key and certificate.
--- a/packages/daemon/src/sardinequay_daemon/tracing.py
+++ b/packages/daemon/src/sardinequay_daemon/tracing.py
@@ -23,7 +23,7 @@
 )
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
-from .settings import TraceSettings
+from .shared_settings import TraceSettings
 
 PROPAGATOR = TraceContextTextMapPropagator()
 TRACE_HEADER = "traceparent"
--- a/packages/daemon/src/sardinequay_daemon/upstream.py
+++ b/packages/daemon/src/sardinequay_daemon/upstream.py
@@ -15,8 +15,8 @@
 from sardinequay_core.names import Address
 
 from .connection_probe import CONNECT_S
-from .engines import TurnedErrors
 from .errors import TargetError, TargetFault
+from .target_errors import TurnedErrors
 
 IDLE_CONNECTION_S = 3.0
 """How long a connection is kept for another request. Targets keep theirs longer; what
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -8,7 +8,7 @@
 
 from sardinequay_core.clock import Instant
 from sardinequay_daemon.metrics import Metrics
-from sardinequay_daemon.settings import TimingSettings
+from sardinequay_daemon.shared_settings import TimingSettings
 
 PUBLIC = [
     Ed25519PrivateKey.from_private_bytes(bytes([n]) * 32)
--- a/packages/daemon/tests/test_peers.py
+++ b/packages/daemon/tests/test_peers.py
@@ -13,7 +13,7 @@
 from sardinequay_daemon.messages import FetchRoot, FetchRoster, RootReply
 from sardinequay_daemon.metrics import Metrics
 from sardinequay_daemon.peers import PeerCaller, PeerServer
-from sardinequay_daemon.settings import TimingSettings
+from sardinequay_daemon.shared_settings import TimingSettings
 
 IP = "127.0.0.1"
 
--- a/packages/daemon/tests/test_rollout_task.py
+++ b/packages/daemon/tests/test_rollout_task.py
@@ -17,7 +17,7 @@
 from sardinequay_daemon.peers import PeerCaller
 from sardinequay_daemon.platform import Value
 from sardinequay_daemon.rollout_task import RolloutTask
-from sardinequay_daemon.settings import TimingSettings
+from sardinequay_daemon.shared_settings import TimingSettings
 
 KEY = Ed25519PrivateKey.from_private_bytes(b"k" * 32)
 TRUST = Trust({"ana": KEY.public_key().public_bytes_raw().hex()}, 1)
--- a/packages/daemon/tests/test_tls.py
+++ b/packages/daemon/tests/test_tls.py
@@ -16,7 +16,8 @@
 from sardinequay_daemon.messages import FetchRoot, RootReply
 from sardinequay_daemon.metrics import Metrics
 from sardinequay_daemon.peers import PeerCaller, PeerServer
-from sardinequay_daemon.settings import TimingSettings, TlsSettings
+from sardinequay_daemon.settings import TlsSettings
+from sardinequay_daemon.shared_settings import TimingSettings
 from sardinequay_daemon.tls import client_context, server_context
 
 IP = "127.0.0.1"
