--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/target_options.py
@@ -0,0 +1,169 @@
+"""Targets as one request may use them: what a choice among them is made from."""
+
+from collections.abc import Mapping
+
+from sardinequay_core.catalogue import PublishedTarget
+from sardinequay_core.clock import Instant
+from sardinequay_core.names import PoolName, TargetId
+from sardinequay_core.rendezvous import rank
+from sardinequay_core.residency import Held
+from sardinequay_core.service_choice import ServiceOption
+from sardinequay_core.target_choice import EngineOption, Holding
+
+from .relay_state import Keeper, RelayState
+from .serving_ports import RequestTerms
+
+
+class TargetOptions:
+    """Views of a host's state for one request."""
+
+    def __init__(self, state: RelayState) -> None:
+        self.state = state
+
+    def usable(self, pool: PoolName, now: Instant) -> list[PublishedTarget]:
+        """Return the targets of a pool that requests may go to."""
+        live = self.state.catalogue.live(pool)
+        self.state.health.hosts = self.state.fleet.live_hosts
+        usable = self.state.health.usable((t.target.target_id for t in live), now)
+        return [t for t in live if t.target.target_id in usable]
+
+    def engine_options(
+        self,
+        pool: PoolName,
+        terms: RequestTerms,
+        barred: frozenset[TargetId],
+        told: Mapping[TargetId, float],
+    ) -> list[EngineOption]:
+        """Return the engines as a model request may use them.
+
+        Parameters
+        ----------
+        barred : frozenset
+            Engines that failed or rejected the request.
+        told : mapping
+            How long the adapter would take, in seconds, by what engines' keepers said.
+        """
+        now = self.state.clock.monotonic()
+        usable = self.usable(pool, now)
+        order = rank(terms.adapter, [t.target.target_id for t in usable])
+        home = {target: place for place, target in enumerate(order)}
+        here = {t.target.data_centre for t in usable}
+        keepers = self.state.keepers(here)
+        return [
+            self.engine_option(
+                t,
+                terms,
+                home[t.target.target_id],
+                keepers.get(t.target.data_centre),
+                now,
+                was_barred=t.target.target_id in barred,
+                told_s=told.get(t.target.target_id),
+            )
+            for t in usable
+        ]
+
+    def engine_option(
+        self,
+        published: PublishedTarget,
+        terms: RequestTerms,
+        home_rank: int,
+        keeper: Keeper | None,
+        now: Instant,
+        was_barred: bool,
+        told_s: float | None,
+    ) -> EngineOption:
+        """Return one engine as a model request may use it."""
+        target = published.target
+        target_id = target.target_id
+        held = self.state.residency.held(published)
+        holding, ready_in_s = self.holding(published, held, terms, now)
+        config = self.state.catalogue.config
+        pool = config.pools[target.pool].engines if config else None
+        places = pool.adapter_places(published.models) if pool else 0
+        return EngineOption(
+            target=target_id,
+            holding=holding,
+            first_event_s=self.state.loads.first_event_s(
+                target_id, terms.prompt_tokens, now
+            ),
+            is_local=target.data_centre == self.state.data_centre,
+            ready_in_s=ready_in_s,
+            free_places=places - len(held.adapters) - len(held.coming),
+            idle_adapters=self.idle_adapters(target_id, held),
+            queued=held.queued,
+            turnover_s=held.turnover_s,
+            home_rank=home_rank,
+            # An adapter goes onto an engine that has its model; a request without an
+            # adapter waits for no load.
+            may_load=keeper is not None
+            and bool(terms.adapter)
+            and terms.model in published.models,
+            opens_in_s=keeper.orders_in_s if keeper else 0.0,
+            is_full=self.state.health.is_full(target_id, now),
+            was_barred=was_barred,
+            told_s=told_s,
+        )
+
+    def idle_adapters(self, target_id: TargetId, held: Held) -> int:
+        """Return how many adapters of an engine no request uses.
+
+        In a large fleet only the host that orders an engine knows all its uses.
+        """
+        is_mine = (
+            self.state.orders is not None and target_id in self.state.orders.ordered
+        )
+        if held.idle is not None and not is_mine and not self.state.fleet.is_mesh:
+            return held.idle
+        return self.state.uses.idle_among(target_id, held.adapters)
+
+    def holding(
+        self,
+        published: PublishedTarget,
+        held: Held,
+        terms: RequestTerms,
+        now: Instant,
+    ) -> tuple[Holding, float]:
+        """Return whether an engine has what a request needs, and when if it comes."""
+        if not terms.adapter:
+            has_model = not terms.model or terms.model in published.models
+            return (Holding.RESIDENT if has_model else Holding.ABSENT), 0.0
+        wanted = self.state.wanted(terms)
+        if self.state.residency.resident(published, wanted) is not None:
+            return Holding.RESIDENT, 0.0
+        coming_at = self.state.residency.coming_at(published, wanted)
+        if coming_at is not None:
+            return Holding.COMING, max(0.0, (coming_at - now).total_seconds())
+        is_recent = str(wanted) in held.recent
+        return (Holding.RECENT if is_recent else Holding.ABSENT), 0.0
+
+    def copies_due(self, terms: RequestTerms, engines: int) -> int:
+        """Return on how many engines a request's adapter should be.
+
+        In a small fleet the most wanted adapter fits on one.
+        """
+        if self.state.fleet.is_mesh or not terms.adapter:
+            return 1
+        return self.state.demand.copies_due(
+            terms.adapter, engines, self.state.clock.monotonic()
+        )
+
+    def service_options(
+        self, pool: PoolName, tried: frozenset[TargetId]
+    ) -> list[ServiceOption]:
+        """Return the targets of a plain service as a request may use them."""
+        now = self.state.clock.monotonic()
+        options = []
+        for published in self.usable(pool, now):
+            target_id = published.target.target_id
+            options.append(
+                ServiceOption(
+                    target=target_id,
+                    in_work=self.state.loads.share(target_id, now).running,
+                    slots=published.slots,
+                    is_local=published.target.data_centre == self.state.data_centre,
+                    is_full=self.state.health.is_full(target_id, now),
+                    was_tried=target_id in tried,
+                    spread=self.state.random.random(),
+                )
+            )
+        return options
--- a/packages/daemon/src/sardinequay_daemon/target_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/target_picker.py
@@ -23,6 +23,7 @@
 from .exchange import Exchange
 from .progress import Refused, may_have_run
 from .serving_messages import WantAdapter, WantReply
+from .target_options import TargetOptions
 
 LOOK_AGAIN_S = 0.4
 """How long a request waits for one engine before all are compared anew, in seconds: a
@@ -53,6 +54,7 @@
 
     def __init__(self, parts: RelayParts) -> None:
         self.state = parts.state
+        self.options = TargetOptions(parts.state)
         self.wants = parts.wants
         self.metrics = parts.metrics
         self.clock = parts.state.clock
@@ -67,7 +69,7 @@
 
     def choose_service(self, exchange: Exchange) -> PublishedTarget:
         """Return the target of a plain service with the least to do."""
-        options = self.state.service_options(exchange.pool, exchange.tried)
+        options = self.options.service_options(exchange.pool, exchange.tried)
         found = choose_service(options)
         if found is None:
             raise Refused(self.no_target(exchange))
@@ -92,11 +94,11 @@
             self.state.demand.note(terms.adapter, self.clock.monotonic())
         while True:
             now = self.clock.monotonic()
-            options = self.state.engine_options(
+            options = self.options.engine_options(
                 exchange.pool, exchange.terms, exchange.tried, time_left(told, now)
             )
             left_s = exchange.first_event_left_s(now)
-            due = self.state.copies_due(terms, len(options))
+            due = self.options.copies_due(terms, len(options))
             choice = choose(options, left_s, due)
             if isinstance(choice, Send):
                 self.log_choice(
