--- a/packages/daemon/src/sardinequay_daemon/digest_writer.py
+++ b/packages/daemon/src/sardinequay_daemon/digest_writer.py
@@ -108,7 +108,9 @@
             digest,
             shares=dict(loads.own) if self.fleet.is_mesh else loads.to_tell(now),
             uses=self.state.adapter_uses(),
-            holdings=self.untold_holdings(host_id, self.orders.holdings(), TELL_AGAIN),
+            holdings=self.untold_holdings(
+                host_id, self.orders.recent_holdings(), TELL_AGAIN
+            ),
             outcomes=self.state.health.tally.to_tell(now),
             usage=self.untold_usage(host_id, Scope.HOST),
             demand=NO_DEMAND if self.fleet.is_mesh else self.state.demand.own(now),
@@ -124,7 +126,7 @@
             digest,
             shares=self.state.loads.sum_of(here, now),
             uses=uses,
-            holdings=self.untold_holdings(host_id, self.orders.holdings(), None),
+            holdings=self.untold_holdings(host_id, self.orders.recent_holdings(), None),
             outcomes=self.state.health.tally.sum_of(here, now),
             usage=self.untold_usage(host_id, Scope.DATA_CENTRE),
             demand=self.most_wanted(here, now),
@@ -135,7 +137,7 @@
         """Add the part of all others, for a host of this data centre."""
         now = self.clock.monotonic()
         others = self.state.loads.peers.keys() - {host_id}
-        known = (*self.orders.holdings(), *self.orders.holdings_elsewhere(now))
+        known = (*self.orders.recent_holdings(), *self.orders.holdings_elsewhere(now))
         return replace(
             digest,
             shares=self.state.loads.all_but(host_id, now),
--- a/packages/daemon/src/sardinequay_daemon/order_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -12,7 +12,7 @@
 from returns.result import Success
 
 from sardinequay_core.catalogue import Catalogue, PublishedTarget
-from sardinequay_core.clock import Clock, Instant
+from sardinequay_core.clock import ZERO, Clock, Instant, seconds
 from sardinequay_core.engine_book import EngineBook
 from sardinequay_core.engine_orders import (
     AskReport,
@@ -42,6 +42,10 @@
 REPORT_PAUSE_S = 0.3
 """After an engine that gave no report, before it is asked again."""
 
+HOLDINGS_LIFE = seconds(0.05)
+"""For how long what engines hold is told as it was written last. A hub tells dozens of
+hosts within one period, and writes it anew at once when an engine's book changes."""
+
 log = logging.getLogger(__name__)
 
 
@@ -89,6 +93,8 @@
         self.ordered: dict[TargetId, OrderedEngine] = {}
         self.heard_holdings: dict[TargetId, HeardHoldings] = {}
         self.is_ordering = False
+        self.written: tuple[EngineHoldings, ...] = ()
+        self.written_at = ZERO
         self.wishes = WishDesk(self.ordered, lambda: self.orders_in_s, clock)
 
     @property
@@ -130,6 +136,7 @@
     def stop_ordering(self) -> None:
         """Close all books; what waits is told so."""
         self.is_ordering = False
+        self.written_at = ZERO
         log.info("ordering ended", extra={"token": self.candidate.token})
         for target_id in tuple(self.ordered):
             self.close_book(target_id)
@@ -390,10 +397,17 @@
 
     # Telling.
 
+    def recent_holdings(self) -> tuple[EngineHoldings, ...]:
+        """Return what `holdings` did, now or a moment ago."""
+        if self.clock.monotonic() - self.written_at > HOLDINGS_LIFE:
+            return self.holdings()
+        return self.written
+
     def holdings(self) -> tuple[EngineHoldings, ...]:
         """Return what to tell peers of the engines ordered here."""
         now = self.clock.monotonic()
-        return tuple(
+        self.written_at = now
+        self.written = tuple(
             EngineHoldings(
                 e.book.target,
                 self.candidate.token,
@@ -412,6 +426,7 @@
             for e in self.ordered.values()
             if e.book.orders is not None or e.book.number
         )
+        return self.written
 
     def hear_holdings(self, holdings: EngineHoldings) -> None:
         """Remember what another holder tells, to go on from it, and to pass it on."""
--- a/packages/daemon/tests/test_order_task.py
+++ b/packages/daemon/tests/test_order_task.py
@@ -48,6 +48,9 @@
         self.candidate = Candidate(HostId("h1"), OrderPolicy(), is_holder=True)
         self.orders_in_s = 0.0
 
+    def lost(self) -> None:
+        pass
+
     def take_catalogue(self, catalogue: Catalogue) -> None:
         pass
 
@@ -168,3 +171,23 @@
     assert book.residents() == (A,)
     await task.answer_telling(AdapterMissing(E, A, SECOND))
     assert book.residents() == ()
+
+
+def test_what_engines_hold_is_written_once_for_many_hosts(
+    task: OrderTask, clock
+) -> None:
+    first = task.recent_holdings()
+    assert first[0].adapters == (A,)
+    assert task.recent_holdings() is first
+    clock.turn(0.06)
+    assert task.recent_holdings() is not first
+
+
+def test_a_change_is_told_at_once(task: OrderTask, clock) -> None:
+    task.recent_holdings()
+    task.take_catalogue(catalogue(SECOND))
+    written = task.holdings()
+    assert task.recent_holdings() is written
+    assert not written[0].adapters
+    task.stop_ordering()
+    assert not task.recent_holdings()
