--- a/packages/daemon/tests/test_fleet_task.py
+++ b/packages/daemon/tests/test_fleet_task.py
@@ -2,9 +2,11 @@
 
 from dataclasses import replace
 from datetime import timedelta
+from random import Random
 
 import pytest
 
+from sardinequay_core.fleet_topology import Scope
 from sardinequay_core.names import HostId, parse_address
 from sardinequay_daemon.fleet_task import FleetTask
 from sardinequay_daemon.peers import PeerCaller
@@ -210,3 +212,48 @@
     clock.turn(1.0)
     fleet.hear(digest("h2", up_s=0.1))
     assert heard == [False, True]
+
+
+def heard_over_time(fleet, clock, seed: int, hosts: int) -> None:
+    """Let a host hear others now and then, some of them last a while ago."""
+    random = Random(seed)
+    for n in range(2, hosts + 2):
+        hub = random.random() < 0.2
+        fleet.hear(
+            digest(
+                f"h{n}",
+                random.choice(("za", "zb", "zc")),
+                scope=Scope.DATA_CENTRE if hub else Scope.HOST,
+                holds_lease=hub,
+                orders_in_s=random.choice((0.0, 3.0, FOREVER)) if hub else FOREVER,
+                store_age_s=random.choice((0.1, 2.0, FOREVER)),
+                is_leaving=random.random() < 0.1,
+            )
+        )
+        clock.turn(random.uniform(0, 0.15))
+    fleet.vouched = frozenset(random.sample(sorted(fleet.peers), hosts // 3))
+    fleet.vouched_at = clock.monotonic()
+
+
+@pytest.mark.parametrize("hosts", [6, 24, 40])
+@pytest.mark.parametrize("seed", range(10))
+def test_who_is_asked_for_is_found_among_those_that_live(
+    fleet, clock, seed: int, hosts: int
+) -> None:
+    heard_over_time(fleet, clock, seed, hosts)
+    now = clock.monotonic()
+    ages_s = [p.store_age_s + (now - p.heard_at).total_seconds() for p in fleet.alive()]
+    assert fleet.freshest_store_age_s() == min(ages_s, default=FOREVER)
+    orderers = [p for p in fleet.heard() if p.orders_in_s < 60]
+    centres = {p.contact.data_centre for p in orderers}
+    assert fleet.keepers().keys() == centres
+    for centre, keeper in fleet.keepers().items():
+        soonest_s = min(
+            p.orders_in_s for p in orderers if p.contact.data_centre == centre
+        )
+        assert keeper.orders_in_s == soonest_s
+    hubs = [p for p in fleet.heard() if p.is_hub and not fleet.is_near(p)]
+    assert set(fleet.other_hubs()) <= set(hubs)
+    assert {p.contact.data_centre for p in fleet.other_hubs()} == {
+        p.contact.data_centre for p in hubs
+    }
