--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/span_export.py
@@ -0,0 +1,65 @@
+"""Sends finished spans where the settings say.
+
+Imported only where they name a destination: few hosts trace, and the library's SDK
+takes memory and time at each start.
+"""
+
+import json
+from collections.abc import Sequence
+from pathlib import Path
+
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import (
+    BatchSpanProcessor,
+    SpanExporter,
+    SpanExportResult,
+)
+from opentelemetry.sdk.trace.sampling import ParentBasedTraceIdRatio
+
+from .shared_settings import TraceSettings
+
+
+class FileSpanExporter(SpanExporter):
+    """Writes each finished span as a line of JSON."""
+
+    def __init__(self, path: Path) -> None:
+        self.file = path.open("a", encoding="utf-8")
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        """Write finished spans."""
+        for span in spans:
+            print(json.dumps(json.loads(span.to_json())), file=self.file)
+        self.file.flush()
+        return SpanExportResult.SUCCESS
+
+    def shutdown(self) -> None:
+        """Close the file."""
+        self.file.close()
+
+
+def exporters(settings: TraceSettings) -> list[SpanExporter]:
+    """Return where spans go."""
+    chosen: list[SpanExporter] = []
+    if settings.otlp:
+        # Imported where it is asked for: it loads a whole HTTP client.
+        from opentelemetry.exporter.otlp.proto.http.trace_exporter import (
+            OTLPSpanExporter,
+        )
+
+        chosen.append(OTLPSpanExporter(endpoint=settings.otlp))
+    if settings.file:
+        chosen.append(FileSpanExporter(Path(settings.file)))
+    return chosen
+
+
+def provider_of(settings: TraceSettings, host_id: str) -> TracerProvider:
+    """Return what makes spans that are sent to the destinations of the settings."""
+    provider = TracerProvider(
+        sampler=ParentBasedTraceIdRatio(settings.sample),
+        resource=Resource({"service.name": "sardinequayd", "host.name": host_id}),
+        shutdown_on_exit=False,
+    )
+    for exporter in exporters(settings):
+        provider.add_span_processor(BatchSpanProcessor(exporter))
+    return provider
