Let restarted voters go by the newest revision, not by that of passed-on entries

Cause, found by reading: since renewed entries are told once in two seconds, what a restarted voter fetches from a peer may be three seconds old instead of one half. It bounds tokens that it forgot by that revision.

Digests carry the newest revision that anybody is known to know beside that up to which there is something to fetch, and voters take the higher of the first and their catalogue's. Tests: a voter whose catalogue lags; a host passes on a revision of which it was told. Ruled out: telling renewals more often, which bounds the lag only by chance.

--- a/packages/daemon/src/sardinequay_daemon/digest_writer.py
+++ b/packages/daemon/src/sardinequay_daemon/digest_writer.py
@@ -71,6 +71,7 @@
             orders_in_s=self.orders.orders_in_s,
             up_s=self.fleet.up_s(),
             store_revision=standing.revision,
+            news_revision=standing.news_revision,
             store_age_s=standing.age_s,
             has_missed=host_id in self.fleet.missed,
             contents=self.untold_contents(host_id),
--- a/packages/daemon/src/sardinequay_daemon/order_lease_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_lease_task.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from random import Random
 
 from returns.result import Success
@@ -83,6 +83,7 @@
         self.stepped_at = now
         self.is_resigned = False
         self.is_back = False
+        self.newest_revision: Callable[[], int] = lambda: 0
 
     @property
     def is_holder(self) -> bool:
@@ -106,7 +107,9 @@
         """Take the store's revision, which bounds forgotten tokens."""
         if catalogue.revision:
             wall_s = self.clock.now().timestamp()
-            self.voter.learn_revision(catalogue.revision, wall_s)
+            # Peers pass entries on up to seconds after they know of a later revision.
+            revision = max(catalogue.revision, self.newest_revision())
+            self.voter.learn_revision(revision, wall_s)
 
     async def step(self) -> float:
         """Stand or renew; return how long to rest until the next look, in seconds."""
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -222,6 +222,7 @@
         self.fleet.lost.subscribe(self.state.lose_peer)
         self.fleet.lost.subscribe(self.writer.tell_anew)
         self.fleet.holds_lease = lambda: self.lease.is_holder
+        self.lease.newest_revision = lambda: self.store.newest_revision
         server = self.peer_server
         server.register(Digest, self.fleet.answer)
         server.register(AskPermit, self.guard.answer_ask)
@@ -268,7 +269,8 @@
         """Fetch what a peer knows of the store and this host does not."""
         digest = heard.digest
         is_idle = self.fetching is None or self.fetching.done()
-        if digest.store_revision > self.store.catalogue.revision and is_idle:
+        self.store.hear_revision(digest.store_revision)
+        if digest.news_revision > self.store.catalogue.revision and is_idle:
             self.fetching = asyncio.create_task(self.fetch(digest.host.host_id))
 
     async def fetch(self, host_id: HostId) -> None:
--- a/packages/daemon/src/sardinequay_daemon/serving_messages.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_messages.py
@@ -131,7 +131,10 @@
     up_s : float
         How long ago the sender started.
     store_revision : int
-        Up to where the sender knows the store.
+        The newest revision of the store that the sender knows of.
+    news_revision : int
+        Up to where it knows what the receiver should fetch: other revisions since
+        brought nothing but renewed entries.
     store_age_s : float
         How long ago it last heard the store itself; infinite if never.
     outcomes : dict
@@ -163,6 +166,7 @@
     orders_in_s: float
     up_s: float
     store_revision: int
+    news_revision: int
     store_age_s: float
     outcomes: dict[TargetId, Outcomes] = field(default_factory=dict)
     scope: Scope = Scope.HOST
--- a/packages/daemon/src/sardinequay_daemon/store_task.py
+++ b/packages/daemon/src/sardinequay_daemon/store_task.py
@@ -78,12 +78,15 @@
     Parameters
     ----------
     revision : int
+        The newest revision that it knows of.
+    news_revision : int
         Up to where it knows something that peers should fetch.
     age_s : float
         How long ago it heard the store itself, in seconds; infinite if never.
     """
 
     revision: int
+    news_revision: int
     age_s: float
 
 
@@ -127,6 +130,7 @@
         self.failures = 0
         self.must_list = True
         self.unreadable: set[str] = set()
+        self.heard_revision = 0
         self.told_revision = 0
         self.told_at = clock.monotonic()
 
@@ -357,7 +361,16 @@
         age = float("inf")
         if heard is not None:
             age = (self.clock.monotonic() - heard).total_seconds()
-        return StoreStanding(self.told_revision, age)
+        return StoreStanding(self.newest_revision, self.told_revision, age)
+
+    @property
+    def newest_revision(self) -> int:
+        """Return the newest revision of the store that any host is known to know."""
+        return max(self.catalogue.revision, self.heard_revision)
+
+    def hear_revision(self, revision: int) -> None:
+        """Take the newest revision that a peer knows of."""
+        self.heard_revision = max(self.heard_revision, revision)
 
     async def answer_fetch(self, message: FetchItems) -> ItemsReply:
         """Give a peer what changed after the revision that it knows."""
--- a/packages/daemon/tests/test_fleet_task.py
+++ b/packages/daemon/tests/test_fleet_task.py
@@ -31,6 +31,7 @@
         orders_in_s=FOREVER,
         up_s=1.0,
         store_revision=1,
+        news_revision=1,
         store_age_s=0.2,
     )
     return replace(made, **more)
--- a/packages/daemon/tests/test_large_fleet.py
+++ b/packages/daemon/tests/test_large_fleet.py
@@ -74,7 +74,7 @@
     age_s: float = 0.1
 
     def standing(self) -> StoreStanding:
-        return StoreStanding(1, self.age_s)
+        return StoreStanding(1, 1, self.age_s)
 
 
 @dataclass
--- a/packages/daemon/tests/test_order_lease_task.py
+++ b/packages/daemon/tests/test_order_lease_task.py
@@ -2,9 +2,10 @@
 
 from random import Random
 
+from sardinequay_core.catalogue import Catalogue
 from sardinequay_core.clock import seconds
 from sardinequay_core.names import HostId
-from sardinequay_core.order_lease import Ballot, OrderPolicy
+from sardinequay_core.order_lease import Ballot, OrderPolicy, token_bound
 from sardinequay_daemon.order_lease_task import OrderLeaseTask
 
 from .conftest import TurnedClock
@@ -76,6 +77,27 @@
     assert vote.quiet_s == float("inf")
 
 
+def test_voter_that_forgot_goes_by_the_newest_revision_that_is_known(clock) -> None:
+    """Peers pass on entries that were only renewed up to seconds later.
+
+    Taken for the newest, their revision bounds tokens that were given since too low.
+    """
+    task = OrderLeaseTask(
+        HostId("h1"),
+        "za",
+        None,
+        Fleet(),
+        clock,
+        Random(1),
+        POLICY,
+        False,
+        clock.monotonic(),
+    )
+    task.newest_revision = lambda: 80
+    task.take_catalogue(Catalogue(revision=50))
+    assert task.voter.highest_token >= token_bound(80, 0.0)
+
+
 async def test_host_that_slept_looks_for_the_voters_before_it_stands(
     clock, monkeypatch
 ) -> None:
--- a/packages/daemon/tests/test_store_task.py
+++ b/packages/daemon/tests/test_store_task.py
@@ -303,7 +303,8 @@
     told = []
     for _ in range(11):
         await task.read_once()
-        told.append(task.standing().revision)
+        told.append(task.standing().news_revision)
+        assert task.standing().revision == task.catalogue.revision
         clock.turn(0.3)
     assert told[0] == 5
     assert len(set(told)) == 2
@@ -323,4 +324,15 @@
     clock.turn(10)
     for _ in range(3):
         await task.read_once()
-    assert task.standing().revision == 7
+    assert task.standing().news_revision == 7
+
+
+async def test_a_later_revision_of_which_a_peer_tells_is_passed_on(
+    task: StoreTask, scripted: ScriptedStore
+) -> None:
+    scripted.answers = [read(entry(1, 5), revision=5)]
+    await task.read_once()
+    task.hear_revision(9)
+    assert task.standing().revision == 9
+    assert task.standing().news_revision == 5
+    assert task.catalogue.revision == 5
