--- a/packages/core/src/sardinequay_core/usage_view.py
+++ b/packages/core/src/sardinequay_core/usage_view.py
@@ -181,7 +181,7 @@
         over_s = (now - source.at).total_seconds()
         gains = [
             self.gain(source, organisation, told.counts, over_s)
-            for organisation in {**source.flows, **told.counts}
+            for organisation in self.concerned(host, told.counts)
         ]
         for gain in gains:
             self.keep(host, scope, gain, now)
@@ -189,10 +189,11 @@
         source.at = now
         return gains
 
-    def concerned(self, host: HostId, told: Counts) -> set[OrganisationName]:
+    def concerned(self, host: HostId, told: Counts) -> tuple[OrganisationName, ...]:
         """Return the organisations of which a peer says something by these counts."""
         source = self.sources.get(host)
-        return {*told, *(source.flows if source is not None else ())}
+        flows = source.flows if source is not None else {}
+        return tuple({**flows, **told})
 
     def gain(
         self,
--- a/packages/daemon/src/sardinequay_daemon/peer_table.py
+++ b/packages/daemon/src/sardinequay_daemon/peer_table.py
@@ -244,11 +244,8 @@
 
         One that is about to stop keeps it until then.
         """
-        now = self.clock.monotonic()
         for peer in self.peers.values():
-            if not peer.holds_lease or not self.is_near(peer) or peer.heard_at is None:
-                continue
-            if peer.heard_at > now - self.alive_for(peer):
+            if peer.holds_lease and self.is_near(peer) and self.is_heard(peer):
                 return peer.contact.host_id
         return None
 
--- a/packages/daemon/tests/test_fleet_task.py
+++ b/packages/daemon/tests/test_fleet_task.py
@@ -175,13 +175,19 @@
     assert fleet.keeper_of("za") is None
 
 
-def test_peer_that_started_anew_is_noticed(fleet) -> None:
-    heard = []
+@pytest.fixture
+def restarts(fleet: FleetTask) -> list[bool]:
+    """Whether each digest that was heard tells of a restart."""
+    heard: list[bool] = []
     fleet.digests.subscribe(lambda h: heard.append(h.has_restarted))
+    return heard
+
+
+def test_peer_that_started_anew_is_noticed(fleet, restarts) -> None:
     fleet.hear(digest("h2", up_s=7.0))
     fleet.hear(digest("h2", up_s=7.2))
     fleet.hear(digest("h2", up_s=0.1))
-    assert heard == [False, False, True]
+    assert restarts == [False, False, True]
 
 
 def test_only_a_host_that_is_long_up_tells_of_all(fleet) -> None:
@@ -194,25 +200,21 @@
     assert fleet.was_told_of_all
 
 
-def test_digests_out_of_order_tell_of_no_restart(fleet, clock) -> None:
+def test_digests_out_of_order_tell_of_no_restart(fleet, clock, restarts) -> None:
     # Two exchanges crossed after a cut was healed: the later answer came first. Taken
     # for a restart, the second brought all that its sender had ever counted as news,
     # and hosts refused organisations for seconds that were within their quotas.
-    heard = []
-    fleet.digests.subscribe(lambda h: heard.append(h.has_restarted))
     fleet.hear(digest("h2", up_s=50.02))
     clock.turn(0.006)
     fleet.hear(digest("h2", up_s=50.0))
-    assert heard == [False, False]
+    assert restarts == [False, False]
 
 
-def test_peer_back_after_a_second_has_restarted(fleet, clock) -> None:
-    heard = []
-    fleet.digests.subscribe(lambda h: heard.append(h.has_restarted))
+def test_peer_back_after_a_second_has_restarted(fleet, clock, restarts) -> None:
     fleet.hear(digest("h2", up_s=0.2))
     clock.turn(1.0)
     fleet.hear(digest("h2", up_s=0.1))
-    assert heard == [False, True]
+    assert restarts == [False, True]
 
 
 def heard_over_time(fleet, clock, seed: int, hosts: int) -> None:
--- a/packages/lab/src/sardinequay_lab/quota_policies.py
+++ b/packages/lab/src/sardinequay_lab/quota_policies.py
@@ -152,8 +152,7 @@
 
     def restart(self, now: Instant) -> None:
         """Let all hosts forget everything."""
-        quota = self.scenario.organisation().quota
-        assert quota is not None
+        quota = self.scenario.quota()
         part = 1 / self.scenario.hosts
         rate, burst = self.policy.rate_per_s(quota), self.policy.burst(quota)
         self.buckets = [
@@ -183,8 +182,7 @@
         """Let all hosts forget everything; a new granter is found after a while."""
         if now > ZERO:
             self.blind_until = now + seconds(TAKEOVER_S)
-        quota = self.scenario.organisation().quota
-        assert quota is not None
+        quota = self.scenario.quota()
         self.rate, self.burst = self.policy.rate_per_s(quota), self.policy.burst(quota)
         self.whole = Bucket(self.rate, self.burst, now)
         self.beyond: Bucket | None = None
--- a/packages/lab/src/sardinequay_lab/quota_world.py
+++ b/packages/lab/src/sardinequay_lab/quota_world.py
@@ -20,13 +20,11 @@
     QuotaUnit,
 )
 from sardinequay_core.quota_book import QuotaPolicy
+from sardinequay_daemon.hub_table import HUB_PERIOD_PER_HOST_S, HUB_PERIOD_S
+from sardinequay_daemon.peer_table import OTHER_HUB_ALIVE_FOR
 
 ORGANISATION = OrganisationName("o")
-PERIOD_S = 0.1
-PERIOD_PER_HOST_S = 0.005
-"""Between two exchanges with a hub, as hosts do."""
-
-REACH_LOST_S = 2.0
+REACH_LOST_S = OTHER_HUB_ALIVE_FOR.total_seconds()
 """After so long hosts of a data centre that is cut off count as gone."""
 
 
@@ -78,10 +76,13 @@
     lasts_s: float = 40.0
     mean_tokens: float = 2_400.0
 
+    def quota(self) -> Quota:
+        """Return what the organisation that asks may use."""
+        return Quota(self.rate_per_s, self.burst, QuotaUnit.TOKENS, 200)
+
     def organisation(self) -> Organisation:
         """Return the organisation that asks."""
-        quota = Quota(self.rate_per_s, self.burst, QuotaUnit.TOKENS, 200)
-        return Organisation(ORGANISATION, frozenset(), None, quota)
+        return Organisation(ORGANISATION, frozenset(), None, self.quota())
 
     def asked_per_s(self, at_s: float) -> float:
         """Return the tokens that are asked for a second."""
@@ -214,7 +215,7 @@
 def exchanges(scenario: Scenario, random: Random) -> Iterator[Event]:
     """Yield the moments at which hosts exchange what they know."""
     here = scenario.hosts / scenario.data_centres
-    period_s = PERIOD_S + PERIOD_PER_HOST_S * here
+    period_s = HUB_PERIOD_S + HUB_PERIOD_PER_HOST_S * here
     for host in range(scenario.hosts):
         at_s = random.uniform(0, period_s)
         while at_s < scenario.lasts_s:
