Log what a further attempt is permitted from, and count what goes out

No line told what the budget of repeats was decided from, and metrics counted attempts as they are decided, not requests as they go out. Now each decision names requests, repeats, the share allowed, the hosts that share the slack and the age of that, and sends are counted below the attempts. Behaviour is as before; 70 tests of the path and of the decisions pass.

--- a/packages/core/src/sardinequay_core/repeat_budget.py
+++ b/packages/core/src/sardinequay_core/repeat_budget.py
@@ -35,6 +35,31 @@
     window: timedelta = timedelta(seconds=10)
 
 
+@dataclass(frozen=True, slots=True)
+class RepeatUse:
+    """What a further attempt is permitted from, on one host.
+
+    Parameters
+    ----------
+    requests, repeats : int
+        Counted in the window.
+    allowed : float
+        Repeats that this host may have in the window.
+    hosts : int
+        Hosts that the slack is divided by.
+    """
+
+    requests: int
+    repeats: int
+    allowed: float
+    hosts: int
+
+    @property
+    def has_room(self) -> bool:
+        """Return whether one more repeat is within what is allowed."""
+        return self.repeats + 1 <= self.allowed
+
+
 @dataclass(slots=True)
 class RepeatBudget:
     """One host's share for one pool."""
@@ -48,12 +73,13 @@
         self.requests.append(now)
         self.trim(now)
 
-    def may_repeat(self, live_hosts: int, now: Instant) -> bool:
-        """Return whether a further arrival is within this host's share."""
+    def use(self, live_hosts: int, now: Instant) -> RepeatUse:
+        """Return what of this host's share is used."""
         self.trim(now)
-        slack = self.policy.slack * SLACK_SHARE / max(1, live_hosts)
+        hosts = max(1, live_hosts)
+        slack = self.policy.slack * SLACK_SHARE / hosts
         allowed = self.policy.ratio * len(self.requests) + slack
-        return len(self.repeats) + 1 <= allowed
+        return RepeatUse(len(self.requests), len(self.repeats), allowed, hosts)
 
     def repeat(self, now: Instant) -> None:
         """Count a further arrival."""
--- a/packages/core/tests/test_relay_decisions.py
+++ b/packages/core/tests/test_relay_decisions.py
@@ -73,7 +73,7 @@
         budget = budgets[n % 8]
         budget.request(now)
         for _ in range(3):
-            if budget.may_repeat(8, now):
+            if budget.use(8, now).has_room:
                 budget.repeat(now)
                 repeats += 1
     assert 100 < repeats <= 0.2 * 800 + 56
--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -166,7 +166,9 @@
         upstream = self.parts.upstream
         request = self.outgoing()
         address = self.target.address
-        async with upstream.send(address, request, self.patience_s()) as answer:
+        async with upstream.send(
+            address, request, self.patience_s(), self.note_send
+        ) as answer:
             facts = self.parts.dialect.facts(answer.status, answer.headers)
             if facts.request_id != self.exchange.terms.request_id:
                 detail = f"an answer to {facts.request_id!r}"
@@ -175,6 +177,10 @@
                 return self.rejected(answer.status, facts)
             return await self.answered(answer, sink)
 
+    def note_send(self) -> None:
+        """Count the request as sent to the target."""
+        self.parts.metrics.sends.inc({"pool": self.exchange.pool})
+
     def rejected(self, status: int, facts: AnswerFacts) -> AttemptEnd:
         """Take the target's statement that it has not run the request."""
         exchange = self.exchange
--- a/packages/daemon/src/sardinequay_daemon/peer_table.py
+++ b/packages/daemon/src/sardinequay_daemon/peer_table.py
@@ -169,6 +169,12 @@
         """Return how many hosts serve, this one included."""
         return len(self.alive()) + 1
 
+    def hosts_age_s(self) -> float:
+        """Return how long ago news of the hosts that serve came last, in seconds."""
+        heard = (p.heard_at for p in self.peers.values() if p.heard_at is not None)
+        now = self.clock.monotonic()
+        return (now - max(heard, default=self.started_at)).total_seconds()
+
     def up_of(self, peer: Peer) -> float:
         """Return how long ago a peer started, in seconds."""
         return peer.up_s + (self.clock.monotonic() - peer.told_at).total_seconds()
--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -1,11 +1,13 @@
 """Serves one request: attempt after attempt, as far as failures permit."""
 
 import asyncio
+import logging
 
 from sardinequay_core.after_attempt import AttemptEnd, Next, next_step
 from sardinequay_core.catalogue import PublishedTarget
 from sardinequay_core.clock import ZERO
 from sardinequay_core.outcome import Reason, Refusal, not_run
+from sardinequay_core.repeat_budget import RepeatUse
 from sardinequay_core.serving import Repetition
 
 from .attempt import Attempt, RelayParts
@@ -18,6 +20,8 @@
 REJECTED_PAUSE_S = 0.02
 """Before a request that was rejected is offered again, in seconds."""
 
+log = logging.getLogger(__name__)
+
 
 class Relay:
     """Brings requests to targets and their answers back."""
@@ -74,9 +78,8 @@
         """Permit another attempt by returning, or raise the request's end."""
         budget = self.state.budget(exchange.pool)
         now = self.clock.monotonic()
-        within_budget = end is AttemptEnd.NOT_SENT or budget.may_repeat(
-            self.state.fleet.live_hosts, now
-        )
+        use = budget.use(self.state.fleet.live_hosts, now)
+        within_budget = end is AttemptEnd.NOT_SENT or use.has_room
         route = exchange.route
         if exchange.has_begun and route.repetition is not Repetition.RESUMABLE_STREAM:
             raise BrokenOffError
@@ -87,6 +90,7 @@
             exchange.left(now),
             within_budget,
         )
+        self.log_step(exchange, end, step, use)
         if step is Next.AGAIN:
             if end is not AttemptEnd.NOT_SENT:
                 budget.repeat(now)
@@ -97,6 +101,28 @@
             raise BrokenOffError
         raise Refused(self.final_refusal(step, within_budget))
 
+    def log_step(
+        self, exchange: Exchange, end: AttemptEnd, step: Next, use: RepeatUse
+    ) -> None:
+        """Log whether another attempt may follow, and from what that was decided."""
+        is_permitted = step is Next.AGAIN
+        label = "yes" if is_permitted else "no"
+        self.parts.metrics.repeats.inc({"pool": exchange.pool, "permitted": label})
+        log.info(
+            "further attempt",
+            extra={
+                "request": exchange.terms.request_id,
+                "pool": exchange.pool,
+                "end": end.value,
+                "permitted": is_permitted,
+                "requests": use.requests,
+                "repeats": use.repeats,
+                "allowed": round(use.allowed, 2),
+                "hosts": use.hosts,
+                "hosts_age_s": round(self.state.fleet.hosts_age_s(), 2),
+            },
+        )
+
     def final_refusal(self, step: Next, within_budget: bool) -> Refusal:
         """Return the answer to a request whose attempts are over."""
         if step is Next.GIVE_UP_MAY_HAVE_RUN:
--- a/packages/daemon/src/sardinequay_daemon/serving_metrics.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_metrics.py
@@ -21,6 +21,10 @@
         self.requests = self.counter("requests_total", "Requests by route and status")
         self.refusals = self.counter("refusals_total", "Refused requests by reason")
         self.attempts = self.counter("attempts_total", "Attempts by pool and result")
+        self.sends = self.counter("sends_total", "Requests sent to targets, by pool")
+        self.repeats = self.counter(
+            "repeats_total", "Further attempts wanted, by pool and whether permitted"
+        )
         self.orders = self.counter("orders_total", "Orders to engines by kind, result")
         self.store_reads = self.counter("store_reads_total", "Reads of the store")
         self.left_out = self.counter("targets_left_out_total", "Targets left out")
--- a/packages/daemon/src/sardinequay_daemon/upstream.py
+++ b/packages/daemon/src/sardinequay_daemon/upstream.py
@@ -1,7 +1,7 @@
 """Sends one attempt to a target, and says what a failure proves."""
 
 import asyncio
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from functools import partial
@@ -46,6 +46,23 @@
     is_repeatable: bool
 
 
+class SendCount:
+    """Counts each time that the HTTP library hands a request to a connection.
+
+    The library may do so more than once for one call.
+    """
+
+    def __init__(self, note: Callable[[], None]) -> None:
+        self.note = note
+
+    async def __call__(
+        self, request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+    ) -> aiohttp.ClientResponse:
+        """Count, and pass the request on."""
+        self.note()
+        return await handler(request)
+
+
 class WatchedConnection(ResponseHandler):
     """A connection that tells a reset from an end, and notices what nobody asked for.
 
@@ -84,26 +101,39 @@
 
     @asynccontextmanager
     async def send(
-        self, address: Address, request: Outgoing, head_within_s: float
+        self,
+        address: Address,
+        request: Outgoing,
+        head_within_s: float,
+        note_send: Callable[[], None],
     ) -> AsyncGenerator[aiohttp.ClientResponse, None]:
         """Send a request and yield its answer once the head is there.
 
         Leaving before the answer's end closes the connection, which cancels the request
         at the target.
 
+        Parameters
+        ----------
+        note_send : callable
+            Called each time that the request goes out.
+
         Raises
         ------
         TargetError
             If no head came; the fault says whether the target may have run it.
         """
-        answer = await self.head(address, request, head_within_s)
+        answer = await self.head(address, request, head_within_s, note_send)
         try:
             yield answer
         finally:
             answer.close()
 
     async def head(
-        self, address: Address, request: Outgoing, within_s: float
+        self,
+        address: Address,
+        request: Outgoing,
+        within_s: float,
+        note_send: Callable[[], None],
     ) -> aiohttp.ClientResponse:
         """Send a request and wait for the head of its answer."""
         session = self.pooled if request.is_repeatable else self.fresh
@@ -119,6 +149,7 @@
                         headers=request.headers,
                         allow_redirects=False,
                         skip_auto_headers=NO_AUTOMATIC_HEADERS,
+                        middlewares=(SendCount(note_send),),
                     )
         except TimeoutError as error:
             detail = f"silent for {within_s:.3f} s"
