Send a request once for each attempt, whatever the HTTP library would do

What callers saw: pools that were overloaded got more repeats than allowed; PUT, DELETE and GET on routes that must not repeat ran twice; reads that may have run were answered as not run. Cause: the library sends idempotent methods once more by itself when a connection breaks, kept or new, below budget, counted runs, content guard, lines and metrics. A middleware (public interface) now turns such a break into an error of ours that it does not repeat, in the clients to targets, engines' orders, the metadata store and sardinequayd.

What a kept connection loses says little of the target, so it is still sent once more: by us, over a new connection, to the same target if that lives, as one of the route's runs and within the budget. Ruled out: dropping the second send altogether, which fails the reads whose idle connection a target closed (half of them in the test).

Same cause elsewhere: the store's reads and reports of engines were called twice uncounted, too.

--- a/packages/core/src/sardinequay_core/after_attempt.py
+++ b/packages/core/src/sardinequay_core/after_attempt.py
@@ -20,6 +20,16 @@
     MISDIRECTED = "misdirected"
     MAY_HAVE_RUN = "may_have_run"
     BROKEN_OFF = "broken_off"
+    LOST_ON_KEPT = "lost_on_kept"
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether the target may have begun to run the request."""
+        return self in (
+            AttemptEnd.MAY_HAVE_RUN,
+            AttemptEnd.BROKEN_OFF,
+            AttemptEnd.LOST_ON_KEPT,
+        )
 
 
 class Next(Enum):
@@ -52,7 +62,7 @@
 
     def after(self, end: AttemptEnd) -> "AttemptsSoFar":
         """Return the history with one more attempt."""
-        if end in (AttemptEnd.MAY_HAVE_RUN, AttemptEnd.BROKEN_OFF):
+        if end.may_have_run:
             return AttemptsSoFar(self.runs + 1, self.rejections)
         return AttemptsSoFar(self.runs, self.rejections + 1)
 
--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -45,15 +45,26 @@
 
 
 class Attempt:
-    """One request at one target."""
+    """One request at one target.
+
+    Parameters
+    ----------
+    is_resend : bool
+        Whether it was sent there just now, over a kept connection that broke.
+    """
 
     def __init__(
-        self, parts: RelayParts, exchange: Exchange, published: PublishedTarget
+        self,
+        parts: RelayParts,
+        exchange: Exchange,
+        published: PublishedTarget,
+        is_resend: bool = False,
     ) -> None:
         self.parts = parts
         self.state = parts.state
         self.clock = parts.state.clock
         self.exchange = exchange
+        self.is_resend = is_resend
         self.published = published
         self.target = published.target
         self.target_id = published.target.target_id
@@ -145,7 +156,7 @@
             exchange.path,
             headers,
             exchange.body,
-            exchange.route.repetition.may_run_again,
+            exchange.route.repetition.may_run_again and not self.is_resend,
         )
 
     def patience_s(self) -> float:
@@ -215,6 +226,10 @@
         if error.fault is TargetFault.NOT_SENT:
             end = AttemptEnd.NOT_SENT
             self.judge(Verdict.UNREACHABLE)
+        elif error.fault is TargetFault.LOST_ON_KEPT:
+            # Targets close connections that they kept at any moment: that alone says
+            # nothing against one.
+            end = AttemptEnd.LOST_ON_KEPT
         elif error.fault is TargetFault.SILENT:
             self.judge(Verdict.SILENT)
         else:
--- a/packages/daemon/src/sardinequay_daemon/content_guard.py
+++ b/packages/daemon/src/sardinequay_daemon/content_guard.py
@@ -11,7 +11,7 @@
 import logging
 from collections.abc import Coroutine, Iterable
 from dataclasses import asdict, dataclass
-from typing import Protocol
+from typing import Any, Protocol, TypeVar
 
 from sardinequay_core.catalogue import Catalogue
 from sardinequay_core.clock import Clock, Instant, seconds
@@ -53,6 +53,7 @@
 PERMIT_RETRY = seconds(1)
 """When to come back if the permit was not free within that time."""
 
+Result = TypeVar("Result")
 log = logging.getLogger(__name__)
 
 
@@ -109,7 +110,7 @@
         self.clock = clock
         self.permits = PermitBook()
         self.numbers = itertools.count()
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks: set[asyncio.Task[Any]] = set()
 
     # A request on its way.
 
@@ -155,11 +156,19 @@
         text = "a target ended under a request like it, and another like it runs now"
         return not_run(Reason.QUARANTINED, text, PERMIT_RETRY)
 
-    async def settled(self, run: GuardedRun, within_s: float) -> None:
-        """Wait until it is known whether the last target ended under a request."""
+    async def settled(self, run: GuardedRun, within_s: float) -> bool:
+        """Wait until it is known whether the last target ended under a request.
+
+        Returns
+        -------
+        bool
+            Whether it is known to live.
+        """
         verdict, run.verdict = run.verdict, None
-        if verdict is not None:
-            await asyncio.wait((verdict,), timeout=max(0.0, within_s))
+        if verdict is None:
+            return True
+        await asyncio.wait((verdict,), timeout=max(0.0, within_s))
+        return verdict.done() and not verdict.result()
 
     def broke(
         self, run: GuardedRun, target: Target, incarnation: int, ran_s: float
@@ -171,10 +180,12 @@
         )
         run.verdict = self.start(self.learn(broken))
 
-    async def learn(self, broken: BrokenRequest) -> None:
+    async def learn(self, broken: BrokenRequest) -> bool:
         """Find out whether the target ended, and count that against the content."""
-        if await self.ends.ended_under(broken):
+        has_ended = await self.ends.ended_under(broken)
+        if has_ended:
             self.count(broken)
+        return has_ended
 
     def take_catalogue(self, catalogue: Catalogue) -> None:
         """Count ends of targets that show by their later starts."""
@@ -301,7 +312,7 @@
 
     # Upkeep.
 
-    def start(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
+    def start(self, work: Coroutine[None, None, Result]) -> asyncio.Task[Result]:
         """Start work that nobody waits for."""
         task = asyncio.create_task(work)
         self.tasks.add(task)
--- a/packages/daemon/src/sardinequay_daemon/errors.py
+++ b/packages/daemon/src/sardinequay_daemon/errors.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from aiohttp import ClientError
+
 
 @dataclass(unsafe_hash=True)
 class DaemonError(Exception):
@@ -48,6 +50,10 @@
         return f"{self.what}: {self.detail}"
 
 
+class ConnectionLostError(ClientError):
+    """A connection that broke after a request went out and before an answer came."""
+
+
 class TargetFault(Enum):
     """How a call to a target failed, as far as running is concerned."""
 
@@ -56,6 +62,7 @@
     REFUSED = "refused"
     STALE_TOKEN = "stale_token"
     BROKEN = "broken"
+    LOST_ON_KEPT = "lost_on_kept"
     SILENT = "silent"
 
 
@@ -72,7 +79,11 @@
     @property
     def proves_not_run(self) -> bool:
         """Return whether the target has certainly not run the request."""
-        return self.fault not in (TargetFault.BROKEN, TargetFault.SILENT)
+        return self.fault not in (
+            TargetFault.BROKEN,
+            TargetFault.LOST_ON_KEPT,
+            TargetFault.SILENT,
+        )
 
 
 @dataclass(unsafe_hash=True)
--- a/packages/daemon/src/sardinequay_daemon/host.py
+++ b/packages/daemon/src/sardinequay_daemon/host.py
@@ -58,6 +58,7 @@
 from .roster_task import RosterTask
 from .services import ServiceForwarder
 from .settings import Settings
+from .single_send import send_once
 from .target_probe import TargetProbe
 from .tls import client_context, server_context
 from .tracing import Tracing
@@ -196,6 +197,7 @@
             connector=connector,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
+            middlewares=(send_once,),
         )
 
     def reader(self, session: aiohttp.ClientSession, url: str, name: str) -> HttpReader:
--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -4,11 +4,12 @@
 import logging
 
 from sardinequay_core.after_attempt import AttemptEnd, Next, next_step
-from sardinequay_core.catalogue import PublishedTarget
-from sardinequay_core.clock import ZERO
+from sardinequay_core.clock import ZERO, Instant
+from sardinequay_core.names import TargetId
 from sardinequay_core.outcome import Reason, Refusal, not_run
 from sardinequay_core.repeat_budget import RepeatUse
 from sardinequay_core.serving import Repetition
+from sardinequay_core.target_health import Verdict
 
 from .attempt import Attempt, RelayParts
 from .content_guard import ContentGuard
@@ -59,14 +60,43 @@
             target = await self.picker.choose(exchange)
             if not await self.guard.may_run(exchange.guarded):
                 continue
-            end = await self.attempt(exchange, target, sink)
+            attempt = Attempt(self.parts, exchange, target)
+            end = await self.run(attempt, sink)
+            if end is AttemptEnd.LOST_ON_KEPT:
+                end = await self.resend(attempt, sink)
             if end is None:
                 return
-            exchange.so_far = exchange.so_far.after(end)
-            exchange.guarded.may_have_run = exchange.so_far.runs > 0
-            exchange.tried = exchange.tried | {target.target.target_id}
+            self.note_end(exchange, target.target.target_id, end)
             await self.follow(exchange, end)
 
+    def note_end(self, exchange: Exchange, target: TargetId, end: AttemptEnd) -> None:
+        """Take how an attempt at a target failed."""
+        exchange.so_far = exchange.so_far.after(end)
+        exchange.guarded.may_have_run = exchange.so_far.runs > 0
+        exchange.tried |= {target}
+
+    async def resend(self, lost: Attempt, sink: Sink) -> AttemptEnd | None:
+        """Send what a kept connection lost to the same target over a new one.
+
+        Both sends are one of the runs that the route permits: they reach one target.
+        """
+        exchange = lost.exchange
+        exchange.guarded.may_have_run = True
+        left_s = exchange.left(self.clock.monotonic()).total_seconds()
+        if not await self.guard.settled(exchange.guarded, left_s):
+            lost.judge(Verdict.FAILED)
+            return AttemptEnd.MAY_HAVE_RUN
+        self.guard.refuse_held(exchange.guarded)
+        now = self.clock.monotonic()
+        use = self.repeat_use(exchange, now)
+        if exchange.left(now) <= ZERO or not use.has_room:
+            return AttemptEnd.MAY_HAVE_RUN
+        self.log_step(exchange, AttemptEnd.LOST_ON_KEPT, Next.AGAIN, use)
+        self.state.budget(exchange.pool).repeat(now)
+        again = Attempt(self.parts, exchange, lost.published, is_resend=True)
+        end = await self.run(again, sink)
+        return AttemptEnd.MAY_HAVE_RUN if end is not None else None
+
     async def settled(self, exchange: Exchange) -> None:
         """Wait until it is known whether the last target ended under a request."""
         left_s = exchange.left(self.clock.monotonic()).total_seconds()
@@ -76,9 +106,8 @@
 
     async def follow(self, exchange: Exchange, end: AttemptEnd) -> None:
         """Permit another attempt by returning, or raise the request's end."""
-        budget = self.state.budget(exchange.pool)
         now = self.clock.monotonic()
-        use = budget.use(self.state.fleet.live_hosts, now)
+        use = self.repeat_use(exchange, now)
         within_budget = end is AttemptEnd.NOT_SENT or use.has_room
         route = exchange.route
         if exchange.has_begun and route.repetition is not Repetition.RESUMABLE_STREAM:
@@ -93,7 +122,7 @@
         self.log_step(exchange, end, step, use)
         if step is Next.AGAIN:
             if end is not AttemptEnd.NOT_SENT:
-                budget.repeat(now)
+                self.state.budget(exchange.pool).repeat(now)
             if end is AttemptEnd.REJECTED:
                 await asyncio.sleep(REJECTED_PAUSE_S)
             return
@@ -101,6 +130,10 @@
             raise BrokenOffError
         raise Refused(self.final_refusal(step, within_budget))
 
+    def repeat_use(self, exchange: Exchange, now: Instant) -> RepeatUse:
+        """Return what of this host's share of repeats at a pool is used."""
+        return self.state.budget(exchange.pool).use(self.state.fleet.live_hosts, now)
+
     def log_step(
         self, exchange: Exchange, end: AttemptEnd, step: Next, use: RepeatUse
     ) -> None:
@@ -133,11 +166,9 @@
         wait = come_back(self.state.random, NO_TARGET_RETRY)
         return not_run(Reason.TARGET_REFUSED, text, wait)
 
-    async def attempt(
-        self, exchange: Exchange, published: PublishedTarget, sink: Sink
-    ) -> AttemptEnd | None:
+    async def run(self, attempt: Attempt, sink: Sink) -> AttemptEnd | None:
         """Send a request to one target; return how that failed, or None."""
-        attempt = Attempt(self.parts, exchange, published)
+        exchange, published = attempt.exchange, attempt.published
         attempt.enter()
         try:
             with self.parts.tracing.child_span("target", exchange.span) as span:
@@ -145,7 +176,7 @@
                 end = await attempt.run(sink)
         except TargetError as error:
             end = attempt.failed(error)
-            if error.fault is TargetFault.BROKEN:
+            if error.fault in (TargetFault.BROKEN, TargetFault.LOST_ON_KEPT):
                 incarnation = published.incarnation
                 self.guard.broke(
                     exchange.guarded, published.target, incarnation, attempt.taken_s()
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/single_send.py
@@ -0,0 +1,85 @@
+"""One request goes out once, whatever the HTTP library would do.
+
+The library sends idempotent methods once more by itself when a connection breaks. Such
+a send is within no budget, and is not known to whoever must not run the request twice.
+"""
+
+from collections.abc import Callable
+from types import SimpleNamespace
+
+import aiohttp
+
+from .errors import ConnectionLostError, TargetError, TargetFault
+from .target_errors import NOT_SENT_ERRORS
+
+
+async def send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Pass a request on to the library, and on what it would send again, fail.
+
+    Raises
+    ------
+    ConnectionLostError
+        If the connection broke before an answer's head came.
+    """
+    try:
+        return await handler(request)
+    except NOT_SENT_ERRORS:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise ConnectionLostError(repr(error)) from error
+
+
+class CountedSend:
+    """One request on its way to a target.
+
+    Parameters
+    ----------
+    note : callable
+        Called when the request goes out.
+    is_on_kept : bool
+        Whether it went over a connection that had been used before.
+    """
+
+    def __init__(self, note: Callable[[], None]) -> None:
+        self.note = note
+        self.is_on_kept = False
+
+    async def __call__(
+        self, request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+    ) -> aiohttp.ClientResponse:
+        """Count the request and send it once.
+
+        Raises
+        ------
+        TargetError
+            If a connection that had been used before broke without an answer.
+        """
+        self.note()
+        try:
+            return await send_once(request, handler)
+        except ConnectionLostError as error:
+            if not self.is_on_kept:
+                raise
+            raise TargetError(TargetFault.LOST_ON_KEPT, str(error)) from error
+
+
+def watch_kept() -> aiohttp.TraceConfig:
+    """Return what tells sends that their connections had been used before.
+
+    Each call of the session gives its `CountedSend` as its trace's context.
+    """
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_reuseconn.append(mark_kept)
+    return trace
+
+
+async def mark_kept(
+    _: aiohttp.ClientSession,
+    context: SimpleNamespace,
+    __: aiohttp.TraceConnectionReuseconnParams,
+) -> None:
+    """Note that a request goes over a connection that had been used before."""
+    send: CountedSend = context.trace_request_ctx
+    send.is_on_kept = True
--- a/packages/daemon/src/sardinequay_daemon/upstream.py
+++ b/packages/daemon/src/sardinequay_daemon/upstream.py
@@ -16,6 +16,7 @@
 
 from .connection_probe import CONNECT_S
 from .errors import TargetError, TargetFault
+from .single_send import CountedSend, watch_kept
 from .target_errors import TurnedErrors
 
 IDLE_CONNECTION_S = 3.0
@@ -34,7 +35,7 @@
 
     Parameters
     ----------
-    is_repeatable : bool
+    may_use_kept : bool
         Whether it may use a connection that was used before. What must not run twice
         takes a new one: an old one may have gone silent, or hold another's answer.
     """
@@ -43,24 +44,7 @@
     path: str
     headers: CIMultiDict[str]
     body: bytes
-    is_repeatable: bool
-
-
-class SendCount:
-    """Counts each time that the HTTP library hands a request to a connection.
-
-    The library may do so more than once for one call.
-    """
-
-    def __init__(self, note: Callable[[], None]) -> None:
-        self.note = note
-
-    async def __call__(
-        self, request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-    ) -> aiohttp.ClientResponse:
-        """Count, and pass the request on."""
-        self.note()
-        return await handler(request)
+    may_use_kept: bool
 
 
 class WatchedConnection(ResponseHandler):
@@ -115,7 +99,7 @@
         Parameters
         ----------
         note_send : callable
-            Called each time that the request goes out.
+            Called when the request goes out.
 
         Raises
         ------
@@ -136,8 +120,9 @@
         note_send: Callable[[], None],
     ) -> aiohttp.ClientResponse:
         """Send a request and wait for the head of its answer."""
-        session = self.pooled if request.is_repeatable else self.fresh
+        session = self.pooled if request.may_use_kept else self.fresh
         url = URL(f"http://{address}{request.path}", encoded=True)
+        send = CountedSend(note_send)
         timer = asyncio.timeout(within_s)
         try:
             async with timer:
@@ -149,7 +134,8 @@
                         headers=request.headers,
                         allow_redirects=False,
                         skip_auto_headers=NO_AUTOMATIC_HEADERS,
-                        middlewares=(SendCount(note_send),),
+                        middlewares=(send,),
+                        trace_request_ctx=send,
                     )
         except TimeoutError as error:
             detail = f"silent for {within_s:.3f} s"
@@ -168,4 +154,5 @@
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S),
+        trace_configs=[watch_kept()],
     )
