Keep the bound on repeats while hosts die and fleets are cut apart

What targets saw: repeats of all hosts above what is allowed in one window. Cause: the bound is one of the fleet, and each process divided it by the hosts that it hears now and began with a whole share. All hosts killed once took the slack twice; islands of a cut took it once each; over hubs a host that has just started takes itself to be alone; a hub that misses another counts that data centre as nobody. A repeat counted when it was permitted, so what is held up on the way came together with what was permitted later.

Now a host that has started again takes no slack for one window (the whole system's first start excepted), hosts divide the slack by those that lived in the last 30 s and by those known (the count that quotas stand on, FleetShare, moved into FleetSize for both), and a repeat counts from its permit until a window after its answer's head or its end.

Ruled out: slack that is earned over the first window, which allows nearly twice the slack where a kill falls just after it was spent; no slack at all, which leaves small fleets without repeats.

--- a/packages/core/src/sardinequay_core/fleet_share.py
+++ b/packages/core/src/sardinequay_core/fleet_share.py
@@ -40,8 +40,8 @@
         while self.counted[0][0] < now - KEEP_COUNTED:
             self.counted.popleft()
 
-    def part(self, live: int, contacts: int) -> float:
-        """Return the part of the hosts in touch.
+    def hosts(self, live: int, contacts: int) -> int:
+        """Return how many hosts lived lately.
 
         Parameters
         ----------
@@ -49,4 +49,8 @@
             Hosts, alive or not, that a host takes to exist that has just started.
         """
         lately = self.counted[0][1] if self.counted else 1
-        return live / max(live, lately, contacts)
+        return max(live, lately, contacts)
+
+    def part(self, live: int, contacts: int) -> float:
+        """Return the part of the hosts in touch; for `contacts` see `hosts`."""
+        return live / self.hosts(live, contacts)
--- a/packages/core/src/sardinequay_core/repeat_budget.py
+++ b/packages/core/src/sardinequay_core/repeat_budget.py
@@ -3,7 +3,12 @@
 Load pattern: targets fail or reject requests, and every entry host sends them again;
 the repeats then are what keeps the targets overloaded. Over any window all hosts
 together may add a ratio of the requests, and a slack. Each host takes the ratio of its
-own requests and its share of the slack by the number of live hosts.
+own requests and its share of the slack.
+
+The bound holds for what arrives while hosts die and fleets are cut apart. A host that
+has started again does not know what it sent before, so it has no part of the slack for
+one window. Hosts divide the slack by all that lived lately, not by those in touch. And
+a repeat counts from when it is permitted until a window after it has arrived.
 """
 
 from collections import deque
@@ -42,7 +47,7 @@
     Parameters
     ----------
     requests, repeats : int
-        Counted in the window.
+        Counted in the window; repeats also while they are on their way.
     allowed : float
         Repeats that this host may have in the window.
     hosts : int
@@ -62,27 +67,49 @@
 
 @dataclass(slots=True)
 class RepeatBudget:
-    """One host's share for one pool."""
+    """One host's share for one pool.
+
+    Parameters
+    ----------
+    slack_from : timedelta
+        When what an earlier process of this host sent has left the window.
+    on_way : int
+        Repeats that were permitted and may arrive yet.
+    """
 
     policy: RepeatPolicy
+    slack_from: Instant
     requests: deque[Instant] = field(default_factory=deque)
     repeats: deque[Instant] = field(default_factory=deque)
+    on_way: int = 0
 
     def request(self, now: Instant) -> None:
         """Count a request's first arrival."""
         self.requests.append(now)
         self.trim(now)
 
-    def use(self, live_hosts: int, now: Instant) -> RepeatUse:
-        """Return what of this host's share is used."""
-        self.trim(now)
-        hosts = max(1, live_hosts)
-        slack = self.policy.slack * SLACK_SHARE / hosts
-        allowed = self.policy.ratio * len(self.requests) + slack
-        return RepeatUse(len(self.requests), len(self.repeats), allowed, hosts)
+    def use(self, hosts: int, now: Instant) -> RepeatUse:
+        """Return what of this host's share is used.
 
-    def repeat(self, now: Instant) -> None:
-        """Count a further arrival."""
+        Parameters
+        ----------
+        hosts : int
+            Hosts that lived lately, at least one.
+        """
+        self.trim(now)
+        allowed = self.policy.ratio * len(self.requests)
+        if now >= self.slack_from:
+            allowed += self.policy.slack * SLACK_SHARE / hosts
+        repeats = len(self.repeats) + self.on_way
+        return RepeatUse(len(self.requests), repeats, allowed, hosts)
+
+    def begin(self) -> None:
+        """Count a further arrival that was permitted."""
+        self.on_way += 1
+
+    def end(self, now: Instant) -> None:
+        """Take that a further arrival has come, or will not come any more."""
+        self.on_way -= 1
         self.repeats.append(now)
 
     def trim(self, now: Instant) -> None:
--- a/packages/core/tests/test_relay_decisions.py
+++ b/packages/core/tests/test_relay_decisions.py
@@ -66,15 +66,16 @@
 def test_hosts_together_keep_the_budget_when_everything_fails() -> None:
     """Replay an outage: every request is rejected and would be sent four times."""
     policy = RepeatPolicy(ratio=0.2, slack=56)
-    budgets = [RepeatBudget(policy) for _ in range(8)]
+    budgets = [RepeatBudget(policy, ZERO) for _ in range(8)]
     repeats = 0
     for n in range(800):
-        now = seconds(n * 0.0125)
+        now = seconds(20 + n * 0.0125)
         budget = budgets[n % 8]
         budget.request(now)
         for _ in range(3):
             if budget.use(8, now).has_room:
-                budget.repeat(now)
+                budget.begin()
+                budget.end(now)
                 repeats += 1
     assert 100 < repeats <= 0.2 * 800 + 56
 
--- a/packages/core/tests/test_repeat_budget.py
+++ b/packages/core/tests/test_repeat_budget.py
@@ -6,6 +6,7 @@
 import pytest
 
 from sardinequay_core.clock import Instant, seconds
+from sardinequay_core.fleet_share import FleetShare
 from sardinequay_core.repeat_budget import RepeatBudget, RepeatPolicy
 
 POLICY = RepeatPolicy(ratio=0.2, slack=56)
@@ -21,21 +22,26 @@
 
     random: Random
     budgets: list[RepeatBudget] = field(default_factory=list)
+    shares: list[FleetShare] = field(default_factory=list)
     requests: list[Instant] = field(default_factory=list)
     repeats: list[Instant] = field(default_factory=list)
 
     def start(self, host: int, now: Instant) -> None:
         """Start a host anew; it knows nothing."""
-        self.budgets[host : host + 1] = [RepeatBudget(POLICY)]
+        self.budgets[host : host + 1] = [RepeatBudget(POLICY, now + POLICY.window)]
+        self.shares[host : host + 1] = [FleetShare()]
 
     def ask(self, seen_by: int, now: Instant) -> None:
         """Let a request come to a host that sees so many live hosts."""
-        budget = self.random.choice(self.budgets)
+        host = self.random.randrange(HOSTS)
+        budget, share = self.budgets[host], self.shares[host]
+        share.count(seen_by, now)
         self.requests.append(now)
         budget.request(now)
         for _ in range(WANTED):
-            if budget.use(seen_by, now).has_room:
-                budget.repeat(now)
+            if budget.use(share.hosts(seen_by, 1), now).has_room:
+                budget.begin()
+                budget.end(now)
                 self.repeats.append(now)
 
     def worst_excess(self) -> float:
@@ -87,3 +93,27 @@
     play(fleet, 20, 30)
     play(fleet, 30, 50, seen_by=island)
     assert fleet.worst_excess() <= 0
+
+
+def test_repeats_that_are_held_up_and_arrive_together_keep_the_bound() -> None:
+    """Repeats of two windows come at once, when a link heals."""
+    budget = RepeatBudget(RepeatPolicy(ratio=0, slack=8), seconds(0))
+    healed = seconds(60)
+    sent = 0
+    for second in range(20, 60):
+        if budget.use(1, seconds(second)).has_room:
+            budget.begin()
+            sent += 1
+    for _ in range(sent):
+        budget.end(healed)
+    assert 0 < sent <= 8
+    assert not budget.use(1, healed + seconds(9)).has_room
+
+
+def test_host_that_has_just_started_again_has_no_slack() -> None:
+    budget = RepeatBudget(POLICY, slack_from=seconds(110))
+    assert not budget.use(1, seconds(109)).has_room
+    for _ in range(5):
+        budget.request(seconds(109))
+    assert budget.use(1, seconds(109)).has_room
+    assert budget.use(1, seconds(110)).allowed > 5 * POLICY.ratio
--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -180,6 +180,7 @@
         async with upstream.send(
             address, request, self.patience_s(), self.note_send
         ) as answer:
+            self.exchange.end_repeat(self.clock.monotonic())
             facts = self.parts.dialect.facts(answer.status, answer.headers)
             if facts.request_id != self.exchange.terms.request_id:
                 detail = f"an answer to {facts.request_id!r}"
--- a/packages/daemon/src/sardinequay_daemon/caller_gate.py
+++ b/packages/daemon/src/sardinequay_daemon/caller_gate.py
@@ -90,7 +90,7 @@
             If it is beyond the quota.
         """
         now = self.state.clock.monotonic()
-        self.state.quotas.count_hosts()
+        self.state.count_hosts()
         result = self.state.quotas.book.admit(organisation, terms.tokens, now)
         if not isinstance(result, OverQuota):
             return result
--- a/packages/daemon/src/sardinequay_daemon/exchange.py
+++ b/packages/daemon/src/sardinequay_daemon/exchange.py
@@ -11,6 +11,7 @@
 from sardinequay_core.clock import Instant, seconds
 from sardinequay_core.names import PoolName, TargetId
 from sardinequay_core.organisations import Organisation
+from sardinequay_core.repeat_budget import RepeatBudget
 from sardinequay_core.serving import Route
 
 from .errors import DaemonError
@@ -41,6 +42,8 @@
         Who asks, where that is known.
     tried : frozenset
         Targets that failed or rejected the request.
+    repeat : RepeatBudget or None
+        Where the attempt that is under way counts as a repeat.
     """
 
     terms: RequestTerms
@@ -57,6 +60,7 @@
     organisation: Organisation | None = None
     so_far: AttemptsSoFar = field(default_factory=AttemptsSoFar)
     tried: frozenset[TargetId] = frozenset()
+    repeat: RepeatBudget | None = None
     last_event: str = ""
     has_begun: bool = False
 
@@ -68,6 +72,17 @@
             return asks.priority
         return self.route.priority
 
+    def begin_repeat(self, budget: RepeatBudget) -> None:
+        """Count the next attempt as a repeat that is under way."""
+        budget.begin()
+        self.repeat = budget
+
+    def end_repeat(self, now: Instant) -> None:
+        """Take that a repeat that was under way has arrived, or will not any more."""
+        if self.repeat is not None:
+            self.repeat.end(now)
+            self.repeat = None
+
     def left(self, now: Instant) -> timedelta:
         """Return the time that is left for an answer of this host's own."""
         return self.deadline - now - ANSWER_MARGIN
--- a/packages/daemon/src/sardinequay_daemon/fleet_quotas.py
+++ b/packages/daemon/src/sardinequay_daemon/fleet_quotas.py
@@ -4,13 +4,12 @@
 
 from sardinequay_core.catalogue import Catalogue
 from sardinequay_core.clock import Clock, seconds
-from sardinequay_core.fleet_share import ASSUMED_HOSTS, FleetShare
 from sardinequay_core.names import HostId
 from sardinequay_core.quota_book import QuotaBook, QuotaPolicy
 from sardinequay_core.usage_view import Told
 
-from .fleet_task import KNOWS_ALL_S, FleetTask, HeardDigest
-from .peer_table import ALONE_AFTER
+from .fleet_size import FleetSize
+from .fleet_task import HeardDigest
 
 
 class FleetQuotas:
@@ -23,12 +22,11 @@
     """
 
     def __init__(
-        self, fleet: FleetTask, clock: Clock, draw: Callable[[], float]
+        self, size: FleetSize, clock: Clock, draw: Callable[[], float]
     ) -> None:
-        self.fleet = fleet
+        self.size = size
         self.clock = clock
         self.book = QuotaBook(draw)
-        self.fleet_share = FleetShare()
 
     def take_policy(self, policy: QuotaPolicy) -> None:
         """Take other bounds on what quotas may be exceeded by."""
@@ -52,21 +50,9 @@
         """Take that a peer is gone."""
         self.book.forget(host_id, self.clock.monotonic())
 
-    def count_hosts(self) -> None:
+    def take_size(self) -> None:
         """Take how many hosts live, for the part of quotas that is theirs."""
-        now = self.clock.monotonic()
-        live = self.fleet.live_hosts
-        self.fleet_share.count(live, now)
-        self.book.take_share(self.fleet_share.part(live, self.assumed_hosts()), now)
-
-    def assumed_hosts(self) -> int:
-        """Return how many hosts exist as far as a host knows that has just started."""
-        fleet = self.fleet
-        if not fleet.seeds or fleet.up_s() > ALONE_AFTER.total_seconds():
-            return 1
-        if fleet.joined_at is None:
-            return ASSUMED_HOSTS
-        return 1 if fleet.up_s() > KNOWS_ALL_S else len(fleet.peers) + 1
+        self.book.take_share(self.size.part(), self.clock.monotonic())
 
 
 def told_of(heard: HeardDigest) -> Told:
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/fleet_size.py
@@ -0,0 +1,39 @@
+"""How many hosts there are, also those that this one does not hear at the moment."""
+
+from sardinequay_core.clock import Clock
+from sardinequay_core.fleet_share import ASSUMED_HOSTS, FleetShare
+
+from .fleet_task import KNOWS_ALL_S, FleetTask
+from .peer_table import ALONE_AFTER
+
+
+class FleetSize:
+    """Counts hosts; what all may do together is divided by it."""
+
+    def __init__(self, fleet: FleetTask, clock: Clock) -> None:
+        self.fleet = fleet
+        self.clock = clock
+        self.share = FleetShare()
+
+    def count(self) -> None:
+        """Count the hosts that live now."""
+        self.share.count(self.fleet.live_hosts, self.clock.monotonic())
+
+    def hosts(self) -> int:
+        """Return how many hosts lived lately, or are known and may live."""
+        known = 1 + max(len(self.fleet.peers), len(self.fleet.seeds))
+        lately = self.share.hosts(self.fleet.live_hosts, self.assumed())
+        return max(lately, known)
+
+    def part(self) -> float:
+        """Return the part of all that falls to the hosts in touch."""
+        return self.share.part(self.fleet.live_hosts, self.assumed())
+
+    def assumed(self) -> int:
+        """Return how many hosts exist as far as a host knows that has just started."""
+        fleet = self.fleet
+        if not fleet.seeds or fleet.up_s() > ALONE_AFTER.total_seconds():
+            return 1
+        if fleet.joined_at is None:
+            return ASSUMED_HOSTS
+        return 1 if fleet.up_s() > KNOWS_ALL_S else len(fleet.peers) + 1
--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -48,6 +48,7 @@
         try:
             await self.attempt_all(exchange, sink)
         finally:
+            exchange.end_repeat(self.clock.monotonic())
             self.guard.leave(exchange.guarded)
 
     async def attempt_all(self, exchange: Exchange, sink: Sink) -> None:
@@ -92,7 +93,7 @@
         if exchange.left(now) <= ZERO or not use.has_room:
             return AttemptEnd.MAY_HAVE_RUN
         self.log_step(exchange, AttemptEnd.LOST_ON_KEPT, Next.AGAIN, use)
-        self.state.budget(exchange.pool).repeat(now)
+        exchange.begin_repeat(self.state.budget(exchange.pool))
         again = Attempt(self.parts, exchange, lost.published, is_resend=True)
         end = await self.run(again, sink)
         return AttemptEnd.MAY_HAVE_RUN if end is not None else None
@@ -122,7 +123,7 @@
         self.log_step(exchange, end, step, use)
         if step is Next.AGAIN:
             if end is not AttemptEnd.NOT_SENT:
-                self.state.budget(exchange.pool).repeat(now)
+                exchange.begin_repeat(self.state.budget(exchange.pool))
             if end is AttemptEnd.REJECTED:
                 await asyncio.sleep(REJECTED_PAUSE_S)
             return
@@ -132,7 +133,7 @@
 
     def repeat_use(self, exchange: Exchange, now: Instant) -> RepeatUse:
         """Return what of this host's share of repeats at a pool is used."""
-        return self.state.budget(exchange.pool).use(self.state.fleet.live_hosts, now)
+        return self.state.budget(exchange.pool).use(self.state.size.hosts(), now)
 
     def log_step(
         self, exchange: Exchange, end: AttemptEnd, step: Next, use: RepeatUse
@@ -183,6 +184,7 @@
                 )
         finally:
             attempt.leave()
+            exchange.end_repeat(self.clock.monotonic())
         if attempt.was_served:
             self.guard.answered(exchange.guarded.content)
         result = end.value if end else "answered"
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -26,6 +26,7 @@
 from sardinequay_core.target_health import TargetHealth
 
 from .fleet_quotas import FleetQuotas
+from .fleet_size import FleetSize
 from .fleet_task import FleetTask, HeardDigest
 from .order_task import OrderTask
 from .serving_messages import AdapterUse, Contact, EngineHoldings
@@ -64,6 +65,8 @@
         The hub that told what all other hosts have, if one did last.
     view_at : timedelta
         When it did.
+    slack_from : timedelta
+        When this host has its share of the slack of repeats.
     """
 
     data_centre: str
@@ -82,11 +85,14 @@
     orders: OrderTask | None = None
     view_from: HostId | None = None
     view_at: Instant = ZERO
+    slack_from: Instant = ZERO
+    size: FleetSize = field(init=False)
     quotas: FleetQuotas = field(init=False)
 
     def __post_init__(self) -> None:
         """Open the book of quotas."""
-        self.quotas = FleetQuotas(self.fleet, self.clock, self.random.random)
+        self.size = FleetSize(self.fleet, self.clock)
+        self.quotas = FleetQuotas(self.size, self.clock, self.random.random)
 
     # What comes in.
 
@@ -219,6 +225,11 @@
         summed = self.uses.sum_of(hosts, targets)
         return tuple(AdapterUse(t, a, n) for (t, a), n in summed.items())
 
+    def count_hosts(self) -> None:
+        """Count the hosts that live, among which bounds on all of them are divided."""
+        self.size.count()
+        self.quotas.take_size()
+
     def take_repeat_policy(self, policy: RepeatPolicy) -> None:
         """Take another bound on further attempts; what was counted stays."""
         self.repeat_policy = policy
@@ -231,7 +242,8 @@
         """Return this host's budget of repeats at a pool."""
         found = self.budgets.get(pool)
         if found is None:
-            found = self.budgets[pool] = RepeatBudget(self.repeat_policy)
+            found = RepeatBudget(self.repeat_policy, self.slack_from)
+            self.budgets[pool] = found
         return found
 
     def wanted(self, terms: RequestTerms) -> AdapterRef:
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from sardinequay_core.catalogue import Catalogue
-from sardinequay_core.clock import Clock, Instant, seconds
+from sardinequay_core.clock import ZERO, Clock, Instant, seconds
 from sardinequay_core.names import Address, HostId
 from sardinequay_core.order_lease import Ballot, OrderPolicy, Resign
 from sardinequay_core.target_health import turn_of
@@ -136,7 +136,12 @@
             head_start_s(profile.link_mbps, profile.is_first_start),
         )
         self.state = RelayState(
-            profile.data_centre, clock, random, bounds.repeats, self.fleet
+            profile.data_centre,
+            clock,
+            random,
+            bounds.repeats,
+            self.fleet,
+            slack_from=ZERO if profile.is_first_start else began + bounds.repeat_window,
         )
         self.state.quotas.take_policy(bounds.quotas)
         self.state.health.turn = turn_of(profile.host_id)
@@ -326,7 +331,7 @@
             self.metrics.log_lines_left_out.set({}, self.output.left_out)
             self.metrics.in_flight.set({}, self.server.in_flight)
             self.guard.expire()
-            self.state.quotas.count_hosts()
+            self.state.count_hosts()
             held = self.state.quarantine.held(self.clock.monotonic())
             self.metrics.quarantined.set({}, len(held))
             config = self.state.catalogue.config
--- a/packages/daemon/tests/test_large_fleet.py
+++ b/packages/daemon/tests/test_large_fleet.py
@@ -540,7 +540,7 @@
 def use(host: Host, requests: int, tokens: int = 1) -> int:
     """Send a host requests of an organisation; return how many tokens it admits."""
     now = host.fleet.clock.monotonic()
-    host.state.quotas.count_hosts()
+    host.state.count_hosts()
     results = [
         host.state.quotas.book.admit(NORTH, tokens, now) for _ in range(requests)
     ]
@@ -590,11 +590,11 @@
     world, shares = with_quota, {}
     islands = (world.hosts[0], world.hosts[1])
     for host in islands:
-        host.state.quotas.count_hosts()
+        host.state.count_hosts()
     world.cut = {"za"}
     world.pass_time(6.0)
     for host in islands:
-        host.state.quotas.count_hosts()
+        host.state.count_hosts()
         shares[host.me.data_centre] = host.state.quotas.book.share
     assert sum(shares.values()) == pytest.approx(1.0, abs=0.05)
 
