Ask no target again that has just rejected a request

What callers saw: a pool with one target left got four arrivals in 66 ms of a request that it had failed and then rejected each time; the caller heard 502 after them all. Cause: the choice among targets prefers others, and takes the same again where there are none. Each such arrival costs the full target work, and the budget a repeat that another request could use where a target has room.

A request that every usable target of a plain pool has rejected is refused at once: not run, with a time to come back, or as may have run if an attempt ran before.

--- a/packages/daemon/src/sardinequay_daemon/exchange.py
+++ b/packages/daemon/src/sardinequay_daemon/exchange.py
@@ -42,6 +42,8 @@
         Who asks, where that is known.
     tried : frozenset
         Targets that failed or rejected the request.
+    rejected_by : frozenset
+        Those of them that rejected it.
     repeat : RepeatBudget or None
         Where the attempt that is under way counts as a repeat.
     """
@@ -60,6 +62,7 @@
     organisation: Organisation | None = None
     so_far: AttemptsSoFar = field(default_factory=AttemptsSoFar)
     tried: frozenset[TargetId] = frozenset()
+    rejected_by: frozenset[TargetId] = frozenset()
     repeat: RepeatBudget | None = None
     last_event: str = ""
     has_begun: bool = False
--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -68,6 +68,8 @@
             if end is None:
                 return
             self.note_end(exchange, target.target.target_id, end)
+            if end is AttemptEnd.REJECTED:
+                self.picker.refuse_where_full(exchange)
             await self.follow(exchange, end)
 
     def note_end(self, exchange: Exchange, target: TargetId, end: AttemptEnd) -> None:
@@ -75,6 +77,8 @@
         exchange.so_far = exchange.so_far.after(end)
         exchange.guarded.may_have_run = exchange.so_far.runs > 0
         exchange.tried |= {target}
+        if end is AttemptEnd.REJECTED:
+            exchange.rejected_by |= {target}
 
     async def resend(self, lost: Attempt, sink: Sink) -> AttemptEnd | None:
         """Send what a kept connection lost to the same target over a new one.
--- a/packages/daemon/src/sardinequay_daemon/target_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/target_picker.py
@@ -76,6 +76,28 @@
         self.log_choice(exchange, found, "least filled", len(options))
         return self.state.catalogue.targets[found]
 
+    def refuse_where_full(self, exchange: Exchange) -> None:
+        """Refuse a request that each target of its pool has rejected.
+
+        A target that has just rejected it is still full, and each further arrival
+        costs it work that serves nobody. Engines are left to their own choice.
+
+        Raises
+        ------
+        Refused
+            If no target is left that may take it.
+        """
+        if exchange.terms.model or not exchange.rejected_by:
+            return
+        usable = self.options.usable(exchange.pool, self.clock.monotonic())
+        if any(t.target.target_id not in exchange.rejected_by for t in usable):
+            return
+        if exchange.so_far.runs:
+            raise Refused(may_have_run())
+        text = "each target of the pool has rejected the request"
+        wait = come_back(self.state.random, NO_TARGET_RETRY)
+        raise Refused(not_run(Reason.TARGET_REFUSED, text, wait))
+
     def no_target(self, exchange: Exchange) -> Refusal:
         """Return the refusal of a request for which there is no target."""
         if exchange.so_far.runs:
