--- a/packages/daemon/src/sardinequay_daemon/host.py
+++ b/packages/daemon/src/sardinequay_daemon/host.py
@@ -58,7 +58,7 @@
 from .roster_task import RosterTask
 from .services import ServiceForwarder
 from .settings import Settings
-from .single_send import send_once
+from .single_send import client_session
 from .target_probe import TargetProbe
 from .tls import client_context, server_context
 from .tracing import Tracing
@@ -193,11 +193,8 @@
                 limit=0, keepalive_timeout=IDLE_CONNECTION_S, local_addr=source
             )
         )
-        return aiohttp.ClientSession(
-            connector=connector,
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            middlewares=(send_once,),
+        return client_session(
+            connector, auto_decompress=False, cookie_jar=aiohttp.DummyCookieJar()
         )
 
     def reader(self, session: aiohttp.ClientSession, url: str, name: str) -> HttpReader:
--- a/packages/daemon/src/sardinequay_daemon/single_send.py
+++ b/packages/daemon/src/sardinequay_daemon/single_send.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from types import SimpleNamespace
+from typing import Any
 
 import aiohttp
 
@@ -31,6 +32,21 @@
         raise ConnectionLostError(repr(error)) from error
 
 
+def client_session(
+    connector: aiohttp.BaseConnector, **options: Any
+) -> aiohttp.ClientSession:
+    """Return a client whose calls go out once; all clients of hosts are made here.
+
+    Parameters
+    ----------
+    options
+        As the library's session takes them.
+    """
+    return aiohttp.ClientSession(
+        connector=connector, middlewares=(send_once,), **options
+    )
+
+
 class CountedSend:
     """One request on its way to a target.
 
--- a/packages/daemon/src/sardinequay_daemon/upstream.py
+++ b/packages/daemon/src/sardinequay_daemon/upstream.py
@@ -16,7 +16,7 @@
 
 from .connection_probe import CONNECT_S
 from .errors import TargetError, TargetFault
-from .single_send import CountedSend, watch_kept
+from .single_send import CountedSend, client_session, watch_kept
 from .target_errors import TurnedErrors
 
 IDLE_CONNECTION_S = 3.0
@@ -149,8 +149,8 @@
 
 def make_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
     """Return a session that passes bytes on as they are."""
-    return aiohttp.ClientSession(
-        connector=connector,
+    return client_session(
+        connector,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_S),
