Let a host that starts begin with one retry, not with all that may be saved

Hosts of sardinequayd began with ten retries for each pool at each start. The test that asked for a full start is replaced: a start gives one, first attempts earn the rest up to the same most, and 20 starts give 20 retries (200 before).

--- a/packages/core/src/sardinequay_core/admission.py
+++ b/packages/core/src/sardinequay_core/admission.py
@@ -70,22 +70,23 @@
 
 @dataclass(slots=True)
 class RetryBudget:
-    """Retries that a pool can bear: a share of its first attempts."""
+    """Retries that a pool can bear: a share of its first attempts.
 
-    policy: RetryPolicy
-    saved: float | None = None
+    A host that starts does not know what it sent before, so it begins with one retry,
+    not with all that may be saved: hosts that start again and again would have that
+    each time.
+    """
 
-    def available(self) -> float:
-        """Return the retries saved up; a new budget starts full."""
-        return self.policy.max_saved if self.saved is None else self.saved
+    policy: RetryPolicy
+    saved: float = 1.0
 
     def first_attempt(self) -> None:
         """Earn a share of a retry."""
-        self.saved = min(self.policy.max_saved, self.available() + self.policy.ratio)
+        self.saved = min(self.policy.max_saved, self.saved + self.policy.ratio)
 
     def spend(self, attempts: int) -> bool:
         """Return whether a request with so many attempts may make another."""
-        if attempts >= self.policy.max_attempts or self.available() < 1:
+        if attempts >= self.policy.max_attempts or self.saved < 1:
             return False
-        self.saved = self.available() - 1
+        self.saved -= 1
         return True
--- a/packages/core/tests/test_limits.py
+++ b/packages/core/tests/test_limits.py
@@ -32,11 +32,22 @@
 
 def test_retries_stay_a_share_of_first_attempts() -> None:
     budget = RetryBudget(RetryPolicy(ratio=0.125, max_saved=2))
-    assert [budget.spend(1) for _ in range(3)] == [True, True, False]
+    assert [budget.spend(1) for _ in range(2)] == [True, False]
     for _ in range(8):
         budget.first_attempt()
-    assert budget.spend(1)
-    assert not budget.spend(1)
+    assert [budget.spend(1) for _ in range(2)] == [True, False]
+    for _ in range(80):
+        budget.first_attempt()
+    assert [budget.spend(1) for _ in range(3)] == [True, True, False]
+
+
+def test_hosts_that_start_again_and_again_get_no_retries_for_it() -> None:
+    starts = 20
+    retries = 0
+    for _ in range(starts):
+        budget = RetryBudget(RetryPolicy())
+        retries += sum(budget.spend(1) for _ in range(10))
+    assert retries <= starts
 
 
 def test_attempts_for_one_request_are_bounded() -> None:
