Give a host that started again its slack once a cut would be over

Now the wait is the 30 s for which silent hosts keep their part, longer than a cut that must be borne.

--- a/packages/core/src/sardinequay_core/repeat_budget.py
+++ b/packages/core/src/sardinequay_core/repeat_budget.py
@@ -6,9 +6,10 @@
 own requests and its share of the slack.
 
 The bound holds for what arrives while hosts die and fleets are cut apart. A host that
-has started again does not know what it sent before, so it has no part of the slack for
-one window. Hosts divide the slack by all that lived lately, not by those in touch. And
-a repeat counts from when it is permitted until a window after it has arrived.
+has started again knows neither what it sent before nor who lives behind a cut, so it
+has no part of the slack until both are over. Hosts divide the slack by all that lived
+lately, not by those in touch. And a repeat counts from when it is permitted until a
+window after it has arrived.
 """
 
 from collections import deque
@@ -16,11 +17,17 @@
 from datetime import timedelta
 
 from .clock import Instant
+from .fleet_share import KEEP_COUNTED
 
 SLACK_SHARE = 0.75
 """Part of the slack that is used: hosts count live peers a little differently."""
 
 
+SLACK_AFTER = KEEP_COUNTED
+"""From a start anew until a host has its share of the slack: longer than a window, and
+than a cut in which it would count too few hosts."""
+
+
 @dataclass(frozen=True, slots=True)
 class RepeatPolicy:
     """The bound over all hosts.
@@ -72,7 +79,7 @@
     Parameters
     ----------
     slack_from : timedelta
-        When what an earlier process of this host sent has left the window.
+        When this host has its share of the slack.
     on_way : int
         Repeats that were permitted and may arrive yet.
     """
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -13,6 +13,7 @@
 from sardinequay_core.clock import ZERO, Clock, Instant, seconds
 from sardinequay_core.names import Address, HostId
 from sardinequay_core.order_lease import Ballot, OrderPolicy, Resign
+from sardinequay_core.repeat_budget import SLACK_AFTER
 from sardinequay_core.target_health import turn_of
 
 from .attempt import RelayParts
@@ -141,7 +142,7 @@
             random,
             bounds.repeats,
             self.fleet,
-            slack_from=ZERO if profile.is_first_start else began + bounds.repeat_window,
+            slack_from=ZERO if profile.is_first_start else began + SLACK_AFTER,
         )
         self.state.quotas.take_policy(bounds.quotas)
         self.state.health.turn = turn_of(profile.host_id)
