Send a service's further attempt over a new connection in sardinequayd, too

Without the library's own second send, a read whose kept connection broke could meet another broken one with its only retry.

--- a/packages/daemon/src/sardinequay_daemon/services.py
+++ b/packages/daemon/src/sardinequay_daemon/services.py
@@ -151,14 +151,16 @@
             raise Refused(refusal_of(error, progress)) from error
 
     async def send(
-        self, target: Target, request: ServiceRequest, span: Span
+        self, target: Target, request: ServiceRequest, span: Span, is_first: bool
     ) -> aiohttp.ClientResponse:
         """Send a request to one target and return its answer, yet to be read.
 
         What must not be repeated goes over a connection of its own: a pooled one may
-        have gone silent, and then nobody could tell whether the request arrived.
+        have gone silent, and then nobody could tell whether the request arrived. So
+        does a further attempt, which a second broken connection must not cost.
         """
-        session = self.session if request.is_repeatable else self.fresh_session
+        may_use_kept = request.is_repeatable and is_first
+        session = self.session if may_use_kept else self.fresh_session
         self.journal.note(
             request.envelope.request_id, "dispatched", target=target.target_id
         )
@@ -270,7 +272,8 @@
             forwarder.count(target, 1)
             try:
                 with forwarder.tracing.child_span("service", self.span) as span:
-                    answer = await forwarder.send(target, request, span)
+                    is_first = progress.attempts == 1
+                    answer = await forwarder.send(target, request, span, is_first)
                 self.target = target
                 return answer
             except TargetError as error:
