--- a/packages/daemon/src/sardinequay_daemon/content_guard.py
+++ b/packages/daemon/src/sardinequay_daemon/content_guard.py
@@ -167,8 +167,8 @@
         verdict, run.verdict = run.verdict, None
         if verdict is None:
             return True
-        await asyncio.wait((verdict,), timeout=max(0.0, within_s))
-        return verdict.done() and not verdict.result()
+        known, _ = await asyncio.wait((verdict,), timeout=max(0.0, within_s))
+        return bool(known) and not verdict.result()
 
     def broke(
         self, run: GuardedRun, target: Target, incarnation: int, ran_s: float
