Test that hosts divide repeats by all hosts in a cut and while a hub is lost

Fifty hosts in memory: the slack is divided by fifty all along, though hosts hear fewer; one that has just started and hears nobody takes sixty to exist, then at least its seeds.

--- a/packages/daemon/tests/test_large_fleet.py
+++ b/packages/daemon/tests/test_large_fleet.py
@@ -14,6 +14,7 @@
 
 from sardinequay_core.catalogue import Catalogue, PublishedTarget
 from sardinequay_core.clock import Clock, seconds
+from sardinequay_core.fleet_share import ASSUMED_HOSTS
 from sardinequay_core.fleet_topology import Scope
 from sardinequay_core.load_view import EngineShare
 from sardinequay_core.names import (
@@ -614,3 +615,36 @@
             account = book.accounts[NORTH.name]
             most = max(most, book.asked_per_s(NORTH.name, account, now))
     assert most <= 3 * 25 * 4 * 4 / STEP_S
+
+
+def test_hosts_divide_repeats_by_all_that_lived_before_a_cut(world: World) -> None:
+    for host in world.hosts:
+        host.state.count_hosts()
+    world.cut = {"za"}
+    world.pass_time(6.0)
+    for host in world.hosts:
+        host.state.count_hosts()
+        assert host.fleet.live_hosts < 50
+        assert host.state.size.hosts() >= 50
+
+
+def test_hosts_divide_repeats_by_all_while_a_hub_is_lost(world: World) -> None:
+    for host in world.hosts:
+        host.state.count_hosts()
+    world.holder("za").is_down = True
+    for _ in range(20):
+        world.pass_time(0.2)
+        for host in world.hosts:
+            host.state.count_hosts()
+            assert host.state.size.hosts() >= 50
+
+
+def test_host_that_has_just_started_takes_a_small_part_of_the_repeats(
+    clock: TurnedClock,
+) -> None:
+    seeds = tuple(Address("127.0.0.1", 1000 + n) for n in range(3))
+    host = Host(7, clock, seeds)
+    assert host.state.size.hosts() == ASSUMED_HOSTS
+    clock.turn(60)
+    host.state.count_hosts()
+    assert host.state.size.hosts() == len(seeds) + 1
