Try a target again whose trial's caller left

What callers saw: one target fewer. A target that was left out is tried with one request; if its caller left, nothing was judged and the trial counted as running for good, so this host never sent it a request again. Found while reading what an attempt without a judgement leaves behind. Now the end of an attempt ends its trial. The test (a target on trial, a caller that leaves after 0.3 s, 20 requests) failed before: none of them reached it.

--- a/packages/core/src/sardinequay_core/target_health.py
+++ b/packages/core/src/sardinequay_core/target_health.py
@@ -157,6 +157,16 @@
         if record.shared_trial_at is not None:
             record.shared_trial_at += self.policy.shared_pause * self.hosts
 
+    def left(self, target: TargetId) -> None:
+        """Note that a request is no longer there, whatever became of it.
+
+        One that was a trial and showed nothing, as its caller left, makes way for
+        another.
+        """
+        record = self.records.get(target)
+        if record is not None:
+            record.has_trial_running = False
+
     def judge(
         self, target: TargetId, verdict: Verdict, sent_at: Instant, now: Instant
     ) -> bool:
--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -101,6 +101,7 @@
     def leave(self) -> None:
         """Count the attempt out."""
         self.state.loads.end(self.target_id, self.tokens, self.has_first)
+        self.state.health.left(self.target_id)
         if self.adapter is not None and self.is_same_start():
             count = self.state.uses.change(self.target_id, self.adapter, -1)
             if not count:
