Offer a request twice at most to a target that rejects it, the second time later

A request that each target had rejected once was refused at once. So a target of a plain pool is offered a request twice, the second time after the 0.1 s for which it counts as full; then it is refused.

A resend of what a kept connection lost now asks for the permit of a suspect content, too.

--- a/packages/daemon/src/sardinequay_daemon/exchange.py
+++ b/packages/daemon/src/sardinequay_daemon/exchange.py
@@ -1,5 +1,6 @@
 """One request on its way, and where its answer goes."""
 
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -42,8 +43,8 @@
         Who asks, where that is known.
     tried : frozenset
         Targets that failed or rejected the request.
-    rejected_by : frozenset
-        Those of them that rejected it.
+    rejections : Counter
+        How often each target rejected the request.
     repeat : RepeatBudget or None
         Where the attempt that is under way counts as a repeat.
     """
@@ -62,7 +63,7 @@
     organisation: Organisation | None = None
     so_far: AttemptsSoFar = field(default_factory=AttemptsSoFar)
     tried: frozenset[TargetId] = frozenset()
-    rejected_by: frozenset[TargetId] = frozenset()
+    rejections: Counter[TargetId] = field(default_factory=Counter)
     repeat: RepeatBudget | None = None
     last_event: str = ""
     has_begun: bool = False
--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -18,9 +18,6 @@
 from .progress import Refused, may_have_run
 from .target_picker import NO_TARGET_RETRY, TargetPicker, come_back
 
-REJECTED_PAUSE_S = 0.02
-"""Before a request that was rejected is offered again, in seconds."""
-
 log = logging.getLogger(__name__)
 
 
@@ -68,8 +65,6 @@
             if end is None:
                 return
             self.note_end(exchange, target.target.target_id, end)
-            if end is AttemptEnd.REJECTED:
-                self.picker.refuse_where_full(exchange)
             await self.follow(exchange, end)
 
     def note_end(self, exchange: Exchange, target: TargetId, end: AttemptEnd) -> None:
@@ -78,7 +73,7 @@
         exchange.guarded.may_have_run = exchange.so_far.runs > 0
         exchange.tried |= {target}
         if end is AttemptEnd.REJECTED:
-            exchange.rejected_by |= {target}
+            exchange.rejections[target] += 1
 
     async def resend(self, lost: Attempt, sink: Sink) -> AttemptEnd | None:
         """Send what a kept connection lost to the same target over a new one.
@@ -91,7 +86,8 @@
         if not await self.guard.settled(exchange.guarded, left_s):
             lost.judge(Verdict.FAILED)
             return AttemptEnd.MAY_HAVE_RUN
-        self.guard.refuse_held(exchange.guarded)
+        if not await self.guard.may_run(exchange.guarded):
+            return AttemptEnd.MAY_HAVE_RUN
         now = self.clock.monotonic()
         use = self.repeat_use(exchange, now)
         if exchange.left(now) <= ZERO or not use.has_room:
@@ -111,6 +107,9 @@
 
     async def follow(self, exchange: Exchange, end: AttemptEnd) -> None:
         """Permit another attempt by returning, or raise the request's end."""
+        pause_s = 0.0
+        if end is AttemptEnd.REJECTED:
+            pause_s = self.picker.pause_s(exchange)
         now = self.clock.monotonic()
         use = self.repeat_use(exchange, now)
         within_budget = end is AttemptEnd.NOT_SENT or use.has_room
@@ -129,7 +128,7 @@
             if end is not AttemptEnd.NOT_SENT:
                 exchange.begin_repeat(self.state.budget(exchange.pool))
             if end is AttemptEnd.REJECTED:
-                await asyncio.sleep(REJECTED_PAUSE_S)
+                await asyncio.sleep(pause_s)
             return
         if exchange.has_begun:
             raise BrokenOffError
--- a/packages/daemon/src/sardinequay_daemon/target_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/target_picker.py
@@ -36,6 +36,17 @@
 UNKNOWN_WAIT_S = 2.0
 """Taken for an engine's queue after a wish there failed without saying how long."""
 
+MAX_OFFERS = 2
+"""How often a target of a plain pool is offered one request: each further arrival costs
+a full one work that serves nobody."""
+
+OFFER_PAUSE_S = 0.02
+"""Before a request that was rejected is offered to another target, in seconds."""
+
+SAME_TARGET_PAUSE_S = 0.1
+"""The same before it is offered to one that rejected it: for so long a target counts as
+full."""
+
 RETRY_SPREAD_S = 0.25
 """Callers that are told to come back at one moment come spread over this."""
 
@@ -76,22 +87,23 @@
         self.log_choice(exchange, found, "least filled", len(options))
         return self.state.catalogue.targets[found]
 
-    def refuse_where_full(self, exchange: Exchange) -> None:
-        """Refuse a request that each target of its pool has rejected.
-
-        A target that has just rejected it is still full, and each further arrival
-        costs it work that serves nobody. Engines are left to their own choice.
+    def pause_s(self, exchange: Exchange) -> float:
+        """Return the pause before the next attempt of a rejected request, in seconds.
 
         Raises
         ------
         Refused
-            If no target is left that may take it.
+            If each usable target of a plain pool has rejected it often enough. Engines
+            are left to their own choice.
         """
-        if exchange.terms.model or not exchange.rejected_by:
-            return
+        if exchange.terms.model:
+            return OFFER_PAUSE_S
         usable = self.options.usable(exchange.pool, self.clock.monotonic())
-        if any(t.target.target_id not in exchange.rejected_by for t in usable):
-            return
+        asked = [exchange.rejections[t.target.target_id] for t in usable]
+        if 0 in asked:
+            return OFFER_PAUSE_S
+        if min(asked, default=MAX_OFFERS) < MAX_OFFERS:
+            return SAME_TARGET_PAUSE_S
         if exchange.so_far.runs:
             raise Refused(may_have_run())
         text = "each target of the pool has rejected the request"
