Log what targets state of the rate that they take from all hosts

Callers saw nothing; the users saw an engine that had named 2 requests a second get 23 in 4 s.

Lines and metrics could not tell apart whether hosts ignore such a limit, keep it each by itself, or send repeats beyond it: no line names a limit.

Now the head of each answer is parsed (typed; invalid values keep the last statement in force and are logged once in 10 s), statements are ordered by what the host knew when it sent the request, and a line, a gauge and 'logs explain' show when a limit began, changed or ended. Nothing is decided by it yet.

--- a/packages/cli/src/sardinequay_cli/log_verbs.py
+++ b/packages/cli/src/sardinequay_cli/log_verbs.py
@@ -14,7 +14,9 @@
 """Orders up to this long before a request's first line may be due to that request: the
 line is logged only when its wait for an adapter ends."""
 
-TARGET_EVENTS = frozenset({"target changed", "target left out", "engine holds"})
+TARGET_EVENTS = frozenset(
+    {"target changed", "target left out", "target limit", "engine holds"}
+)
 
 
 def explain_verb(arguments: Namespace) -> Output:
--- /dev/null
+++ b/packages/core/src/sardinequay_core/target_limits.py
@@ -0,0 +1,184 @@
+"""Rate limits that targets state in their answers, as known to one host.
+
+Load pattern: a target in need asks all hosts together for fewer requests a second, for
+as long as its answers say so. Each host gets a few of these answers, so hosts tell one
+another what they heard, with its age.
+
+Answers overtake one another. A lower limit is therefore applied at once. A higher one,
+or none, is applied only if the request was sent after the last statement was heard:
+then the target made the answer after that statement.
+"""
+
+from dataclasses import dataclass, field
+
+from .clock import Instant, seconds
+from .names import TargetId
+
+MIN_RATE_PER_S = 0.2
+"""Lowest limit that is applied, in requests a second. A target that states 0 still gets
+a request now and then, because only its answers can end the limit."""
+
+SILENCE_TIMEOUT = seconds(10)
+SILENCE_INTERVALS = 3
+"""A limit ends without an answer from the target for this time, and for the time of
+this many requests at the limit."""
+
+RESTATE_INTERVAL = seconds(1)
+"""Interval at which a repeated statement is told to peers, so that it does not end by
+silence at hosts that send the target nothing."""
+
+
+@dataclass(frozen=True, slots=True)
+class LimitStatement:
+    """What an answer of a target stated about its rate limit.
+
+    Parameters
+    ----------
+    rate_per_s : float or None
+        Requests a second from all hosts together; None if it stated no limit.
+    incarnation : int
+        Start of the target's process, in Unix milliseconds.
+    heard_at : timedelta
+        When the answer arrived, on this host's clock.
+    """
+
+    rate_per_s: float | None
+    incarnation: int
+    heard_at: Instant
+
+    @property
+    def applied_per_s(self) -> float | None:
+        """Return the rate that hosts keep to together; None without a limit."""
+        if self.rate_per_s is None:
+            return None
+        return max(self.rate_per_s, MIN_RATE_PER_S)
+
+    def has_expired(self, now: Instant) -> bool:
+        """Return whether the target has been silent for too long."""
+        interval_s = 1 / (self.applied_per_s or MIN_RATE_PER_S)
+        timeout = max(SILENCE_TIMEOUT, seconds(SILENCE_INTERVALS * interval_s))
+        return now - self.heard_at > timeout
+
+
+@dataclass(frozen=True, slots=True)
+class LimitChange:
+    """A limit that began, changed or ended; None stands for no limit."""
+
+    target: TargetId
+    before_per_s: float | None
+    after_per_s: float | None
+
+
+@dataclass(slots=True)
+class TargetLimits:
+    """The last statement of each target that has stated a limit.
+
+    Parameters
+    ----------
+    change_numbers : dict
+        Number of the last change to tell peers, by target. Numbers only grow.
+    told_at : dict
+        When the statement to tell was heard, by target.
+    """
+
+    statements: dict[TargetId, LimitStatement] = field(default_factory=dict)
+    change_numbers: dict[TargetId, int] = field(default_factory=dict)
+    told_at: dict[TargetId, Instant] = field(default_factory=dict)
+    last_number: int = 0
+
+    def rate_of(self, target: TargetId, now: Instant) -> float | None:
+        """Return the rate at which all hosts together may send to a target.
+
+        None without a limit.
+        """
+        statement = self.statements.get(target)
+        if statement is None or statement.has_expired(now):
+            return None
+        return statement.applied_per_s
+
+    def record_answer(
+        self, target: TargetId, stated: LimitStatement, sent_at: Instant
+    ) -> LimitChange | None:
+        """Apply an answer to a request of this host; return what it changed.
+
+        Parameters
+        ----------
+        sent_at : timedelta
+            When the request was sent.
+        """
+        known = self.statements.get(target)
+        if known is None or known.incarnation < stated.incarnation:
+            if stated.rate_per_s is None and known is None:
+                return None
+            return self.replace(target, stated)
+        if known.incarnation > stated.incarnation:
+            return None
+        is_lower = stated.rate_per_s is not None and (
+            known.rate_per_s is None or stated.rate_per_s <= known.rate_per_s
+        )
+        if not is_lower and sent_at < known.heard_at:
+            return None
+        return self.replace(target, stated)
+
+    def apply_report(
+        self, target: TargetId, stated: LimitStatement
+    ) -> LimitChange | None:
+        """Apply a statement that a peer heard; return what it changed."""
+        known = self.statements.get(target)
+        if known is not None and (known.incarnation, known.heard_at) >= (
+            stated.incarnation,
+            stated.heard_at,
+        ):
+            return None
+        if known is None and stated.rate_per_s is None:
+            return None
+        return self.replace(target, stated)
+
+    def replace(self, target: TargetId, stated: LimitStatement) -> LimitChange | None:
+        """Set a target's statement; return the change of the limit, if any."""
+        known = self.statements.get(target)
+        before = known.rate_per_s if known is not None else None
+        self.statements[target] = stated
+        has_changed = before != stated.rate_per_s
+        if has_changed or self.is_restatement_due(target, stated):
+            self.last_number += 1
+            self.change_numbers[target] = self.last_number
+            self.told_at[target] = stated.heard_at
+        if not has_changed:
+            return None
+        return LimitChange(target, before, stated.rate_per_s)
+
+    def is_restatement_due(self, target: TargetId, stated: LimitStatement) -> bool:
+        """Return whether peers should hear again that a limit holds."""
+        if stated.rate_per_s is None:
+            return False
+        told_at = self.told_at.get(target)
+        return told_at is None or stated.heard_at - told_at >= RESTATE_INTERVAL
+
+    def changed_since(self, number: int) -> list[TargetId]:
+        """Return the targets whose statement peers should hear, oldest change first."""
+        changed = [t for t, n in self.change_numbers.items() if n > number]
+        return sorted(changed, key=lambda target: self.change_numbers[target])
+
+    def expire(self, now: Instant) -> list[LimitChange]:
+        """Drop statements of targets that are silent; return the limits that ended."""
+        expired = [t for t, s in self.statements.items() if s.has_expired(now)]
+        changes = []
+        for target in expired:
+            rate_per_s = self.statements[target].rate_per_s
+            self.forget_target(target)
+            if rate_per_s is not None:
+                changes.append(LimitChange(target, rate_per_s, None))
+        return changes
+
+    def forget_target(self, target: TargetId) -> None:
+        """Drop what is known of a target that left or started again."""
+        self.statements.pop(target, None)
+        self.change_numbers.pop(target, None)
+        self.told_at.pop(target, None)
+
+    def prune_unlisted(self, listed: frozenset[TargetId]) -> None:
+        """Drop the statements of targets that are no longer listed."""
+        for target in tuple(self.statements):
+            if target not in listed:
+                self.forget_target(target)
--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -20,6 +20,7 @@
 from .serving_metrics import ServingMetrics
 from .serving_ports import AnswerFacts, HttpDialect, SendTerms
 from .target_errors import TargetErrorTranslator
+from .target_limiter import TargetLimiter
 from .tracing import Tracing
 from .upstream import MAX_BUFFERED_BYTES, Upstream, UpstreamRequest
 
@@ -41,6 +42,7 @@
     dialect: HttpDialect
     upstream: Upstream
     load_requests: LoadRequestClient
+    limiter: TargetLimiter
     metrics: ServingMetrics
     tracing: Tracing
 
@@ -196,6 +198,9 @@
             if facts.request_id != self.exchange.terms.request_id:
                 detail = f"an answer to {facts.request_id!r}"
                 raise TargetError(TargetFault.BROKEN, detail)
+            self.dependencies.limiter.record_answer(
+                self.published, facts, answer.status, self.sent_at
+            )
             if facts.not_run:
                 return self.handle_rejection(answer.status, facts)
             return await self.forward_answer(answer, sink)
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -25,6 +25,7 @@
 from sardinequay_core.repeat_budget import RepeatBudget, RepeatPolicy
 from sardinequay_core.residency import AdapterUses, HeldAdapters, Residency
 from sardinequay_core.target_health import TargetHealth
+from sardinequay_core.target_limits import TargetLimits
 
 from .fleet_quotas import FleetQuotas
 from .fleet_size import FleetSize
@@ -88,6 +89,7 @@
     budgets: dict[PoolName, RepeatBudget] = field(default_factory=dict)
     demand: AdapterDemand = field(default_factory=AdapterDemand)
     quarantine: Quarantine = field(default_factory=Quarantine)
+    limits: TargetLimits = field(default_factory=TargetLimits)
     orders: OrderTask | None = None
     fleet_view_hub: HostId | None = None
     fleet_view_at: Instant = ZERO
@@ -111,12 +113,14 @@
         known = frozenset(catalogue.targets)
         self.health.prune_unlisted(known)
         self.residency.prune_unlisted(known)
+        self.limits.prune_unlisted(known)
 
     def forget_incarnation(self, target_id: TargetId) -> None:
         """Drop the state of an earlier incarnation of a target."""
         self.health.forget_target(target_id)
         self.loads.forget_target(target_id)
         self.uses.forget_target(target_id)
+        self.limits.forget_target(target_id)
 
     def apply_digest(self, received: ReceivedDigest) -> None:
         """Apply a peer's digest: load, adapter uses and engines' holdings."""
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -56,6 +56,7 @@
 from .shared_settings import TimingSettings
 from .store_task import StoreTask, head_start_s
 from .target_end_detector import TargetEndDetector
+from .target_limiter import TargetLimiter
 from .target_probe import TargetProbe
 from .tracing import Tracing
 from .upstream import Upstream
@@ -196,12 +197,14 @@
             self.peers,
             clock,
         )
+        self.limiter = TargetLimiter(self.state.limits, clock, self.metrics)
         self.relay = Relay(
             RelayDependencies(
                 self.state,
                 deployment.dialect,
                 self.upstream,
                 LoadRequestClient(self.state, self.peers),
+                self.limiter,
                 self.metrics,
                 tracing,
             ),
@@ -342,6 +345,7 @@
             self.metrics.log_lines_left_out.set({}, self.output.left_out_lines)
             self.metrics.in_flight.set({}, self.server.in_flight)
             self.content_guard.expire()
+            self.limiter.expire()
             self.state.count_hosts()
             held = self.state.quarantine.held_contents(self.clock.monotonic())
             self.metrics.quarantined.set({}, len(held))
--- a/packages/daemon/src/sardinequay_daemon/serving_metrics.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_metrics.py
@@ -43,6 +43,9 @@
         self.over_quota = self.counter(
             "over_quota_total", "Requests beyond a quota, by organisation"
         )
+        self.target_limit = self.gauge(
+            "target_limit_per_second", "Limits that targets state; 0 if ended"
+        )
         self.organisations: set[str] = set()
         self.load_wait = self.histogram(
             "load_wait_seconds", "Waits for an adapter", LATENCY_BUCKETS_S
--- a/packages/daemon/src/sardinequay_daemon/serving_ports.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_ports.py
@@ -86,6 +86,19 @@
     organisation: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class InvalidRateLimit:
+    """A rate limit in a target's answer that could not be parsed.
+
+    Parameters
+    ----------
+    text : str
+        The beginning of what the target sent.
+    """
+
+    text: str
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerFacts:
     """What the head of a target's answer states.
@@ -101,12 +114,16 @@
     is_misdirected : bool
         Whether it states that the request was meant for another target, or for a model
         or adapter that it does not hold.
+    rate_limit : Result
+        Requests a second that the target takes from all hosts together; None if it
+        states no limit.
     """
 
     request_id: str
     instance: str
     not_run: bool
     is_misdirected: bool
+    rate_limit: Result[float | None, InvalidRateLimit]
 
 
 class HttpDialect(Protocol):
