--- a/packages/lab/src/sardinequay_lab/quota_world.py
+++ b/packages/lab/src/sardinequay_lab/quota_world.py
@@ -129,8 +129,9 @@
     """What happens next in a replay."""
 
     RESTART = 0
-    EXCHANGE = 1
-    REQUEST = 2
+    LOSS = 1
+    EXCHANGE = 2
+    REQUEST = 3
 
 
 @dataclass(frozen=True, slots=True, order=True)
