Keep the limits that targets state together with all other hosts

What callers saw: nothing yet; the target in need saw three to four times the requests a second that it had named to all hosts, and failed them or was on its way there.

Cause: no decision read what a target states of its capacity. The class: a capacity that all hosts share, decided by each from what it alone has seen; a target that takes few requests even looks idle to each and draws more. Ruled out: repeats, probes.

Now what a target states travels with digests, by its age, and one host for each target (by rendezvous; a hub in a large fleet) issues a permit for each request: the generic cell rate algorithm, whose new schedules begin empty, with the part of the rate that belongs to the hosts in contact. A request that other targets can serve takes a permit only if one is free and another left; one that only this target can serve books the next one, if that keeps its answer on time, and is refused at once otherwise, with the time of the next permit. Without an issuer nothing is sent. A copy of an adapter on an engine that takes no request now counts as none, so another is made. What a limit ends by: an answer to a later request, a new process, silence.

Why it works: the count is kept where all requests for the target pass, so neither the number of hosts nor their demand matters; who loses the issuer sends nothing until another begins with an empty schedule.

--- a/packages/core/src/sardinequay_core/outcome.py
+++ b/packages/core/src/sardinequay_core/outcome.py
@@ -29,6 +29,7 @@
     OVERLOADED = "overloaded"
     OVER_QUOTA = "over_quota"
     QUARANTINED = "quarantined"
+    TARGET_LIMITED = "target_limited"
     LOAD_QUEUE_FULL = "load_queue_full"
     NO_TARGET = "no_target"
     SHUTTING_DOWN = "shutting_down"
--- a/packages/core/src/sardinequay_core/rendezvous.py
+++ b/packages/core/src/sardinequay_core/rendezvous.py
@@ -29,6 +29,11 @@
     )
 
 
+def first_member(key: str, members: Iterable[str]) -> str:
+    """Return the member that ranks first for `key`."""
+    return rank_members(key, members)[0]
+
+
 def rank_members_weighted(key: str, weights: Mapping[str, float]) -> list[str]:
     """Return members ranked for `key` by weighted rendezvous hashing.
 
--- a/packages/core/src/sardinequay_core/service_choice.py
+++ b/packages/core/src/sardinequay_core/service_choice.py
@@ -2,7 +2,9 @@
 
 Load pattern: short calls with a latency goal close to their processing time, on targets
 with few slots, some of which are slow or full. The utilisation of a target counts
-first; a target in the host's own data centre is preferred by less than one request.
+first; a target in the host's own data centre is preferred by less than one request. A
+target with a rate limit looks idle. It is left out while no permit for it is expected,
+unless that holds for all targets.
 """
 
 from collections.abc import Sequence
@@ -29,6 +31,10 @@
         Requests in flight on the target, as far as known.
     tie_breaker : float
         A random number below 1 that decides between equal targets.
+    is_limited : bool
+        Whether the target states a rate limit.
+    permit_wait_s : float
+        Expected wait for a permit to send to it, in seconds.
     """
 
     target: TargetId
@@ -38,6 +44,8 @@
     is_full: bool
     was_tried: bool
     tie_breaker: float
+    is_limited: bool = False
+    permit_wait_s: float = 0.0
 
 
 def option_cost(option: ServiceOption) -> float:
@@ -49,7 +57,9 @@
     return fill + option.tie_breaker * LOCAL_PREFERENCE / 4
 
 
-def select_target(options: Sequence[ServiceOption]) -> TargetId | None:
-    """Return the target with the lowest cost, or None if there is none."""
-    best = min(options, key=option_cost, default=None)
-    return best.target if best is not None else None
+def select_target(options: Sequence[ServiceOption]) -> ServiceOption | None:
+    """Return the best candidate, or None if there is none."""
+    without_wait = [o for o in options if not o.permit_wait_s]
+    if without_wait:
+        return min(without_wait, key=option_cost)
+    return min(options, key=lambda o: (o.permit_wait_s, option_cost(o)), default=None)
--- a/packages/core/src/sardinequay_core/target_choice.py
+++ b/packages/core/src/sardinequay_core/target_choice.py
@@ -7,6 +7,7 @@
 A request whose first event cannot come within its remaining time is refused at once.
 """
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
@@ -103,6 +104,10 @@
         Time between two loads while the engine is full, in seconds.
     keeper_estimate_s : float or None
         The keeper's own estimate of the time until the adapter is loaded, in seconds.
+    is_limited : bool
+        Whether the engine states a rate limit.
+    permit_wait_s : float
+        Expected wait for a permit to send to it, in seconds.
     """
 
     target: TargetId
@@ -120,14 +125,24 @@
     queued: int = 0
     turnover_s: float = 0.0
     keeper_estimate_s: float | None = None
+    is_limited: bool = False
+    permit_wait_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class SendToEngine:
-    """Send the request to an engine that has the adapter."""
+    """Send the request to an engine that has the adapter.
+
+    Parameters
+    ----------
+    can_wait : bool
+        Whether the request may wait for the engine, as no engine without a rate limit
+        has the adapter.
+    """
 
     target: TargetId
     expected_s: float
+    can_wait: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,9 +155,18 @@
 
 @dataclass(frozen=True, slots=True)
 class EnginesTooBusy:
-    """No engine can send a first event in time; `wait_s` is the time to retry after."""
+    """No engine can send a first event in time.
+
+    Parameters
+    ----------
+    wait_s : float
+        Time to retry after, in seconds.
+    is_limited : bool
+        Whether the soonest engine has a rate limit.
+    """
 
     wait_s: float
+    is_limited: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,9 +193,18 @@
     is_below_desired: bool = False
 
 
+def has_adapter(option: EngineOption) -> bool:
+    """Return whether an engine has the request's adapter, or will without an order."""
+    return option.adapter_state in (AdapterState.RESIDENT, AdapterState.COMING)
+
+
 def count_copies(options: Sequence[EngineOption], desired: int) -> AdapterCopies:
-    """Summarise the state of a request's adapter over all engines."""
-    states = [o.adapter_state for o in options]
+    """Summarise the state of a request's adapter over all engines.
+
+    A copy on an engine that takes no request now, because of its rate limit, makes none
+    of the others superfluous.
+    """
+    states = [o.adapter_state for o in options if not o.permit_wait_s]
     available = states.count(AdapterState.RESIDENT) + states.count(AdapterState.COMING)
     return AdapterCopies(
         available > 0, AdapterState.RECENT in states, 0 < available < desired
@@ -197,12 +230,13 @@
 def expected_first_event_s(option: EngineOption) -> float:
     """Return the expected time to a request's first event, in seconds."""
     crossing_s = 0.0 if option.is_local else CROSS_DATA_CENTRE_S
-    return option.first_event_s + crossing_s + expected_load_s(option)
+    ready_s = max(option.permit_wait_s, expected_load_s(option))
+    return option.first_event_s + crossing_s + ready_s
 
 
 def copy_cost_s(option: EngineOption, copies: AdapterCopies) -> float:
     """Return the cost of an extra copy of the adapter on an engine, in seconds."""
-    if option.adapter_state in (AdapterState.RESIDENT, AdapterState.COMING):
+    if has_adapter(option):
         return 0.0
     if option.adapter_state is AdapterState.RECENT:
         return EXTRA_WARM_COPY_COST_S if copies.has_resident else 0.0
@@ -223,8 +257,16 @@
     return cost
 
 
+def has_unlimited_copy(options: Sequence[EngineOption]) -> bool:
+    """Return whether an engine without a rate limit has the adapter."""
+    return any(has_adapter(o) and not o.is_limited for o in options)
+
+
 def select_engine(
-    options: Sequence[EngineOption], remaining_s: float, desired_copies: int = 1
+    options: Sequence[EngineOption],
+    remaining_s: float,
+    desired_copies: int = 1,
+    max_permit_wait_s: float = math.inf,
 ) -> EngineChoice:
     """Choose the engine for a request, or the reason why there is none.
 
@@ -234,6 +276,8 @@
         How long the request can wait for its first event, in seconds.
     desired_copies : int
         Number of engines that should have the adapter by its share of all requests.
+    max_permit_wait_s : float
+        How long the request can wait for a permit to send, in seconds.
     """
     eligible = [
         o for o in options if o.adapter_state is AdapterState.RESIDENT or o.may_load
@@ -241,14 +285,22 @@
     if not eligible:
         return NoEngine()
     max_wait_s = remaining_s * MAX_WAIT_SHARE
-    in_time = [o for o in eligible if expected_first_event_s(o) <= max_wait_s]
+    in_time = [
+        o
+        for o in eligible
+        if expected_first_event_s(o) <= max_wait_s
+        and o.permit_wait_s <= max_permit_wait_s
+    ]
     if not in_time:
-        soonest_s = min(expected_first_event_s(o) for o in eligible)
+        soonest = min(eligible, key=expected_first_event_s)
+        soonest_s = expected_first_event_s(soonest)
         return EnginesTooBusy(
-            max(soonest_s - max_wait_s, soonest_s * RETRY_AFTER_SHARE)
+            max(soonest_s - max_wait_s, soonest_s * RETRY_AFTER_SHARE),
+            soonest.permit_wait_s > 0,
         )
     copies = count_copies(options, desired_copies)
     best = min(in_time, key=lambda o: (total_cost_s(o, copies), o.target))
     if best.adapter_state is AdapterState.RESIDENT:
-        return SendToEngine(best.target, expected_first_event_s(best))
+        can_wait = best.is_limited and not has_unlimited_copy(options)
+        return SendToEngine(best.target, expected_first_event_s(best), can_wait)
     return LoadOnEngine(best.target, expected_first_event_s(best))
--- a/packages/core/src/sardinequay_core/target_limits.py
+++ b/packages/core/src/sardinequay_core/target_limits.py
@@ -60,6 +60,22 @@
         return now - self.heard_at > timeout
 
 
+@dataclass(frozen=True, slots=True)
+class PermitOutlook:
+    """When permits for a limited target are expected, by the issuer's last reply.
+
+    Parameters
+    ----------
+    free_at : timedelta
+        When a request that can wait may be sent.
+    ask_at : timedelta
+        When to ask again for a request that other targets can serve.
+    """
+
+    free_at: Instant
+    ask_at: Instant
+
+
 @dataclass(frozen=True, slots=True)
 class LimitChange:
     """A limit that began, changed or ended; None stands for no limit."""
@@ -79,11 +95,14 @@
         Number of the last change to tell peers, by target. Numbers only grow.
     told_at : dict
         When the statement to tell was heard, by target.
+    outlooks : dict
+        When permits are expected, by target, where one was denied.
     """
 
     statements: dict[TargetId, LimitStatement] = field(default_factory=dict)
     change_numbers: dict[TargetId, int] = field(default_factory=dict)
     told_at: dict[TargetId, Instant] = field(default_factory=dict)
+    outlooks: dict[TargetId, PermitOutlook] = field(default_factory=dict)
     last_number: int = 0
 
     def rate_of(self, target: TargetId, now: Instant) -> float | None:
@@ -96,6 +115,20 @@
             return None
         return statement.applied_per_s
 
+    def permit_wait_s(self, target: TargetId, can_wait: bool, now: Instant) -> float:
+        """Return the expected wait for a permit, in seconds.
+
+        Parameters
+        ----------
+        can_wait : bool
+            Whether the request waits for this target, as no other can serve it.
+        """
+        outlook = self.outlooks.get(target)
+        if outlook is None:
+            return 0.0
+        expected_at = outlook.free_at if can_wait else outlook.ask_at
+        return max(0.0, (expected_at - now).total_seconds())
+
     def record_answer(
         self, target: TargetId, stated: LimitStatement, sent_at: Instant
     ) -> LimitChange | None:
@@ -140,6 +173,8 @@
         before = known.rate_per_s if known is not None else None
         self.statements[target] = stated
         has_changed = before != stated.rate_per_s
+        if has_changed:
+            self.outlooks.pop(target, None)
         if has_changed or self.is_restatement_due(target, stated):
             self.last_number += 1
             self.change_numbers[target] = self.last_number
@@ -176,6 +211,7 @@
         self.statements.pop(target, None)
         self.change_numbers.pop(target, None)
         self.told_at.pop(target, None)
+        self.outlooks.pop(target, None)
 
     def prune_unlisted(self, listed: frozenset[TargetId]) -> None:
         """Drop the statements of targets that are no longer listed."""
--- a/packages/core/tests/test_relay_decisions.py
+++ b/packages/core/tests/test_relay_decisions.py
@@ -123,10 +123,12 @@
 
 
 def test_least_utilised_service_target_is_chosen() -> None:
-    assert select_target([service("a", 3), service("b", 1)]) == "b"
-    assert select_target([service("a", 1), service("b", 0, is_local=False)]) == "b"
-    assert select_target([service("a"), service("b", 0, is_local=False)]) == "a"
-    assert select_target([service("a", was_tried=True), service("b", 5)]) == "b"
+    assert select_target([service("a", 3), service("b", 1)]).target == "b"
+    assert (
+        select_target([service("a", 1), service("b", 0, is_local=False)]).target == "b"
+    )
+    assert select_target([service("a"), service("b", 0, is_local=False)]).target == "a"
+    assert select_target([service("a", was_tried=True), service("b", 5)]).target == "b"
     assert select_target([]) is None
 
 
--- a/packages/core/tests/test_target_choice.py
+++ b/packages/core/tests/test_target_choice.py
@@ -93,3 +93,34 @@
     assert select_engine(options, 2.0) == NoEngine()
     held = replace(options[0], adapter_state=AdapterState.RESIDENT)
     assert isinstance(select_engine([held, options[1]], 2.0), SendToEngine)
+
+
+def limited(name: str, wait_s: float, **more) -> EngineOption:
+    """Return an engine that has the adapter and states a rate limit."""
+    return option(
+        name, AdapterState.RESIDENT, is_limited=True, permit_wait_s=wait_s, **more
+    )
+
+
+def test_request_waits_for_the_permit_of_the_only_engine_that_has_its_adapter() -> None:
+    options = [limited("a", 0.2), option("b", free_places=3, first_s=0.5)]
+    choice = select_engine(options, 2.0, max_permit_wait_s=0.4)
+    assert choice == SendToEngine(TargetId("a"), pytest.approx(0.3), can_wait=True)
+
+
+def test_request_does_not_wait_for_a_permit_where_another_engine_has_its_adapter() -> (
+    None
+):
+    options = [limited("a", 0.0), option("b", AdapterState.RESIDENT, 0.2)]
+    assert select_engine(options, 2.0) == SendToEngine(TargetId("a"), 0.1)
+
+
+def test_adapter_whose_only_engine_takes_no_request_now_gets_another_copy() -> None:
+    options = [limited("a", 0.9), option("b", free_places=3, home_rank=2)]
+    choice = select_engine(options, 3.0, max_permit_wait_s=0.4)
+    assert choice == LoadOnEngine(TargetId("b"), pytest.approx(0.4))
+
+
+def test_request_is_refused_at_once_when_all_permits_come_too_late() -> None:
+    refused = select_engine([limited("a", 0.9)], 3.0, max_permit_wait_s=0.4)
+    assert refused == EnginesTooBusy(pytest.approx(0.6), is_limited=True)
--- a/packages/daemon/src/sardinequay_daemon/content_guard.py
+++ b/packages/daemon/src/sardinequay_daemon/content_guard.py
@@ -21,7 +21,7 @@
 from sardinequay_core.names import Address, ContentId, HostId, TargetId
 from sardinequay_core.outcome import Reason, Refusal, not_run_refusal
 from sardinequay_core.quarantine import Quarantine, TargetEnd
-from sardinequay_core.rendezvous import rank_members
+from sardinequay_core.rendezvous import first_member
 from sardinequay_core.roster import Target
 from sardinequay_core.run_permits import RunPermits
 
@@ -228,7 +228,7 @@
 
     def permit_issuer(self, content: ContentId) -> HostId:
         """Return the host that issues a content's permits, the same on all hosts."""
-        return HostId(rank_members(content, self.fleet.known_to_all())[0])
+        return HostId(first_member(content, self.fleet.known_to_all()))
 
     async def is_permitted(self, permit: str, content: ContentId) -> bool:
         """Request a permit to run and return whether it was granted."""
--- a/packages/daemon/src/sardinequay_daemon/digest_writer.py
+++ b/packages/daemon/src/sardinequay_daemon/digest_writer.py
@@ -13,11 +13,13 @@
 from .content_messages import ContentNews
 from .content_updates import content_update
 from .fleet_task import FleetTask, ReceivedDigest
+from .limit_messages import LimitNews
 from .order_task import OrderTask
 from .peer_table import Peer
 from .relay_state import RelayState
 from .serving_messages import Contact, Digest, EngineHoldings, HubNotes, Member
 from .store_task import StoreTask
+from .target_limiter import TargetLimiter
 
 RESEND_HOLDINGS_AFTER = seconds(1)
 """Time after which holdings of an engine are sent again: the longest time for which a
@@ -41,6 +43,7 @@
         state: RelayState,
         store: StoreTask,
         orders: OrderTask,
+        limiter: TargetLimiter,
         clock: Clock,
     ) -> None:
         self.me = me
@@ -48,11 +51,13 @@
         self.state = state
         self.store = store
         self.orders = orders
+        self.limiter = limiter
         self.clock = clock
         self.sent_holdings: dict[HostId, dict[str, tuple[HoldingsState, Instant]]] = {}
         self.sent_contact_counts: dict[HostId, int] = {}
         self.sent_members: dict[HostId, MemberState] = {}
         self.sent_content_numbers: dict[HostId, int] = {}
+        self.sent_limit_numbers: dict[HostId, int] = {}
         self.sent_usage_scopes: dict[HostId, DigestScope] = {}
         self.restarted_peers: set[HostId] = set()
 
@@ -76,6 +81,7 @@
             store_age_s=store_status.age_s,
             has_missed=host_id in self.fleet.failed_exchanges,
             contents=self.unsent_contents(host_id),
+            limits=self.unsent_limits(host_id),
         )
         if self.fleet.is_mesh:
             return self.add_host_part(digest, host_id)
@@ -185,6 +191,7 @@
         self.sent_contact_counts.pop(host_id, None)
         self.sent_members.pop(host_id, None)
         self.sent_content_numbers.pop(host_id, None)
+        self.sent_limit_numbers.pop(host_id, None)
         self.sent_usage_scopes.pop(host_id, None)
         self.sent_holdings.pop(host_id, None)
 
@@ -215,6 +222,15 @@
         now = self.clock.monotonic()
         return tuple(content_update(quarantine, content, now) for content in changed)
 
+    def unsent_limits(self, host_id: HostId) -> tuple[LimitNews, ...]:
+        """Return the limits of targets that changed since they were sent to a peer.
+
+        This includes what other hosts heard, as each host hears only some answers.
+        """
+        last_sent = self.sent_limit_numbers.get(host_id, 0)
+        self.sent_limit_numbers[host_id] = self.state.limits.last_number
+        return self.limiter.changed_since(last_sent)
+
     def unsent_usage(self, host_id: HostId, scope: DigestScope) -> UsageCounts:
         """Return the usage that changed recently, by organisation; all at first."""
         ledger, now = self.state.quotas.ledger, self.clock.monotonic()
--- a/packages/daemon/src/sardinequay_daemon/hub_table.py
+++ b/packages/daemon/src/sardinequay_daemon/hub_table.py
@@ -9,7 +9,7 @@
 
 from sardinequay_core.clock import ZERO, Clock, Instant, seconds
 from sardinequay_core.names import Address, HostId
-from sardinequay_core.rendezvous import rank_members
+from sardinequay_core.rendezvous import first_member
 
 from .peer_table import HUB_SILENCE_TIMEOUT, Peer, PeerTable
 from .serving_messages import Contact, HubNotes, Member, Neighbour
@@ -126,7 +126,7 @@
             p.contact.host_id: p.contact for p in self.live_peers() if self.is_near(p)
         }
         near_hosts[self.me.host_id] = self.me
-        return near_hosts[HostId(rank_members("hub", near_hosts)[0])]
+        return near_hosts[HostId(first_member("hub", near_hosts))]
 
     def is_hub(self) -> bool:
         """Return whether this host is the hub of its data centre in a large fleet."""
--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -16,7 +16,12 @@
 from .errors import TargetError, TargetFault
 from .exchange import AnswerCutOffError, AnswerSink, RelayExchange
 from .progress import RequestRefusedError, answer_lost_refusal
-from .target_picker import NO_TARGET_RETRY, TargetPicker, jittered_retry_after
+from .target_picker import (
+    NO_TARGET_RETRY,
+    ChosenTarget,
+    TargetPicker,
+    jittered_retry_after,
+)
 
 log = logging.getLogger(__name__)
 
@@ -58,9 +63,12 @@
             # would go on to the next one.
             await self.wait_for_end_check(exchange)
             self.guard.refuse_if_held(exchange.guarded_request)
-            target = await self.target_picker.choose(exchange)
+            chosen = await self.target_picker.choose(exchange)
+            target = chosen.published
             if not await self.guard.may_run(exchange.guarded_request):
                 continue
+            if not await self.may_send(exchange, chosen):
+                continue
             attempt = Attempt(self.dependencies, exchange, target)
             end = await self.run_attempt(attempt, sink)
             if end is AttemptEnd.LOST_ON_REUSED_CONNECTION:
@@ -70,6 +78,21 @@
             self.record_end(exchange, target.target.target_id, end)
             await self.allow_retry_or_raise(exchange, end)
 
+    async def may_send(self, exchange: RelayExchange, chosen: ChosenTarget) -> bool:
+        """Return whether a target's rate limit permits the next attempt.
+
+        During a wait for a permit the target may leave.
+        """
+        max_wait = chosen.max_permit_wait
+        target_id = chosen.published.target.target_id
+        is_permitted = await self.dependencies.limiter.may_send(
+            exchange.terms.request_id, chosen.published, max_wait
+        )
+        may_have_left = max_wait is not None
+        return is_permitted and not (
+            may_have_left and not self.state.catalogue.is_live(target_id)
+        )
+
     def record_end(
         self, exchange: RelayExchange, target: TargetId, end: AttemptEnd
     ) -> None:
@@ -98,6 +121,8 @@
             return AttemptEnd.MAY_HAVE_RUN
         if not await self.guard.may_run(exchange.guarded_request):
             return AttemptEnd.MAY_HAVE_RUN
+        if not await self.may_send(exchange, ChosenTarget(lost_attempt.published)):
+            return AttemptEnd.MAY_HAVE_RUN
         now = self.clock.monotonic()
         usage = self.repeat_usage(exchange, now)
         if exchange.time_left(now) <= ZERO or not usage.has_room:
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -30,6 +30,7 @@
 from .errors import StartError
 from .fleet_task import FleetTask, ReceivedDigest
 from .host_pages import create_status_app
+from .limit_messages import AskToSend
 from .load_requests import LoadRequestClient
 from .order_lease_task import OrderLeaseTask
 from .order_task import OrderTask
@@ -197,7 +198,16 @@
             self.peers,
             clock,
         )
-        self.limiter = TargetLimiter(self.state.limits, clock, self.metrics)
+        self.limiter = TargetLimiter(
+            profile.host_id,
+            self.state.limits,
+            self.fleet,
+            self.peers,
+            clock,
+            self.metrics,
+            self.state.fleet_size.live_fraction,
+            random.random,
+        )
         self.relay = Relay(
             RelayDependencies(
                 self.state,
@@ -221,7 +231,13 @@
             profile.memory_mb,
         )
         self.digest_writer = DigestWriter(
-            self.me, self.fleet, self.state, self.store, self.orders, clock
+            self.me,
+            self.fleet,
+            self.state,
+            self.store,
+            self.orders,
+            self.limiter,
+            clock,
         )
         self.fetch_task: asyncio.Task[None] | None = None
         self.is_stopping = False
@@ -236,6 +252,7 @@
         self.store.catalogues.subscribe(self.content_guard.apply_catalogue)
         self.fleet.digests.subscribe(self.state.apply_digest)
         self.fleet.digests.subscribe(self.handle_peer_contents)
+        self.fleet.digests.subscribe(self.handle_peer_limits)
         self.fleet.digests.subscribe(self.digest_writer.handle_digest)
         self.fleet.digests.subscribe(self.handle_digest)
         self.fleet.lost_peers.subscribe(self.state.forget_peer)
@@ -246,6 +263,7 @@
         server.register(Digest, self.fleet.answer_digest)
         server.register(AskPermit, self.content_guard.handle_ask_permit)
         server.register(PermitBack, self.content_guard.handle_permit_back)
+        server.register(AskToSend, self.limiter.handle_ask)
         server.register(FetchItems, self.store.handle_fetch)
         server.register(Ballot, self.lease.handle_ballot)
         server.register(Resign, self.lease.handle_resign)
@@ -282,6 +300,11 @@
         """Apply the updates about suspected contents in a peer's digest."""
         self.content_guard.apply_updates(received.digest.contents)
 
+    def handle_peer_limits(self, received: ReceivedDigest) -> None:
+        """Apply the limits of targets in a peer's digest."""
+        digest = received.digest
+        self.limiter.apply_reports(digest.limits, digest.host.host_id)
+
     def handle_digest(self, received: ReceivedDigest) -> None:
         """Fetch newer store items from a peer whose digest has a later revision."""
         digest = received.digest
--- a/packages/daemon/src/sardinequay_daemon/serving_messages.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_messages.py
@@ -15,6 +15,7 @@
 from sardinequay_core.usage_view import Usage
 
 from .content_messages import ContentNews
+from .limit_messages import LimitNews
 from .serving_ports import StoreItem
 from .wire import register_messages
 
@@ -155,6 +156,8 @@
         receiver's digest in it may be lost.
     usage : dict
         Usage by organisation since the sender started, where it changed recently.
+    limits : tuple of LimitNews
+        Rate limits of targets that changed since the last digest to the receiver.
     """
 
     host: Contact
@@ -178,6 +181,7 @@
     has_missed: bool = False
     contents: tuple[ContentNews, ...] = ()
     usage: dict[OrganisationName, Usage] = field(default_factory=dict)
+    limits: tuple[LimitNews, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/sardinequay_daemon/serving_metrics.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_metrics.py
@@ -46,6 +46,9 @@
         self.target_limit = self.gauge(
             "target_limit_per_second", "Limits that targets state; 0 if ended"
         )
+        self.permits = self.counter(
+            "send_permits_total", "Permits to send to limited targets, by result"
+        )
         self.organisations: set[str] = set()
         self.load_wait = self.histogram(
             "load_wait_seconds", "Waits for an adapter", LATENCY_BUCKETS_S
--- a/packages/daemon/src/sardinequay_daemon/target_options.py
+++ b/packages/daemon/src/sardinequay_daemon/target_options.py
@@ -1,6 +1,7 @@
 """Candidate targets of one request, with the properties that the choice compares."""
 
 from collections.abc import Mapping
+from dataclasses import replace
 
 from sardinequay_core.catalogue import PublishedTarget
 from sardinequay_core.clock import Instant
@@ -8,7 +9,12 @@
 from sardinequay_core.rendezvous import rank_members
 from sardinequay_core.residency import HeldAdapters
 from sardinequay_core.service_choice import ServiceOption
-from sardinequay_core.target_choice import AdapterState, EngineOption
+from sardinequay_core.target_choice import (
+    AdapterState,
+    EngineOption,
+    has_adapter,
+    has_unlimited_copy,
+)
 
 from .relay_state import EngineKeeper, RelayState
 from .serving_ports import RequestTerms
@@ -52,7 +58,7 @@
         home_ranks = {target: position for position, target in enumerate(ranking)}
         data_centres = {t.target.data_centre for t in usable}
         keepers = self.state.keepers(data_centres)
-        return [
+        options = [
             self.engine_option(
                 t,
                 terms,
@@ -64,6 +70,37 @@
             )
             for t in usable
         ]
+        return self.with_permit_waits(options, now)
+
+    def with_permit_waits(
+        self, options: list[EngineOption], now: Instant
+    ) -> list[EngineOption]:
+        """Return options with the waits for permits of engines with a rate limit.
+
+        A request waits for the next permit only where no engine without a limit can
+        take its place. A load on a limited engine would take permits from the adapters
+        that it has, so it costs one permit's time at least.
+        """
+        limits = self.state.limits
+        rates = {o.target: limits.rate_of(o.target, now) for o in options}
+        if not any(rates.values()):
+            return options
+        has_unlimited = any(rate is None for rate in rates.values())
+        options = [replace(o, is_limited=rates[o.target] is not None) for o in options]
+        has_copy = has_unlimited_copy(options)
+        with_waits = []
+        for option in options:
+            rate = rates[option.target]
+            if rate is None:
+                with_waits.append(option)
+                continue
+            if has_adapter(option):
+                wait_s = limits.permit_wait_s(option.target, not has_copy, now)
+            else:
+                wait_s = limits.permit_wait_s(option.target, not has_unlimited, now)
+                wait_s = max(wait_s, 1 / rate if has_unlimited else 0.0)
+            with_waits.append(replace(option, permit_wait_s=wait_s))
+        return with_waits
 
     def engine_option(
         self,
@@ -161,8 +198,16 @@
     ) -> list[ServiceOption]:
         """Return the usable targets of a plain service as candidates."""
         now = self.state.clock.monotonic()
+        limits = self.state.limits
+        usable = self.usable_targets(pool, now)
+        limited = {
+            t.target.target_id
+            for t in usable
+            if limits.rate_of(t.target.target_id, now) is not None
+        }
+        can_wait = len(limited) == len(usable)
         options = []
-        for published in self.usable_targets(pool, now):
+        for published in usable:
             target_id = published.target.target_id
             options.append(
                 ServiceOption(
@@ -173,6 +218,8 @@
                     is_full=self.state.health.is_full(target_id, now),
                     was_tried=target_id in tried,
                     tie_breaker=self.state.random.random(),
+                    is_limited=target_id in limited,
+                    permit_wait_s=limits.permit_wait_s(target_id, can_wait, now),
                 )
             )
         return options
--- a/packages/daemon/src/sardinequay_daemon/target_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/target_picker.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Mapping
+from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
 
@@ -9,7 +10,7 @@
 from sardinequay_core.clock import Instant, seconds
 from sardinequay_core.names import AdapterRef, TargetId
 from sardinequay_core.outcome import Reason, Refusal, not_run_refusal
-from sardinequay_core.service_choice import select_target
+from sardinequay_core.service_choice import ServiceOption, select_target
 from sardinequay_core.target_choice import (
     MAX_WAIT_SHARE,
     EnginesTooBusy,
@@ -47,6 +48,10 @@
 """Pause before a rejected request is sent to a target that has rejected it, in seconds:
 a target counts as full for this long."""
 
+MAX_PERMIT_WAIT_SHARE = 0.5
+"""Share of the time left until a request's latency goal that it waits for a permit to
+send to a limited target; the rest is for the target's work."""
+
 RETRY_JITTER_S = 0.25
 """Upper bound of the random addition to retry-after times, in seconds: callers refused
 at one moment must not all return at one moment."""
@@ -62,6 +67,21 @@
 log = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class ChosenTarget:
+    """The target of a request's next attempt.
+
+    Parameters
+    ----------
+    max_permit_wait : timedelta or None
+        How long the request can wait for a permit to send there; None if another target
+        can serve it.
+    """
+
+    published: PublishedTarget
+    max_permit_wait: timedelta | None = None
+
+
 class TargetPicker:
     """Chooses targets by this host's state and by keepers' replies to load requests."""
 
@@ -72,7 +92,7 @@
         self.metrics = dependencies.metrics
         self.clock = dependencies.state.clock
 
-    async def choose(self, exchange: RelayExchange) -> PublishedTarget:
+    async def choose(self, exchange: RelayExchange) -> ChosenTarget:
         """Return the next attempt's target, waiting for an adapter load if needed."""
         config = self.state.catalogue.config
         pool = config.pools.get(exchange.pool) if config else None
@@ -80,14 +100,47 @@
             return self.choose_service(exchange)
         return await self.choose_engine(exchange)
 
-    def choose_service(self, exchange: RelayExchange) -> PublishedTarget:
+    def choose_service(self, exchange: RelayExchange) -> ChosenTarget:
         """Return the least loaded target of a plain service."""
         options = self.options.service_options(exchange.pool, exchange.tried)
         found = select_target(options)
         if found is None:
             raise RequestRefusedError(self.no_target_refusal(exchange))
-        self.log_choice(exchange, found, "least filled", len(options))
-        return self.state.catalogue.targets[found]
+        max_wait_s = self.max_permit_wait_s(exchange)
+        if found.permit_wait_s > max_wait_s or exchange.is_overdue(
+            self.clock.monotonic()
+        ):
+            raise RequestRefusedError(self.limited_refusal(exchange, found))
+        self.log_choice(exchange, found.target, "least filled", len(options))
+        can_wait = all(o.is_limited for o in options)
+        return ChosenTarget(
+            self.state.catalogue.targets[found.target],
+            seconds(max_wait_s) if can_wait else None,
+        )
+
+    def max_permit_wait_s(self, exchange: RelayExchange) -> float:
+        """Return how long a request can wait for a limited target, in seconds.
+
+        Only as long as its answer can still be on time: a longer queue serves no more
+        requests, and all of them late. Urgent requests wait longest.
+        """
+        now = self.clock.monotonic()
+        goal_left_s = (exchange.arrived + exchange.route.goal - now).total_seconds()
+        worth = request_worth(exchange.priority) / request_worth(0)
+        return max(0.0, goal_left_s * MAX_PERMIT_WAIT_SHARE * worth)
+
+    def limited_refusal(
+        self, exchange: RelayExchange, option: ServiceOption
+    ) -> Refusal:
+        """Return the refusal of a request whose targets all have a rate limit."""
+        if exchange.attempts_so_far.runs:
+            return answer_lost_refusal()
+        text = "all targets of the pool state a rate limit, and it is used"
+        after = self.state.limits.permit_wait_s(
+            option.target, can_wait=False, now=self.clock.monotonic()
+        )
+        wait = jittered_retry_after(self.state.random, seconds(after))
+        return not_run_refusal(Reason.TARGET_LIMITED, text, wait)
 
     def retry_pause_s(self, exchange: RelayExchange) -> float:
         """Return the pause before the next attempt of a rejected request, in seconds.
@@ -127,7 +180,7 @@
             jittered_retry_after(self.state.random, NO_TARGET_RETRY),
         )
 
-    async def choose_engine(self, exchange: RelayExchange) -> PublishedTarget:
+    async def choose_engine(self, exchange: RelayExchange) -> ChosenTarget:
         """Return the engine of the next attempt, once it holds the adapter."""
         expected_ready_at: dict[TargetId, Instant] = {}
         failed_requests = 0
@@ -144,7 +197,8 @@
             )
             time_left_s = exchange.first_event_left_s(now)
             desired_copies = self.options.copies_due(terms, len(options))
-            choice = select_engine(options, time_left_s, desired_copies)
+            max_wait_s = self.max_permit_wait_s(exchange)
+            choice = select_engine(options, time_left_s, desired_copies, max_wait_s)
             if isinstance(choice, SendToEngine):
                 self.log_choice(
                     exchange,
@@ -153,7 +207,10 @@
                     len(options),
                     choice.expected_s,
                 )
-                return self.state.catalogue.targets[choice.target]
+                return ChosenTarget(
+                    self.state.catalogue.targets[choice.target],
+                    seconds(max_wait_s) if choice.can_wait else None,
+                )
             if not isinstance(choice, LoadOnEngine):
                 raise RequestRefusedError(
                     self.no_engine_refusal(exchange, choice, time_left_s)
@@ -189,7 +246,10 @@
         if isinstance(choice, EnginesTooBusy):
             text = f"no engine can begin within {time_left_s:.2f} s"
             wait = jittered_retry_after(self.state.random, seconds(choice.wait_s))
-            return not_run_refusal(Reason.OVERLOADED, text, wait)
+            reason = Reason.OVERLOADED
+            if choice.is_limited:
+                reason = Reason.TARGET_LIMITED
+            return not_run_refusal(reason, text, wait)
         text = "no engine has the adapter, and none can be ordered to load it now"
         return not_run_refusal(
             Reason.NO_TARGET,
--- a/packages/daemon/tests/test_target_picker.py
+++ b/packages/daemon/tests/test_target_picker.py
@@ -158,14 +158,14 @@
 
 async def test_engine_that_has_the_adapter_needs_no_load(picker, load_client, clock):
     chosen = await picker.choose(exchange(clock, "a1"))
-    assert chosen.target.target_id == "e1"
+    assert chosen.published.target.target_id == "e1"
     assert load_client.requests == []
 
 
 async def test_loaded_adapter_is_used_where_it_was_loaded(picker, load_client, clock):
     chosen = await picker.choose(exchange(clock, "a9"))
     assert [request.target for request in load_client.requests] == [
-        chosen.target.target_id
+        chosen.published.target.target_id
     ]
 
 
@@ -239,7 +239,7 @@
     chosen = await picker.choose(exchange(clock, "a9"))
     first, second = (request.target for request in load_client.requests)
     assert second != first
-    assert chosen.target.target_id == second
+    assert chosen.published.target.target_id == second
 
 
 async def test_queued_request_stays_on_the_engine_with_the_shortest_wait(
@@ -307,6 +307,6 @@
     assert len({request.target for request in load_client.requests}) == 3
     held.set()
     chosen = await asyncio.gather(*waiting)
-    assert [c.target.target_id for c in chosen] == [
+    assert [c.published.target.target_id for c in chosen] == [
         a.target for a in load_client.requests
     ]
