Let no permit be asked for where a limit binds nobody, and refuse by its own reason

Found in reading: a request past its time was refused as limited though no target was; and a target that states a million a second would cost each request a message to the issuer.

--- a/packages/core/src/sardinequay_core/target_limits.py
+++ b/packages/core/src/sardinequay_core/target_limits.py
@@ -18,6 +18,10 @@
 """Lowest limit that is applied, in requests a second. A target that states 0 still gets
 a request now and then, because only its answers can end the limit."""
 
+MAX_RATE_PER_S = 1000.0
+"""A limit from here on, in requests a second, binds nobody: no target gets as many, and
+each permit would cost a message."""
+
 SILENCE_TIMEOUT = seconds(10)
 SILENCE_INTERVALS = 3
 """A limit ends without an answer from the target for this time, and for the time of
@@ -49,7 +53,7 @@
     @property
     def applied_per_s(self) -> float | None:
         """Return the rate that hosts keep to together; None without a limit."""
-        if self.rate_per_s is None:
+        if self.rate_per_s is None or self.rate_per_s >= MAX_RATE_PER_S:
             return None
         return max(self.rate_per_s, MIN_RATE_PER_S)
 
--- a/packages/core/tests/test_target_limits.py
+++ b/packages/core/tests/test_target_limits.py
@@ -62,6 +62,11 @@
     assert limits.rate_of(TARGET, after(2)) == MIN_RATE_PER_S
 
 
+def test_a_limit_beyond_what_any_target_gets_binds_nobody(limits) -> None:
+    limits.record_answer(TARGET, stated(1e9, 1), after(0.5))
+    assert limits.rate_of(TARGET, after(2)) is None
+
+
 def test_a_limit_ends_by_silence(limits) -> None:
     assert limits.expire(after(9)) == []
     assert limits.expire(after(11)) == [LimitChange(TARGET, 2.0, None)]
--- a/packages/daemon/src/sardinequay_daemon/exchange.py
+++ b/packages/daemon/src/sardinequay_daemon/exchange.py
@@ -94,10 +94,6 @@
         """Return the time left until this host must send an answer of its own."""
         return self.deadline - now - ANSWER_MARGIN
 
-    def is_overdue(self, now: Instant) -> bool:
-        """Return whether no time is left for another attempt."""
-        return self.time_left(now) <= timedelta()
-
     def waited_s(self, now: Instant) -> float:
         """Return the time since the request arrived, in seconds."""
         return (now - self.arrived).total_seconds()
--- a/packages/daemon/src/sardinequay_daemon/target_options.py
+++ b/packages/daemon/src/sardinequay_daemon/target_options.py
@@ -82,6 +82,8 @@
         that it has, so it costs one permit's time at least.
         """
         limits = self.state.limits
+        if not limits.statements:
+            return options
         rates = {o.target: limits.rate_of(o.target, now) for o in options}
         if not any(rates.values()):
             return options
--- a/packages/daemon/src/sardinequay_daemon/target_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/target_picker.py
@@ -107,12 +107,10 @@
         if found is None:
             raise RequestRefusedError(self.no_target_refusal(exchange))
         max_wait_s = self.max_permit_wait_s(exchange)
-        if found.permit_wait_s > max_wait_s or exchange.is_overdue(
-            self.clock.monotonic()
-        ):
+        can_wait = all(o.is_limited for o in options)
+        if can_wait and found.permit_wait_s > max_wait_s:
             raise RequestRefusedError(self.limited_refusal(exchange, found))
         self.log_choice(exchange, found.target, "least filled", len(options))
-        can_wait = all(o.is_limited for o in options)
         return ChosenTarget(
             self.state.catalogue.targets[found.target],
             seconds(max_wait_s) if can_wait else None,
