--- a/packages/daemon/src/sardinequay_daemon/target_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/target_picker.py
@@ -1,7 +1,7 @@
 """Choose the target of a request's next attempt, waiting for a load if needed."""
 
 import logging
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
@@ -109,7 +109,7 @@
         max_wait_s = self.max_permit_wait_s(exchange)
         can_wait = all(o.is_limited for o in options)
         if can_wait and found.permit_wait_s > max_wait_s:
-            raise RequestRefusedError(self.limited_refusal(exchange, found))
+            raise RequestRefusedError(self.limited_refusal(exchange, options))
         self.log_choice(exchange, found.target, "least filled", len(options))
         return ChosenTarget(
             self.state.catalogue.targets[found.target],
@@ -128,16 +128,21 @@
         return max(0.0, goal_left_s * MAX_PERMIT_WAIT_SHARE * worth)
 
     def limited_refusal(
-        self, exchange: RelayExchange, option: ServiceOption
+        self, exchange: RelayExchange, options: Sequence[ServiceOption]
     ) -> Refusal:
-        """Return the refusal of a request whose targets all have a rate limit."""
+        """Return the refusal of a request whose targets all have a rate limit.
+
+        The caller may retry when this host's turn for a permit of any of them comes.
+        """
         if exchange.attempts_so_far.runs:
             return answer_lost_refusal()
         text = "all targets of the pool state a rate limit, and it is used"
-        after = self.state.limits.permit_wait_s(
-            option.target, can_wait=False, now=self.clock.monotonic()
+        now = self.clock.monotonic()
+        after_s = min(
+            self.state.limits.permit_wait_s(o.target, can_wait=False, now=now)
+            for o in options
         )
-        wait = jittered_retry_after(self.state.random, seconds(after))
+        wait = jittered_retry_after(self.state.random, seconds(after_s))
         return not_run_refusal(Reason.TARGET_LIMITED, text, wait)
 
     def retry_pause_s(self, exchange: RelayExchange) -> float:
--- a/packages/daemon/tests/test_target_picker.py
+++ b/packages/daemon/tests/test_target_picker.py
@@ -41,6 +41,7 @@
     TargetPool,
     make_serving_config,
 )
+from sardinequay_core.target_limits import LimitStatement, PermitOutlook
 from sardinequay_daemon.attempt import RelayDependencies
 from sardinequay_daemon.exchange import RelayExchange
 from sardinequay_daemon.guarded_request import GuardedRequest
@@ -310,3 +311,86 @@
     assert [c.published.target.target_id for c in chosen] == [
         a.target for a in load_client.requests
     ]
+
+
+def state_limit(state: RelayState, target: str, free_s: float, ask_s: float) -> None:
+    """Let a target state a limit, and its issuer say when there is a permit."""
+    now = state.clock.monotonic()
+    state.limits.record_answer(TargetId(target), LimitStatement(1.0, 1, now), now)
+    state.limits.outlooks[TargetId(target)] = PermitOutlook(
+        now + seconds(free_s), now + seconds(ask_s)
+    )
+
+
+async def test_adapter_whose_engine_takes_no_request_now_is_loaded_elsewhere(
+    picker, load_client, clock, state
+):
+    state_limit(state, "e1", free_s=2, ask_s=5)
+    chosen = await picker.choose(exchange(clock, "a1"))
+    assert chosen.published.target.target_id in ("e2", "e3")
+    assert chosen.max_permit_wait is None
+    assert len(load_client.requests) == 1
+
+
+async def test_request_waits_for_the_only_engine_with_its_adapter_while_it_is_on_time(
+    picker, load_client, clock, state
+):
+    state_limit(state, "e1", free_s=0.1, ask_s=5)
+    chosen = await picker.choose(exchange(clock, "a1"))
+    assert chosen.published.target.target_id == "e1"
+    assert seconds(0.1) < chosen.max_permit_wait < ROUTE.goal
+    assert load_client.requests == []
+
+
+async def test_limited_engine_is_no_home_for_an_adapter_that_is_loaded_anew(
+    picker, load_client, clock, state
+):
+    for adapter in ("a5", "a6", "a7", "a8"):
+        state_limit(state, "e1", free_s=0, ask_s=0)
+        await picker.choose(exchange(clock, adapter))
+    assert {request.target for request in load_client.requests} <= {"e2", "e3"}
+
+
+async def test_request_is_refused_at_once_when_all_engines_are_limited_too_low(
+    picker, clock, state
+):
+    for name in ("e1", "e2", "e3"):
+        state_limit(state, name, free_s=2, ask_s=5)
+    with pytest.raises(RequestRefusedError) as refused:
+        await picker.choose(exchange(clock, "a1"))
+    assert refused.value.refusal.reason is Reason.TARGET_LIMITED
+    assert refused.value.refusal.retry_after >= seconds(1)
+
+
+@pytest.fixture
+def services(state: RelayState) -> None:
+    """Two plain services in place of the engines."""
+    config = make_serving_config(
+        1, (ROUTE,), (TargetPool(POOL, 9, None),), CallerLimits()
+    )
+    made = apply_change(ConfigPublished(config), Catalogue(), RemovalPolicy())
+    for name in ("s1", "s2"):
+        made = apply_change(engine(name), made, RemovalPolicy())
+    state.apply_catalogue(made)
+
+
+async def test_limited_service_is_left_out_until_it_may_be_asked_for_again(
+    picker, clock, state, services
+):
+    state_limit(state, "s1", free_s=0, ask_s=0.5)
+    chosen = [await picker.choose(exchange(clock, "")) for _ in range(20)]
+    assert {c.published.target.target_id for c in chosen} == {"s2"}
+    clock.advance(0.6)
+    chosen = [await picker.choose(exchange(clock, "")) for _ in range(20)]
+    assert {c.published.target.target_id for c in chosen} == {"s1", "s2"}
+
+
+async def test_services_that_are_all_limited_refuse_with_the_time_to_come_back(
+    picker, clock, state, services
+):
+    state_limit(state, "s1", free_s=3, ask_s=4)
+    state_limit(state, "s2", free_s=2, ask_s=6)
+    with pytest.raises(RequestRefusedError) as refused:
+        await picker.choose(exchange(clock, ""))
+    assert refused.value.refusal.reason is Reason.TARGET_LIMITED
+    assert seconds(4) <= refused.value.refusal.retry_after < seconds(6)
