--- a/packages/core/src/sardinequay_core/service_choice.py
+++ b/packages/core/src/sardinequay_core/service_choice.py
@@ -4,7 +4,7 @@
 with few slots, some of which are slow or full. The utilisation of a target counts
 first; a target in the host's own data centre is preferred by less than one request. A
 target with a rate limit looks idle. It is left out while no permit for it is expected,
-unless that holds for all targets.
+except by requests that no other target is left for: these wait for the next permit.
 """
 
 from collections.abc import Sequence
@@ -20,6 +20,10 @@
 """Penalty for a target that rejected a request a moment ago: ranks it after all targets
 that did not."""
 
+PERMIT_WAIT_PENALTY = 1.0
+"""Penalty for a target whose permit has to be waited for: ranks it after those that
+have a free slot."""
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceOption:
@@ -54,12 +58,24 @@
     fill += 0.0 if option.is_local else LOCAL_PREFERENCE
     fill += FULL_PENALTY if option.is_full else 0.0
     fill += 2 * FULL_PENALTY if option.was_tried else 0.0
+    fill += PERMIT_WAIT_PENALTY + option.permit_wait_s if option.permit_wait_s else 0.0
     return fill + option.tie_breaker * LOCAL_PREFERENCE / 4
 
 
-def select_target(options: Sequence[ServiceOption]) -> ServiceOption | None:
-    """Return the best candidate, or None if there is none."""
-    without_wait = [o for o in options if not o.permit_wait_s]
-    if without_wait:
-        return min(without_wait, key=option_cost)
-    return min(options, key=lambda o: (o.permit_wait_s, option_cost(o)), default=None)
+def may_wait_for_permit(options: Sequence[ServiceOption]) -> bool:
+    """Return whether no target without a rate limit is left to try."""
+    return all(o.is_limited or o.was_tried for o in options)
+
+
+def select_target(
+    options: Sequence[ServiceOption], max_permit_wait_s: float = 0.0
+) -> ServiceOption | None:
+    """Return the candidate with the lowest cost, or None if there is none.
+
+    Parameters
+    ----------
+    max_permit_wait_s : float
+        How long the request can wait for a permit to send, in seconds.
+    """
+    in_time = [o for o in options if o.permit_wait_s <= max_permit_wait_s]
+    return min(in_time, key=option_cost, default=None)
--- a/packages/core/src/sardinequay_core/target_choice.py
+++ b/packages/core/src/sardinequay_core/target_choice.py
@@ -258,8 +258,14 @@
 
 
 def has_unlimited_copy(options: Sequence[EngineOption]) -> bool:
-    """Return whether an engine without a rate limit has the adapter."""
-    return any(has_adapter(o) and not o.is_limited for o in options)
+    """Return whether an engine without a rate limit has the adapter.
+
+    One that failed the request does not count: it would not be chosen again.
+    """
+    return any(
+        has_adapter(o) and not o.is_limited and not o.has_failed_request
+        for o in options
+    )
 
 
 def select_engine(
--- a/packages/core/tests/test_relay_decisions.py
+++ b/packages/core/tests/test_relay_decisions.py
@@ -25,7 +25,11 @@
     decide_retry,
 )
 from sardinequay_core.roster import Target, TargetKind
-from sardinequay_core.service_choice import ServiceOption, select_target
+from sardinequay_core.service_choice import (
+    ServiceOption,
+    may_wait_for_permit,
+    select_target,
+)
 from sardinequay_core.serving import Repetition
 
 REMAINING = timedelta(seconds=1)
@@ -122,16 +126,47 @@
     return ServiceOption(TargetId(name), in_flight, 6, **fields | more)
 
 
+def chosen_service(*options: ServiceOption) -> TargetId:
+    found = select_target(options)
+    assert found is not None
+    return found.target
+
+
 def test_least_utilised_service_target_is_chosen() -> None:
-    assert select_target([service("a", 3), service("b", 1)]).target == "b"
-    assert (
-        select_target([service("a", 1), service("b", 0, is_local=False)]).target == "b"
-    )
-    assert select_target([service("a"), service("b", 0, is_local=False)]).target == "a"
-    assert select_target([service("a", was_tried=True), service("b", 5)]).target == "b"
+    assert chosen_service(service("a", 3), service("b", 1)) == "b"
+    assert chosen_service(service("a", 1), service("b", 0, is_local=False)) == "b"
+    assert chosen_service(service("a"), service("b", 0, is_local=False)) == "a"
+    assert chosen_service(service("a", was_tried=True), service("b", 5)) == "b"
     assert select_target([]) is None
 
 
+def test_limited_target_that_looks_idle_is_left_out_until_a_permit_is_expected() -> (
+    None
+):
+    limited = service("a", 0, is_limited=True, permit_wait_s=0.4)
+    assert chosen_service(limited, service("b", 5)) == "b"
+    assert chosen_service(replace(limited, permit_wait_s=0.0), service("b", 5)) == "a"
+
+
+def test_of_targets_that_are_all_limited_the_first_to_have_a_permit_is_chosen() -> None:
+    later = service("a", 0, is_limited=True, permit_wait_s=0.4)
+    sooner = service("b", 0, is_limited=True, permit_wait_s=0.1)
+    assert may_wait_for_permit([later, sooner])
+    assert select_target([later, sooner], 0.5) == sooner
+    assert select_target([later, sooner], 0.05) is None
+
+
+def test_request_that_the_only_target_without_a_limit_failed_waits_for_a_permit() -> (
+    None
+):
+    failed = service("a", was_tried=True)
+    limited = service("b", is_limited=True, permit_wait_s=0.1)
+    assert may_wait_for_permit([failed, limited])
+    assert select_target([failed, limited], 0.5) == limited
+    assert select_target([failed, limited], 0.05) == failed
+    assert not may_wait_for_permit([service("a"), limited])
+
+
 @pytest.fixture
 def published() -> PublishedTarget:
     target = Target(
--- a/packages/daemon/src/sardinequay_daemon/target_options.py
+++ b/packages/daemon/src/sardinequay_daemon/target_options.py
@@ -87,7 +87,9 @@
         rates = {o.target: limits.rate_of(o.target, now) for o in options}
         if not any(rates.values()):
             return options
-        has_unlimited = any(rate is None for rate in rates.values())
+        has_unlimited = any(
+            rates[o.target] is None and not o.has_failed_request for o in options
+        )
         options = [replace(o, is_limited=rates[o.target] is not None) for o in options]
         has_copy = has_unlimited_copy(options)
         with_waits = []
@@ -207,7 +209,7 @@
             for t in usable
             if limits.rate_of(t.target.target_id, now) is not None
         }
-        can_wait = len(limited) == len(usable)
+        can_wait = all(t.target.target_id in limited | tried for t in usable)
         options = []
         for published in usable:
             target_id = published.target.target_id
--- a/packages/daemon/src/sardinequay_daemon/target_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/target_picker.py
@@ -10,7 +10,11 @@
 from sardinequay_core.clock import Instant, seconds
 from sardinequay_core.names import AdapterRef, TargetId
 from sardinequay_core.outcome import Reason, Refusal, not_run_refusal
-from sardinequay_core.service_choice import ServiceOption, select_target
+from sardinequay_core.service_choice import (
+    ServiceOption,
+    may_wait_for_permit,
+    select_target,
+)
 from sardinequay_core.target_choice import (
     MAX_WAIT_SHARE,
     EnginesTooBusy,
@@ -103,17 +107,20 @@
     def choose_service(self, exchange: RelayExchange) -> ChosenTarget:
         """Return the least loaded target of a plain service."""
         options = self.options.service_options(exchange.pool, exchange.tried)
-        found = select_target(options)
+        max_wait_s = None
+        if may_wait_for_permit(options):
+            max_wait_s = self.max_permit_wait_s(exchange)
+        found = select_target(options, max_wait_s or 0.0)
         if found is None:
-            raise RequestRefusedError(self.no_target_refusal(exchange))
-        max_wait_s = self.max_permit_wait_s(exchange)
-        can_wait = all(o.is_limited for o in options)
-        if can_wait and found.permit_wait_s > max_wait_s:
-            raise RequestRefusedError(self.limited_refusal(exchange, options))
+            raise RequestRefusedError(
+                self.limited_refusal(exchange, options)
+                if options
+                else self.no_target_refusal(exchange)
+            )
         self.log_choice(exchange, found.target, "least filled", len(options))
         return ChosenTarget(
             self.state.catalogue.targets[found.target],
-            seconds(max_wait_s) if can_wait else None,
+            None if max_wait_s is None else seconds(max_wait_s),
         )
 
     def max_permit_wait_s(self, exchange: RelayExchange) -> float:
