--- a/packages/cli/tests/test_logs.py
+++ b/packages/cli/tests/test_logs.py
@@ -12,6 +12,7 @@
 REFUSED = "55a06241d5dae4d8"
 TIMED_OUT = "ab7e580bb4a22c9e"
 BROKEN_OFF = "df6d910da8914e87"
+LIMITED = "r148"
 
 
 def explain(capsys: pytest.CaptureFixture[str], request_id: str) -> list[dict]:
@@ -47,6 +48,18 @@
     assert lines[-1]["event"] == "cut off"
 
 
+def test_request_refused_for_a_rate_limit_shows_who_stated_it_and_the_permits(
+    capsys,
+) -> None:
+    lines = explain(capsys, LIMITED)
+    stated = [x for x in lines if x["event"] == "target limit"]
+    asked = [x for x in lines if x["event"] == "send permit"]
+    assert {x["target"] for x in asked} <= {x["target"] for x in stated}
+    assert {"result", "limit_per_s", "limit_age_s"} <= set(asked[-1])
+    assert asked[-1]["result"] == "denied"
+    assert lines[-1]["detail"].startswith("target_limited, not_run")
+
+
 def test_chosen_targets_are_logged_with_inputs_and_their_age(capsys) -> None:
     for request_id in (TIMED_OUT, BROKEN_OFF):
         chosen = [
