Don't ask a limited engine's issuer again while another engine has the adapter

A request that was denied there stayed free to choose that engine for a short wait, and asked once in each round trip until a permit was free. Failing before: the test chose 'a'. Found in reading; engines whose only copy is limited are waited for as before.

--- a/packages/core/src/sardinequay_core/target_choice.py
+++ b/packages/core/src/sardinequay_core/target_choice.py
@@ -283,7 +283,8 @@
     desired_copies : int
         Number of engines that should have the adapter by its share of all requests.
     max_permit_wait_s : float
-        How long the request can wait for a permit to send, in seconds.
+        How long the request can wait for a permit to send, in seconds; it never waits
+        where an engine without a rate limit has the adapter.
     """
     eligible = [
         o for o in options if o.adapter_state is AdapterState.RESIDENT or o.may_load
@@ -291,6 +292,8 @@
     if not eligible:
         return NoEngine()
     max_wait_s = remaining_s * MAX_WAIT_SHARE
+    if has_unlimited_copy(options):
+        max_permit_wait_s = 0.0
     in_time = [
         o
         for o in eligible
--- a/packages/core/tests/test_target_choice.py
+++ b/packages/core/tests/test_target_choice.py
@@ -115,6 +115,13 @@
     assert select_engine(options, 2.0) == SendToEngine(TargetId("a"), 0.1)
 
 
+def test_limited_engine_is_not_asked_again_while_another_one_has_the_adapter() -> None:
+    """Hosts asked its issuer once in each round trip until a permit was free."""
+    options = [limited("a", 0.05), option("b", AdapterState.RESIDENT, 0.4)]
+    choice = select_engine(options, 2.0, max_permit_wait_s=0.4)
+    assert choice == SendToEngine(TargetId("b"), 0.4)
+
+
 def test_adapter_whose_only_engine_takes_no_request_now_gets_another_copy() -> None:
     options = [limited("a", 0.9), option("b", free_places=3, home_rank=2)]
     choice = select_engine(options, 3.0, max_permit_wait_s=0.4)
