--- a/packages/daemon/src/sardinequay_daemon/target_options.py
+++ b/packages/daemon/src/sardinequay_daemon/target_options.py
@@ -82,29 +82,32 @@
         that it has, so it costs one permit's time at least.
         """
         limits = self.state.limits
-        if not limits.statements:
-            return options
-        rates = {o.target: limits.rate_of(o.target, now) for o in options}
-        if not any(rates.values()):
+        rates = {
+            target: rate
+            for target in limits.statements
+            if (rate := limits.rate_of(target, now)) is not None
+        }
+        if not rates:
             return options
+        options = [
+            replace(o, is_limited=True) if o.target in rates else o for o in options
+        ]
+        has_copy = has_unlimited_copy(options)
         has_unlimited = any(
-            rates[o.target] is None and not o.has_failed_request for o in options
+            not o.is_limited and not o.has_failed_request for o in options
         )
-        options = [replace(o, is_limited=rates[o.target] is not None) for o in options]
-        has_copy = has_unlimited_copy(options)
-        with_waits = []
-        for option in options:
-            rate = rates[option.target]
-            if rate is None:
-                with_waits.append(option)
-                continue
+
+        def permit_wait_s(option: EngineOption) -> float:
             if has_adapter(option):
-                wait_s = limits.permit_wait_s(option.target, not has_copy, now)
-            else:
-                wait_s = limits.permit_wait_s(option.target, not has_unlimited, now)
-                wait_s = max(wait_s, 1 / rate if has_unlimited else 0.0)
-            with_waits.append(replace(option, permit_wait_s=wait_s))
-        return with_waits
+                return limits.permit_wait_s(option.target, not has_copy, now)
+            wait_s = limits.permit_wait_s(option.target, not has_unlimited, now)
+            interval_s = 1 / rates[option.target]
+            return max(wait_s, interval_s) if has_unlimited else wait_s
+
+        return [
+            replace(o, permit_wait_s=permit_wait_s(o)) if o.is_limited else o
+            for o in options
+        ]
 
     def engine_option(
         self,
