--- a/packages/core/src/sardinequay_core/target_choice.py
+++ b/packages/core/src/sardinequay_core/target_choice.py
@@ -260,7 +260,7 @@
 def has_unlimited_copy(options: Sequence[EngineOption]) -> bool:
     """Return whether an engine without a rate limit has the adapter.
 
-    One that failed the request does not count: it would not be chosen again.
+    One that failed the request does not count: another attempt there comes last.
     """
     return any(
         has_adapter(o) and not o.is_limited and not o.has_failed_request
