Let a request that may have run wait for a permit beyond its goal

A stream that is resumed, or a read whose first target failed, can't be refused for a retry any more; it was given up as lost where the next permit was half a goal away. It now waits for half of the time in which its first event is of use. Failing before: the test was refused.

--- a/packages/daemon/src/sardinequay_daemon/chosen_target.py
+++ b/packages/daemon/src/sardinequay_daemon/chosen_target.py
@@ -45,8 +45,12 @@
     """Return how long a request can wait for a limited target, in seconds.
 
     Only as long as its answer can still be on time: a longer queue serves no more
-    requests, and all of them late. Urgent requests wait longest.
+    requests, and all of them late. Urgent requests wait longest. A request that may
+    have run cannot be refused for a retry any more, so it waits beyond its goal.
     """
+    if exchange.attempts_so_far.runs:
+        left_s = exchange.first_event_left_s(now)
+        return max(0.0, left_s * MAX_PERMIT_WAIT_SHARE)
     goal_left_s = (exchange.arrived + exchange.route.goal - now).total_seconds()
     worth = request_worth(exchange.priority) / request_worth(0)
     return max(0.0, goal_left_s * MAX_PERMIT_WAIT_SHARE * worth)
--- a/packages/daemon/tests/test_target_picker.py
+++ b/packages/daemon/tests/test_target_picker.py
@@ -30,6 +30,7 @@
 )
 from sardinequay_core.outcome import Outcome, Reason
 from sardinequay_core.repeat_budget import RepeatPolicy
+from sardinequay_core.retry_decision import AttemptCounts
 from sardinequay_core.roster import Target, TargetKind
 from sardinequay_core.serving import (
     CallerLimits,
@@ -343,6 +344,20 @@
     assert load_client.requests == []
 
 
+async def test_request_that_may_have_run_waits_for_a_permit_beyond_its_goal(
+    picker, clock, state
+):
+    for name in ("e1", "e2", "e3"):
+        state_limit(state, name, free_s=0.6, ask_s=5)
+    resumed = exchange(clock, "a1")
+    with pytest.raises(RequestRefusedError):
+        await picker.choose(resumed)
+    resumed.attempts_so_far = AttemptCounts(runs=1)
+    chosen = await picker.choose(resumed)
+    assert chosen.published.target.target_id == "e1"
+    assert chosen.max_permit_wait > ROUTE.goal
+
+
 async def test_limited_engine_is_no_home_for_an_adapter_that_is_loaded_anew(
     picker, load_client, clock, state
 ):
