Let a denial end with the limit that it was for

Found in reading: a denial that came after its target had left, started again or fallen silent was kept by target id, and kept this host from a target without a limit until the time that it named; it was never dropped, as only stated limits were pruned. Now it is kept with a known limit alone. Failing before: the test (60 s to wait at a target whose limit had ended, one entry left).

--- a/packages/core/src/sardinequay_core/target_limits.py
+++ b/packages/core/src/sardinequay_core/target_limits.py
@@ -128,11 +128,16 @@
             Whether the request waits for this target, as no other can serve it.
         """
         outlook = self.outlooks.get(target)
-        if outlook is None:
+        if outlook is None or self.rate_of(target, now) is None:
             return 0.0
         expected_at = outlook.free_at if can_wait else outlook.ask_at
         return max(0.0, (expected_at - now).total_seconds())
 
+    def record_outlook(self, target: TargetId, outlook: PermitOutlook) -> None:
+        """Record when permits for a target are expected, while its limit is known."""
+        if target in self.statements:
+            self.outlooks[target] = outlook
+
     def record_answer(
         self, target: TargetId, stated: LimitStatement, sent_at: Instant
     ) -> LimitChange | None:
--- a/packages/core/tests/test_target_limits.py
+++ b/packages/core/tests/test_target_limits.py
@@ -8,6 +8,7 @@
     MIN_RATE_PER_S,
     LimitChange,
     LimitStatement,
+    PermitOutlook,
     TargetLimits,
 )
 
@@ -108,6 +109,18 @@
     assert limits.changed_since(told) == []
 
 
+def test_denial_that_outlasts_its_limit_keeps_nobody_from_the_target(limits) -> None:
+    outlook = PermitOutlook(after(5), after(9))
+    limits.record_outlook(TARGET, outlook)
+    assert limits.permit_wait_s(TARGET, can_wait=False, now=after(1)) == 8
+    limits.record_outlook(TARGET, PermitOutlook(after(90), after(90)))
+    assert limits.permit_wait_s(TARGET, can_wait=False, now=after(30)) == 0
+    # The reply came after the target had started again, or left.
+    limits.forget_target(TARGET)
+    limits.record_outlook(TARGET, outlook)
+    assert limits.outlooks == {}
+
+
 def test_targets_that_left_are_forgotten(limits) -> None:
     limits.prune_unlisted(frozenset())
     assert limits.rate_of(TARGET, after(0)) is None
--- a/packages/daemon/src/sardinequay_daemon/target_limiter.py
+++ b/packages/daemon/src/sardinequay_daemon/target_limiter.py
@@ -236,13 +236,14 @@
         now = self.clock.monotonic()
         if reply is None:
             until = now + NO_ISSUER_PAUSE
-            self.limits.outlooks[target] = PermitOutlook(until, until)
+            self.limits.record_outlook(target, PermitOutlook(until, until))
             if max_wait is not None:
                 await asyncio.sleep(min(max_wait, NO_ISSUER_PAUSE).total_seconds())
             return
-        self.limits.outlooks[target] = PermitOutlook(
+        outlook = PermitOutlook(
             now + seconds(reply.free_in_s), now + seconds(reply.ask_in_s)
         )
+        self.limits.record_outlook(target, outlook)
 
     # Permits, as the host that issues them.
 
