Show the gauge of a target's limit only while the target states it

What on-call saw: a target that left, or started again, while it stated a limit kept its gauge at that value for as long as the host ran, and every target that ever stated one kept a series. Cause: the gauge was set with log lines of changes, and a forgotten target has none. Failing before: the test (the gauge stayed at 2.0). Run: the limiter's and the command's tests.

--- a/packages/daemon/src/sardinequay_daemon/serving_metrics.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_metrics.py
@@ -44,7 +44,7 @@
             "over_quota_total", "Requests beyond a quota, by organisation"
         )
         self.target_limit = self.gauge(
-            "target_limit_per_second", "Limits that targets state; 0 if ended"
+            "target_limit_per_second", "Limits that targets state"
         )
         self.permits = self.counter(
             "send_permits_total", "Permits to send to limited targets, by result"
--- a/packages/daemon/src/sardinequay_daemon/target_limiter.py
+++ b/packages/daemon/src/sardinequay_daemon/target_limiter.py
@@ -111,6 +111,7 @@
         self.draw = draw
         self.schedules: dict[TargetId, SendSchedule] = {}
         self.invalid_logged_at: dict[TargetId, Instant] = {}
+        self.shown_targets: set[TargetId] = set()
 
     # What targets and peers state.
 
@@ -297,8 +298,23 @@
         for target, at in tuple(self.invalid_logged_at.items()):
             if now - at >= INVALID_LOG_INTERVAL:
                 del self.invalid_logged_at[target]
-
-    # Log lines.
+        self.show_limits()
+
+    # Metrics and log lines.
+
+    def show_limits(self) -> None:
+        """Set the gauge of each limited target, and remove those of all others."""
+        gauge, statements = self.metrics.target_limit, self.limits.statements
+        limited = {
+            target: statement.rate_per_s
+            for target, statement in statements.items()
+            if statement.rate_per_s is not None
+        }
+        for target, rate_per_s in limited.items():
+            gauge.set({"target": str(target)}, rate_per_s)
+        for target in self.shown_targets - limited.keys():
+            gauge.values.pop({"target": str(target)}, None)
+        self.shown_targets = set(limited)
 
     def log_invalid(self, target: TargetId, text: str) -> None:
         """Log that a target states a limit which cannot be parsed."""
@@ -311,9 +327,7 @@
     def log_change(
         self, change: LimitChange, source: LimitSource, age: timedelta
     ) -> None:
-        """Log a limit that began, changed or ended, and set its gauge."""
-        labels: dict[str, str] = {"target": change.target}
-        self.metrics.target_limit.set(labels, change.after_per_s or 0.0)
+        """Log a limit that began, changed or ended."""
         log.info(
             "target limit",
             extra={
--- a/packages/daemon/tests/test_target_limiter.py
+++ b/packages/daemon/tests/test_target_limiter.py
@@ -223,6 +223,17 @@
     assert limiter.schedules == {}
 
 
+def test_gauge_shows_only_targets_that_state_a_limit_now(limiter) -> None:
+    """A target that left with its limit was shown for as long as the host ran."""
+    gauge = limiter.metrics.target_limit
+    hear(limiter, 2.0)
+    limiter.expire()
+    assert list(gauge.values.values()) == [2.0]
+    limiter.limits.prune_unlisted(frozenset())
+    limiter.expire()
+    assert len(gauge.values) == 0
+
+
 def test_report_of_a_peer_is_passed_on_once(limiter, fleet) -> None:
     limiter.apply_reports([news(age_s=0.5)], ISSUER)
     limiter.apply_reports([news(age_s=0.5)], ISSUER)
