Keep booked permits when only the share of a limit falls

Found in reading: a host that is lost lowers the share of a limit that the others may use, and the issuer took that for a limit that fell: it forgot what was booked, though those requests wait on and are sent, since they ask again only when the target states less. The schedule now knows limit and share apart. With the old condition the new test fails (the fourth booking at 1 s instead of after the three before it).

--- a/packages/core/src/sardinequay_core/send_schedule.py
+++ b/packages/core/src/sardinequay_core/send_schedule.py
@@ -65,22 +65,30 @@
 
     Parameters
     ----------
-    rate_per_s : float
-        Permits that accrue a second.
+    limit_per_s : float
+        Requests a second that the target takes from all hosts.
     booked_until : timedelta
         When the permits granted so far have all accrued (the theoretical arrival time).
     asked_at : dict
         When each host that did not get a permit last asked.
     draw : callable
         Returns a random number from 0 to 1.
+    share : float
+        Part of the limit that the hosts in contact with this one may use.
     """
 
-    rate_per_s: float
+    limit_per_s: float
     booked_until: Instant
     draw: Callable[[], float]
+    share: float = 1.0
     asked_at: dict[HostId, Instant] = field(default_factory=dict)
     last_asked_at: Instant = ZERO
 
+    @property
+    def rate_per_s(self) -> float:
+        """Return how many permits accrue a second."""
+        return self.limit_per_s * self.share
+
     @property
     def interval(self) -> timedelta:
         """Return the time in which one permit accrues."""
@@ -91,17 +99,17 @@
         """Return how far permits may be granted ahead of their accrual."""
         return (BURST_PERMITS - 1) * self.interval + seconds(BURST_S)
 
-    def apply_rate(self, rate_per_s: float, now: Instant) -> None:
-        """Change the rate; permits in hand count as before.
+    def apply_limit(self, limit_per_s: float, now: Instant, share: float = 1.0) -> None:
+        """Change the limit and the share; permits in hand count as before.
 
-        When it falls, requests that have not been sent ask again, so that no more is
-        booked than what was granted for now.
+        When the limit falls, requests that have not been sent ask again, so that no
+        more is booked than what was granted for now. When the share does, they do not.
         """
-        if rate_per_s == self.rate_per_s:
+        if (limit_per_s, share) == (self.limit_per_s, self.share):
             return
-        has_fallen = rate_per_s < self.rate_per_s
+        has_fallen = limit_per_s < self.limit_per_s
         ahead = (self.booked_until - now) / self.interval
-        self.rate_per_s = rate_per_s
+        self.limit_per_s, self.share = limit_per_s, share
         self.booked_until = now + ahead * self.interval
         if has_fallen:
             nothing_in_hand = now + self.burst + self.interval
@@ -136,9 +144,9 @@
 
 
 def new_schedule(
-    rate_per_s: float, draw: Callable[[], float], now: Instant
+    limit_per_s: float, draw: Callable[[], float], now: Instant, share: float = 1.0
 ) -> SendSchedule:
     """Return a schedule whose first permit accrues from now on."""
-    made = SendSchedule(rate_per_s, now, draw)
+    made = SendSchedule(limit_per_s, now, draw, share)
     made.booked_until = now + made.burst + made.interval
     return made
--- a/packages/core/tests/test_send_schedule.py
+++ b/packages/core/tests/test_send_schedule.py
@@ -50,7 +50,7 @@
     for pause_s, wait_s, rate in asks:
         now += seconds(pause_s)
         if changes_rate:
-            schedule.apply_rate(rate, now)
+            schedule.apply_limit(rate, now)
             highest = 20.0
         wait = None if wait_s is None else seconds(wait_s)
         reply = schedule.ask(HOST, wait, now)
@@ -90,12 +90,24 @@
 def test_a_rate_that_falls_slows_what_is_booked_next(schedule) -> None:
     while isinstance(schedule.ask(HOST, ZERO, START), Granted):
         pass
-    schedule.apply_rate(1.0, START)
+    schedule.apply_limit(1.0, START)
     reply = schedule.ask(HOST, seconds(9), START)
     assert isinstance(reply, Granted)
     assert reply.start_in >= seconds(1)
 
 
+def test_bookings_hold_when_only_the_share_of_the_limit_falls(schedule) -> None:
+    """Requests that wait were forgotten by the issuer, though they were sent later."""
+    while isinstance(schedule.ask(HOST, ZERO, START), Granted):
+        pass
+    booked = [schedule.ask(HOST, seconds(9), START) for _ in range(3)]
+    assert all(isinstance(b, Granted) for b in booked)
+    schedule.apply_limit(2.0, START, share=0.5)
+    reply = schedule.ask(HOST, seconds(9), START)
+    assert isinstance(reply, Granted)
+    assert reply.start_in >= seconds(3)
+
+
 def test_hosts_that_found_none_are_told_to_ask_one_after_the_other(schedule) -> None:
     while isinstance(schedule.ask(HOST, ZERO, START), Granted):
         pass
--- a/packages/daemon/src/sardinequay_daemon/target_limiter.py
+++ b/packages/daemon/src/sardinequay_daemon/target_limiter.py
@@ -278,12 +278,12 @@
         self, target: TargetId, rate_per_s: float, now: Instant
     ) -> SendSchedule:
         """Return the schedule of a target for the hosts in contact, at its rate now."""
-        shared_per_s = rate_per_s * self.live_fraction()
+        share = self.live_fraction()
         schedule = self.schedules.get(target)
         if schedule is None:
-            schedule = new_schedule(shared_per_s, self.draw, now)
+            schedule = new_schedule(rate_per_s, self.draw, now, share)
             self.schedules[target] = schedule
-        schedule.apply_rate(shared_per_s, now)
+        schedule.apply_limit(rate_per_s, now, share)
         return schedule
 
     def expire(self) -> None:
--- a/packages/lab/src/sardinequay_lab/limit_policies.py
+++ b/packages/lab/src/sardinequay_lab/limit_policies.py
@@ -116,13 +116,13 @@
         if now < self.blind_until:
             return False
         live = self.scenario.live_for(host, now.total_seconds())
-        rate_per_s = self.scenario.rate_per_s * live / self.scenario.hosts
+        limit_per_s, share = self.scenario.rate_per_s, live / self.scenario.hosts
         island = (live, host % 2 if self.views_differ else 0)
         schedule = self.schedules.get(island)
         if schedule is None:
-            schedule = new_schedule(rate_per_s, self.random.random, now)
+            schedule = new_schedule(limit_per_s, self.random.random, now, share)
             self.schedules[island] = schedule
-        schedule.apply_rate(rate_per_s, now)
+        schedule.apply_limit(limit_per_s, now, share)
         reply = schedule.ask(HostId(str(host)), None, now)
         if isinstance(reply, Granted):
             return True
