Part the recording of limits, the asking for permits and their issuing

Moved only, tests with them: what targets and peers state (limit_recorder), permits asked for (target_limiter), permits issued (permit_issuer).

--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -14,6 +14,7 @@
 
 from .errors import TargetError, TargetFault
 from .exchange import AnswerHead, AnswerSink, RelayExchange
+from .limit_recorder import LimitRecorder
 from .load_requests import LoadRequestClient
 from .relay_state import RelayState
 from .server_sent_events import EventSplitter
@@ -42,6 +43,7 @@
     dialect: HttpDialect
     upstream: Upstream
     load_requests: LoadRequestClient
+    limits: LimitRecorder
     limiter: TargetLimiter
     metrics: ServingMetrics
     tracing: Tracing
@@ -198,7 +200,7 @@
             if facts.request_id != self.exchange.terms.request_id:
                 detail = f"an answer to {facts.request_id!r}"
                 raise TargetError(TargetFault.BROKEN, detail)
-            self.dependencies.limiter.record_answer(
+            self.dependencies.limits.record_answer(
                 self.published, facts, answer.status, self.sent_at
             )
             if facts.not_run:
--- a/packages/daemon/src/sardinequay_daemon/digest_writer.py
+++ b/packages/daemon/src/sardinequay_daemon/digest_writer.py
@@ -14,12 +14,12 @@
 from .content_updates import content_update
 from .fleet_task import FleetTask, ReceivedDigest
 from .limit_messages import LimitNews
+from .limit_recorder import LimitRecorder
 from .order_task import OrderTask
 from .peer_table import Peer
 from .relay_state import RelayState
 from .serving_messages import Contact, Digest, EngineHoldings, HubNotes, Member
 from .store_task import StoreTask
-from .target_limiter import TargetLimiter
 
 RESEND_HOLDINGS_AFTER = seconds(1)
 """Time after which holdings of an engine are sent again: the longest time for which a
@@ -43,7 +43,7 @@
         state: RelayState,
         store: StoreTask,
         orders: OrderTask,
-        limiter: TargetLimiter,
+        limits: LimitRecorder,
         clock: Clock,
     ) -> None:
         self.me = me
@@ -51,7 +51,7 @@
         self.state = state
         self.store = store
         self.orders = orders
-        self.limiter = limiter
+        self.limits = limits
         self.clock = clock
         self.sent_holdings: dict[HostId, dict[str, tuple[HoldingsState, Instant]]] = {}
         self.sent_contact_counts: dict[HostId, int] = {}
@@ -229,7 +229,7 @@
         """
         last_sent = self.sent_limit_numbers.get(host_id, 0)
         self.sent_limit_numbers[host_id] = self.state.limits.last_number
-        return self.limiter.changed_since(last_sent)
+        return self.limits.changed_since(last_sent)
 
     def unsent_usage(self, host_id: HostId, scope: DigestScope) -> UsageCounts:
         """Return the usage that changed recently, by organisation; all at first."""
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -31,10 +31,12 @@
 from .fleet_task import FleetTask, ReceivedDigest
 from .host_pages import create_status_app
 from .limit_messages import AskToSend
+from .limit_recorder import LimitRecorder
 from .load_requests import LoadRequestClient
 from .order_lease_task import OrderLeaseTask
 from .order_task import OrderTask
 from .peers import PeerClient, PeerServer
+from .permit_issuer import PermitIssuer
 from .relay import Relay
 from .relay_server import RelayServer, readiness_app
 from .relay_state import RelayState
@@ -198,15 +200,14 @@
             self.peers,
             clock,
         )
-        self.limiter = TargetLimiter(
-            profile.host_id,
+        self.limits = LimitRecorder(
             self.state.limits,
-            self.fleet,
-            self.peers,
             clock,
             self.metrics,
-            self.state.fleet_size.live_fraction,
-            random.random,
+            lambda: self.fleet.request_update(far=True),
+        )
+        self.permit_issuer = PermitIssuer(
+            self.limits, clock, self.state.fleet_size.live_fraction, random.random
         )
         self.relay = Relay(
             RelayDependencies(
@@ -214,7 +215,16 @@
                 deployment.dialect,
                 self.upstream,
                 LoadRequestClient(self.state, self.peers),
-                self.limiter,
+                self.limits,
+                TargetLimiter(
+                    profile.host_id,
+                    self.limits,
+                    self.permit_issuer,
+                    self.fleet,
+                    self.peers,
+                    clock,
+                    self.metrics,
+                ),
                 self.metrics,
                 tracing,
             ),
@@ -236,7 +246,7 @@
             self.state,
             self.store,
             self.orders,
-            self.limiter,
+            self.limits,
             clock,
         )
         self.fetch_task: asyncio.Task[None] | None = None
@@ -263,7 +273,7 @@
         server.register(Digest, self.fleet.answer_digest)
         server.register(AskPermit, self.content_guard.handle_ask_permit)
         server.register(PermitBack, self.content_guard.handle_permit_back)
-        server.register(AskToSend, self.limiter.handle_ask)
+        server.register(AskToSend, self.permit_issuer.handle_ask)
         server.register(FetchItems, self.store.handle_fetch)
         server.register(Ballot, self.lease.handle_ballot)
         server.register(Resign, self.lease.handle_resign)
@@ -303,7 +313,7 @@
     def handle_peer_limits(self, received: ReceivedDigest) -> None:
         """Apply the limits of targets in a peer's digest."""
         digest = received.digest
-        self.limiter.apply_reports(digest.limits, digest.host.host_id)
+        self.limits.apply_reports(digest.limits, digest.host.host_id)
 
     def handle_digest(self, received: ReceivedDigest) -> None:
         """Fetch newer store items from a peer whose digest has a later revision."""
@@ -368,7 +378,8 @@
             self.metrics.log_lines_left_out.set({}, self.output.left_out_lines)
             self.metrics.in_flight.set({}, self.server.in_flight)
             self.content_guard.expire()
-            self.limiter.expire()
+            self.limits.expire()
+            self.permit_issuer.expire()
             self.state.count_hosts()
             held = self.state.quarantine.held_contents(self.clock.monotonic())
             self.metrics.quarantined.set({}, len(held))
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -1,5 +1,6 @@
 """Fixtures shared by the daemon's tests: settings, metrics and a manual clock."""
 
+from dataclasses import dataclass
 from datetime import UTC, datetime, timedelta
 from typing import Any
 
@@ -7,7 +8,11 @@
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
 from sardinequay_core.clock import Instant
+from sardinequay_core.target_limits import TargetLimits
+from sardinequay_daemon.limit_recorder import LimitRecorder
 from sardinequay_daemon.metrics import Metrics
+from sardinequay_daemon.permit_issuer import PermitIssuer
+from sardinequay_daemon.serving_metrics import ServingMetrics
 from sardinequay_daemon.shared_settings import TimingSettings
 
 PUBLIC_KEYS = [
@@ -71,3 +76,29 @@
             },
         },
     }
+
+
+@dataclass
+class Announcements:
+    """Counts the updates that a host asks for."""
+
+    count: int = 0
+
+    def add(self) -> None:
+        self.count += 1
+
+
+@pytest.fixture
+def announcements() -> Announcements:
+    return Announcements()
+
+
+@pytest.fixture
+def recorder(clock: ManualClock, announcements: Announcements) -> LimitRecorder:
+    metrics = ServingMetrics("h1", "za")
+    return LimitRecorder(TargetLimits(), clock, metrics, announcements.add)
+
+
+@pytest.fixture
+def issuer(recorder: LimitRecorder, clock: ManualClock) -> PermitIssuer:
+    return PermitIssuer(recorder, clock, lambda: 1.0, lambda: 0.5)
--- a/packages/daemon/tests/test_large_fleet.py
+++ b/packages/daemon/tests/test_large_fleet.py
@@ -43,6 +43,7 @@
 from sardinequay_daemon.digest_writer import DigestWriter
 from sardinequay_daemon.fleet_task import SEED_PERIOD_S, FleetTask, ReceivedDigest
 from sardinequay_daemon.limit_messages import LimitNews
+from sardinequay_daemon.limit_recorder import LimitRecorder
 from sardinequay_daemon.relay_state import RelayState
 from sardinequay_daemon.serving_messages import (
     AdapterUse,
@@ -52,7 +53,6 @@
 )
 from sardinequay_daemon.serving_metrics import ServingMetrics
 from sardinequay_daemon.store_task import FRESH_READER_AGE_S, StoreStatus
-from sardinequay_daemon.target_limiter import TargetLimiter
 
 from .conftest import ManualClock
 
@@ -125,18 +125,14 @@
         )
         self.orders = Orders(self.me.host_id)
         self.state.orders = self.orders
-        self.limiter = TargetLimiter(
-            self.me.host_id,
+        self.limits = LimitRecorder(
             self.state.limits,
-            self.fleet,
-            None,
             clock,
             ServingMetrics(self.me.host_id, data_centre),
-            self.state.fleet_size.live_fraction,
-            Random(number).random,
+            lambda: self.fleet.request_update(far=True),
         )
         self.writer = DigestWriter(
-            self.me, self.fleet, self.state, Store(), self.orders, self.limiter, clock
+            self.me, self.fleet, self.state, Store(), self.orders, self.limits, clock
         )
         self.fleet.holds_lease = lambda: self.orders.lease.is_holder
         self.fleet.digests.subscribe(self.state.apply_digest)
@@ -156,7 +152,7 @@
 
     def record_limits(self, received: ReceivedDigest) -> None:
         digest = received.digest
-        self.limiter.apply_reports(digest.limits, digest.host.host_id)
+        self.limits.apply_reports(digest.limits, digest.host.host_id)
 
     def record_target_end(self, target: str) -> None:
         """Record that a target ended while it ran a request with the fatal content."""
@@ -512,7 +508,7 @@
 def test_limit_that_one_host_hears_binds_all_within_a_second(world: World) -> None:
     """A target answers a host of a large fleet once in half a minute."""
     stated = LimitNews(TargetId("e1"), 2.0, 1, 0.0)
-    world.live_hosts("zd")[2].limiter.apply_report(stated, HostId(""))
+    world.live_hosts("zd")[2].limits.apply_report(stated, HostId(""))
     world.advance(1)
     now = world.hosts[0].fleet.clock.monotonic()
     assert all(h.state.limits.rate_of(TargetId("e1"), now) for h in world.hosts)
