Count a request once in the demand for its adapter

What it cost: each choice of a target counted, so a request that was denied permits or had to try again raised its adapter's share and with it the copies that a large fleet makes. Denials of permits made that common. Failing before: the test (30 tenths of a request for one request).

--- a/packages/daemon/src/sardinequay_daemon/engine_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/engine_picker.py
@@ -62,7 +62,8 @@
         expected_ready_at: dict[TargetId, Instant] = {}
         failed_requests = 0
         terms = exchange.terms
-        if terms.adapter:
+        if terms.adapter and not exchange.is_demand_recorded:
+            exchange.is_demand_recorded = True
             self.state.demand.record_request(terms.adapter, self.clock.monotonic())
         while True:
             now = self.clock.monotonic()
--- a/packages/daemon/src/sardinequay_daemon/exchange.py
+++ b/packages/daemon/src/sardinequay_daemon/exchange.py
@@ -50,6 +50,8 @@
         How often each target rejected the request.
     repeat : RepeatBudget or None
         Budget that counts the attempt in flight as a repeat; None if it is not one.
+    is_demand_recorded : bool
+        Whether the request has been counted in the demand for its adapter.
     """
 
     terms: RequestTerms
@@ -70,6 +72,7 @@
     repeat: RepeatBudget | None = None
     last_event: str = ""
     answer_started: bool = False
+    is_demand_recorded: bool = False
 
     @property
     def priority(self) -> int:
--- a/packages/daemon/tests/test_target_picker.py
+++ b/packages/daemon/tests/test_target_picker.py
@@ -10,6 +10,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 from opentelemetry.trace import INVALID_SPAN
 
+from sardinequay_core.adapter_demand import COUNT_SCALE
 from sardinequay_core.catalogue import (
     Catalogue,
     ConfigPublished,
@@ -358,6 +359,18 @@
     assert chosen.max_permit_wait > ROUTE.goal
 
 
+async def test_request_counts_once_in_the_demand_however_often_a_target_is_chosen(
+    picker, clock, state
+):
+    """A denied permit or a failed attempt made an adapter look more popular."""
+    denied = exchange(clock, "a1")
+    for _ in range(3):
+        await picker.choose(denied)
+    assert state.demand.own_demand(clock.monotonic()).total == COUNT_SCALE
+    await picker.choose(exchange(clock, "a1"))
+    assert state.demand.own_demand(clock.monotonic()).total == 2 * COUNT_SCALE
+
+
 async def test_limited_engine_is_no_home_for_an_adapter_that_is_loaded_anew(
     picker, load_client, clock, state
 ):
