Issue no permits in place of an issuer whose address is missing

Found in reading: a host that knew who issues a target's permits but not where issued them itself, a second time the whole limit. It now counts as an issuer that does not answer.

--- a/packages/daemon/src/sardinequay_daemon/target_limiter.py
+++ b/packages/daemon/src/sardinequay_daemon/target_limiter.py
@@ -109,9 +109,11 @@
         wait_s = None if max_wait is None else max(0.0, max_wait.total_seconds())
         message = AskToSend(self.me, wait_s, news)
         issuer = HostId(first_member(f"limit {target}", self.fleet.known_to_all()))
-        address = self.fleet.address_of(issuer)
-        if issuer == self.me or address is None:
+        if issuer == self.me:
             return self.issuer.issue(message)
+        address = self.fleet.address_of(issuer)
+        if address is None:
+            return None
         answer = await self.peers.call(address, message, ASK_TIMEOUT_S)
         reply = answer.value_or(None)
         if not isinstance(reply, SendReply):
--- a/packages/daemon/tests/test_target_limiter.py
+++ b/packages/daemon/tests/test_target_limiter.py
@@ -24,12 +24,13 @@
 
     def __init__(self) -> None:
         self.hosts = [ISSUER]
+        self.address: Address | None = Address("127.0.0.1", 1)
 
     def known_to_all(self) -> list[HostId]:
         return self.hosts
 
     def address_of(self, host_id: HostId) -> Address | None:
-        return Address("127.0.0.1", 1)
+        return self.address
 
 
 class Peers:
@@ -97,6 +98,17 @@
     assert wait_s == NO_ISSUER_PAUSE.total_seconds()
 
 
+async def test_host_does_not_issue_in_place_of_an_issuer_whose_address_it_lacks(
+    limiter, fleet, clock
+) -> None:
+    """Each host that issues by itself adds the whole limit once more."""
+    hear(limiter.recorder, 2.0)
+    limiter.issuer.issue(AskToSend(ME, None, news()))
+    clock.advance(5)
+    fleet.address = None
+    assert not await limiter.may_send("r1", TARGET, None)
+
+
 async def test_issuer_that_heard_the_limit_end_lets_all_send(limiter, peers) -> None:
     hear(limiter.recorder, 2.0)
     limiter.clock.advance(1)
