Show that a host cut off from all targets serves nobody and blames targets

Callers of such hosts were refused though callers, peers and the store reached them and the other hosts served all of theirs. A target whose connections were reset by the cut counts as ended under the request's content. The engines of a keeper that is cut off get no orders.

A relay cuts a connection only after it was accepted; on a cut path none is opened. The stand-ins' hosts now meet cuts when they connect, and relays can refuse new connections while old ones live on.

--- a/packages/lab/src/sardinequay_lab/cut_relay.py
+++ b/packages/lab/src/sardinequay_lab/cut_relay.py
@@ -2,8 +2,8 @@
 
 It tells who connects by the source's IP number, and looks up in a file which pairs of
 networks are cut: ``reset`` refuses and resets connections, ``silent`` goes on accepting
-them and passes nothing on, in either direction, ``one_way`` holds back answers, and
-``slow`` passes everything on late.
+them and passes nothing on, in either direction, ``one_way`` holds back answers,
+``slow`` passes everything on late, and ``new_refused`` resets new connections only.
 """
 
 import argparse
@@ -23,6 +23,7 @@
 SILENT = "silent"
 ONE_WAY = "one_way"
 SLOW = "slow"
+NEW_REFUSED = "new_refused"
 LINGER_NOT = struct.pack("ii", 1, 0)
 SLOW_S = 0.06
 """Delay of each piece on a slow link: some tens of times a data centre's round trip."""
@@ -87,7 +88,7 @@
     ) -> None:
         """Relay one connection."""
         source = writer.get_extra_info("peername")[0]
-        if self.cuts.mode(source, self.ip) == RESET:
+        if self.cuts.mode(source, self.ip) in (RESET, NEW_REFUSED):
             reset(writer.transport)
             return
         try:
