Reach targets through peers where a host's own paths to them are lost

Callers of a host cut off from all targets were refused, though every other host could have reached the targets for them. Cause: reachability belongs to a pair of host and target, and a host knew one way, its own connections. It took what it could not reach for a fact of the target: left out, told to peers by its silences.

A connection that cannot be opened directly (refused, or not open in 0.15 s) is opened through a peer, which only passes bytes on: the host keeps all decisions and all counting, so no bound of repeats, permits, quotas or deadlines moves, and a request is sent only after the peer has said that the connection is open, so what fails before is still 'not sent'. The end of an answer is a frame of its own; a peer that dies does not look like a target that closed. A path that only a peer has is lost until a probe of the host's own opens it; two lost paths and none opened since make a host take all for lost, so that not each target costs a wait. Failures without an answer reach peers only after the host has opened another connection.

Ruled out: handing whole requests on, which counts at two hosts what bounds count once; unreadiness, as open connections stay and a balancer uses all hosts of a zone of which most are out.

--- a/packages/core/src/sardinequay_core/target_health.py
+++ b/packages/core/src/sardinequay_core/target_health.py
@@ -28,11 +28,16 @@
 
 
 class AttemptResult(Enum):
-    """Result of one attempt, as evidence about its target."""
+    """Result of one attempt, as evidence about its target.
+
+    FAILED stands for a failure that the target answered, BROKEN for a connection that
+    broke instead.
+    """
 
     SUCCEEDED = "good"
     REJECTED = "rejected"
     FAILED = "failed"
+    BROKEN = "broken"
     TIMED_OUT = "silent"
     UNREACHABLE = "unreachable"
     CONNECTION_LOST = "gone"
@@ -181,6 +186,9 @@
 
         A timeout says nothing about a target that has answered other requests since the
         attempt began: some requests take longer than their own deadline allows.
+
+        Peers hear only of what the target itself has answered. A failure without an
+        answer may be one of this host's path to it, until `confirm_failure`.
         """
         record = self.get_record(target)
         record.has_trial_running = False
@@ -197,10 +205,38 @@
             return False
         if result is AttemptResult.FAILED:
             self.tally.record_outcome(target, now, failed=1.0)
-        elif result is AttemptResult.TIMED_OUT:
-            self.tally.record_outcome(target, now, failed=TIMEOUT_WEIGHT)
         return self.record_failure(record, result, now)
 
+    def confirm_failure(
+        self, target: TargetId, result: AttemptResult, sent_at: Instant, now: Instant
+    ) -> None:
+        """Let peers hear of a failure without an answer: the path to the target holds.
+
+        Parameters
+        ----------
+        result : AttemptResult
+            `BROKEN` or `TIMED_OUT`. A target that has answered other requests since the
+            attempt began did not fail by a timeout, as in `record_result`.
+        """
+        is_timeout = result is AttemptResult.TIMED_OUT
+        if is_timeout and self.get_record(target).answered_at > sent_at:
+            return
+        weight = TIMEOUT_WEIGHT if is_timeout else 1.0
+        self.tally.record_outcome(target, now, failed=weight)
+
+    def forget_own_failures(self, target: TargetId) -> None:
+        """Drop what failed attempts of this host have shown of a target.
+
+        They are of no more use once its path to the target was lost or regained.
+        """
+        record = self.records.get(target)
+        if record is not None:
+            record.failure_rate = 0.0
+            record.pauses = 0
+            record.excluded_until = ZERO
+            record.is_unreachable = False
+            record.is_on_trial = False
+
     def record_success(self, record: TargetHealthRecord, now: Instant) -> None:
         """Lower a target's failure rate after a successful attempt."""
         record.answered_at = now
--- a/packages/core/tests/test_shared_outcomes.py
+++ b/packages/core/tests/test_shared_outcomes.py
@@ -106,3 +106,25 @@
         tally.apply_peer_outcomes(HostId(host), {T: Outcomes(0, 90)}, NOW)
     assert tally.is_excluded(T, NOW + seconds(5))
     assert not tally.is_excluded(T, NOW + seconds(7))
+
+
+@pytest.mark.parametrize("result", [AttemptResult.BROKEN, AttemptResult.TIMED_OUT])
+def test_failures_without_an_answer_reach_peers_only_once_the_path_is_confirmed(
+    result: AttemptResult,
+) -> None:
+    health = TargetHealth()
+    for _ in range(9):
+        health.record_result(T, result, NOW, NOW)
+    assert not health.tally.outcomes_to_report(NOW)
+    for _ in range(9):
+        health.confirm_failure(T, result, NOW, NOW)
+    assert health.tally.outcomes_to_report(NOW)
+
+
+def test_a_target_that_was_silent_and_went_on_is_not_told_to_peers() -> None:
+    health = TargetHealth()
+    health.record_result(T, AttemptResult.TIMED_OUT, NOW, NOW + seconds(0.4))
+    health.record_result(T, AttemptResult.SUCCEEDED, NOW, NOW + seconds(0.5))
+    sent_at, confirmed_at = NOW, NOW + seconds(0.6)
+    health.confirm_failure(T, AttemptResult.TIMED_OUT, sent_at, confirmed_at)
+    assert not health.tally.own[T][0].failed
--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -16,6 +16,7 @@
 from .exchange import AnswerHead, AnswerSink, RelayExchange
 from .limit_recorder import LimitRecorder
 from .load_requests import LoadRequestClient
+from .path_monitor import PathMonitor
 from .relay_state import RelayState
 from .server_sent_events import EventSplitter
 from .serving_metrics import ServingMetrics
@@ -23,6 +24,7 @@
 from .target_errors import TargetErrorTranslator
 from .target_limiter import TargetLimiter
 from .tracing import Tracing
+from .tunnel_client import current_request
 from .upstream import MAX_BUFFERED_BYTES, Upstream, UpstreamRequest
 
 HEAD_TIMEOUT_GOALS = 2.0
@@ -47,6 +49,7 @@
     limiter: TargetLimiter
     metrics: ServingMetrics
     tracing: Tracing
+    paths: PathMonitor
 
 
 class Attempt:
@@ -146,6 +149,22 @@
                 },
             )
 
+    def record_unanswered(self, result: AttemptResult) -> None:
+        """Record a failure without an answer, which may be one of the path.
+
+        Peers hear of it only once this host has opened another connection.
+        """
+        self.record_result(result)
+        health, target_id, sent_at = self.state.health, self.target_id, self.sent_at
+
+        def confirm_failure(check: asyncio.Task[bool]) -> None:
+            if not check.cancelled() and check.result():
+                now = self.clock.monotonic()
+                health.confirm_failure(target_id, result, sent_at, now)
+
+        check = self.dependencies.paths.check(self.target.address)
+        check.add_done_callback(confirm_failure)
+
     def build_request(self) -> UpstreamRequest:
         """Return the request with the headers for the target."""
         exchange = self.exchange
@@ -171,7 +190,18 @@
             exchange.path,
             headers,
             exchange.body,
-            exchange.route.repetition.may_run_again and not self.is_resend,
+            self.may_reuse_connection(),
+        )
+
+    def may_reuse_connection(self) -> bool:
+        """Return whether the request may use a connection that was used before.
+
+        On a lost path those that are still open may be silent for good.
+        """
+        return (
+            self.exchange.route.repetition.may_run_again
+            and not self.is_resend
+            and not self.dependencies.paths.paths.is_lost(self.target.address)
         )
 
     def head_timeout_s(self) -> float:
@@ -190,6 +220,7 @@
     async def execute(self, sink: AnswerSink) -> AttemptEnd | None:
         """Send the request and pass the answer on; return how that failed, or None."""
         upstream = self.dependencies.upstream
+        current_request.set(self.exchange.terms.request_id)
         request = self.build_request()
         address = self.target.address
         async with upstream.send(
@@ -252,9 +283,9 @@
             # does not count against the target's health.
             end = AttemptEnd.LOST_ON_REUSED_CONNECTION
         elif error.fault is TargetFault.SILENT:
-            self.record_result(AttemptResult.TIMED_OUT)
+            self.record_unanswered(AttemptResult.TIMED_OUT)
         else:
-            self.record_result(AttemptResult.FAILED)
+            self.record_unanswered(AttemptResult.BROKEN)
         log.info(
             "attempt failed",
             extra={
--- a/packages/daemon/src/sardinequay_daemon/digest_writer.py
+++ b/packages/daemon/src/sardinequay_daemon/digest_writer.py
@@ -8,6 +8,7 @@
 from sardinequay_core.clock import Clock, Instant, seconds
 from sardinequay_core.fleet_topology import DigestScope, digest_scope
 from sardinequay_core.names import HostId
+from sardinequay_core.target_paths import TargetPaths
 from sardinequay_core.usage_view import UsageCounts
 
 from .content_messages import ContentNews
@@ -30,7 +31,7 @@
 """Maximum number of contents in one digest; further ones follow in the next."""
 
 HoldingsState = tuple[int, int, int, bool | None]
-MemberState = frozenset[tuple[Contact, bool, int]]
+MemberState = frozenset[tuple[Contact, bool, bool, int]]
 
 
 class DigestWriter:
@@ -44,6 +45,7 @@
         store: StoreTask,
         orders: OrderTask,
         limits: LimitRecorder,
+        paths: TargetPaths,
         clock: Clock,
     ) -> None:
         self.me = me
@@ -52,6 +54,7 @@
         self.store = store
         self.orders = orders
         self.limits = limits
+        self.paths = paths
         self.clock = clock
         self.sent_holdings: dict[HostId, dict[str, tuple[HoldingsState, Instant]]] = {}
         self.sent_contact_counts: dict[HostId, int] = {}
@@ -82,6 +85,7 @@
             has_missed=host_id in self.fleet.failed_exchanges,
             contents=self.unsent_contents(host_id),
             limits=self.unsent_limits(host_id),
+            is_cut_off=self.paths.is_cut_off,
         )
         if self.fleet.is_mesh:
             return self.add_host_part(digest, host_id)
@@ -248,7 +252,8 @@
         members = self.fleet.live_member_records()
         now_s = self.clock.monotonic().total_seconds()
         state = frozenset(
-            (m.contact, m.is_leaving, round(now_s - m.up_s)) for m in members
+            (m.contact, m.is_leaving, m.is_cut_off, round(now_s - m.up_s))
+            for m in members
         )
         if self.sent_members.get(host_id) == state:
             return None
--- a/packages/daemon/src/sardinequay_daemon/fleet_task.py
+++ b/packages/daemon/src/sardinequay_daemon/fleet_task.py
@@ -351,6 +351,7 @@
             up_s_received_at=now,
             is_hub=digest.scope in (DigestScope.DATA_CENTRE, DigestScope.FLEET),
             live_hosts=digest.live_hosts,
+            is_cut_off=digest.is_cut_off,
         )
         self.log_contact(digest.host)
         self.add_contacts(digest.contacts, now)
--- a/packages/daemon/src/sardinequay_daemon/hub_table.py
+++ b/packages/daemon/src/sardinequay_daemon/hub_table.py
@@ -58,6 +58,19 @@
             ),
         )
 
+    def peers_to_ask(self) -> tuple[Peer, ...]:
+        """Return the peers to ask for what any host can do.
+
+        In a large fleet little is known of single hosts of other data centres. They are
+        asked, too: if a whole data centre needs others, its hubs alone are too few.
+        """
+        live = self.live_peers()
+        if self.is_mesh:
+            return live
+        far = (p for p in self.peers.values() if not self.is_near(p))
+        unheard = (p for p in far if not p.is_hub and not p.is_leaving)
+        return (*live, *unheard)
+
     def is_running(self, peer: Peer) -> bool:
         """Return whether a peer is one of the running peers."""
         is_hub_reported = peer.contact.host_id in self.recent_hub_reported_hosts()
@@ -179,7 +192,12 @@
     def live_member_records(self) -> tuple[Member, ...]:
         """Return the live hosts of this data centre, to be sent to its hosts."""
         return tuple(
-            Member(p.contact, round(self.peer_uptime_s(p), 1), p.is_leaving)
+            Member(
+                p.contact,
+                round(self.peer_uptime_s(p), 1),
+                p.is_leaving,
+                p.is_cut_off,
+            )
             for p in self.reporting_peers()
         )
 
@@ -236,6 +254,7 @@
                 up_s_received_at=now,
                 is_leaving=member.is_leaving,
                 leaving_since=leaving_since,
+                is_cut_off=member.is_cut_off,
             )
         self.update_near_peer_count()
 
--- a/packages/daemon/src/sardinequay_daemon/peer_table.py
+++ b/packages/daemon/src/sardinequay_daemon/peer_table.py
@@ -72,6 +72,8 @@
         Last time at which the hub reported it as live, set once the hub stops doing so.
     live_hosts : int
         Live hosts of its data centre, if it is a hub.
+    is_cut_off : bool
+        Whether it appears to reach no target.
     """
 
     contact: Contact
@@ -87,6 +89,7 @@
     hub_reported_at: Instant = ZERO
     is_hub: bool = False
     live_hosts: int = 1
+    is_cut_off: bool = False
 
 
 class PeerTable:
@@ -130,6 +133,10 @@
         """Return the live peers, including those that are leaving."""
         return self.recently_heard_peers()
 
+    def peers_to_ask(self) -> tuple[Peer, ...]:
+        """Return the peers to ask for what any host can do: the live ones."""
+        return self.live_peers()
+
     def is_running(self, peer: Peer) -> bool:
         """Return whether a peer is one of the running peers."""
         return self.is_recently_heard(peer)
--- a/packages/daemon/src/sardinequay_daemon/peers.py
+++ b/packages/daemon/src/sardinequay_daemon/peers.py
@@ -12,7 +12,7 @@
 import itertools
 import logging
 import ssl
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
 from returns.result import Failure, Result, Success
@@ -75,6 +75,48 @@
             await self.writer.wait_closed()
 
 
+class PeerStream(PeerConnection):
+    """Called end of a connection that one request has to itself."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        metrics: HostMetrics,
+        frames: FrameReader,
+        correlation: int,
+    ) -> None:
+        super().__init__(writer, metrics)
+        self.reader = reader
+        self.frames = frames
+        self.correlation = correlation
+
+    def reply(self, message: Any) -> None:
+        """Send the reply to the request."""
+        self.send(encode_message(FrameKind.REPLY, self.correlation, message))
+
+    async def read_frames(self) -> AsyncIterator[Frame]:
+        """Yield the frames that follow the request, until the peer closes.
+
+        Raises
+        ------
+        OSError
+            If the connection breaks.
+        """
+        while data := await self.reader.read(READ_BYTES):
+            for frame in self.frames.feed(data):
+                yield frame
+
+    async def drain(self) -> None:
+        """Wait until the peer has read enough of what was sent."""
+        await self.writer.drain()
+
+    async def finish(self) -> None:
+        """Send what is buffered and close the connection."""
+        self.writer.close()
+        await self.writer.wait_closed()
+
+
 class PeerLink(PeerConnection):
     """Calling end of a connection to another host.
 
@@ -188,6 +230,9 @@
             task.cancel()
 
 
+StreamHandler = Callable[[Any, PeerStream], Awaitable[None]]
+
+
 class PeerClient:
     """Calls other entry hosts, over one link to each of them.
 
@@ -268,12 +313,17 @@
     def __init__(self, metrics: HostMetrics) -> None:
         self.metrics = metrics
         self.handlers: dict[type, RequestHandler] = {}
+        self.stream_handlers: dict[str, StreamHandler] = {}
         self.connections: set[PeerConnection] = set()
 
     def register(self, message_type: type, handler: RequestHandler) -> None:
         """Register the handler of a request type."""
         self.handlers[message_type] = handler
 
+    def register_stream(self, message_type: type, handler: StreamHandler) -> None:
+        """Register the handler of a request that gets its connection to itself."""
+        self.stream_handlers[message_type.__name__] = handler
+
     async def start(
         self, address: Address, tls: ssl.SSLContext | None = None
     ) -> asyncio.Server:
@@ -292,6 +342,12 @@
         try:
             while data := await reader.read(READ_BYTES):
                 for frame in frames.feed(data):
+                    if frame.tag in self.stream_handlers:
+                        stream = PeerStream(
+                            reader, writer, self.metrics, frames, frame.correlation
+                        )
+                        await self.serve_stream(stream, frame)
+                        return
                     self.start_request(connection, frame, request_tasks)
         except (OSError, FrameError) as error:
             log.info("peer connection ended", extra={"error": str(error)})
@@ -302,6 +358,10 @@
             connection.close()
             await connection.wait_closed()
 
+    async def serve_stream(self, stream: PeerStream, frame: Frame) -> None:
+        """Let the handler of a request use its connection until it returns."""
+        await self.stream_handlers[frame.tag](decode_message(frame), stream)
+
     def start_request(
         self,
         connection: PeerConnection,
--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -113,7 +113,7 @@
         if not await self.guard.wait_for_end_check(
             exchange.guarded_request, time_left_s
         ):
-            lost_attempt.record_result(AttemptResult.FAILED)
+            lost_attempt.record_unanswered(AttemptResult.BROKEN)
             return AttemptEnd.MAY_HAVE_RUN
         if not await self.guard.may_run(exchange.guarded_request):
             return AttemptEnd.MAY_HAVE_RUN
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -16,6 +16,7 @@
 from sardinequay_core.load_view import PEER_SHARE_EXPIRY, LoadView
 from sardinequay_core.names import (
     AdapterRef,
+    Address,
     HostId,
     PoolName,
     TargetId,
@@ -122,6 +123,18 @@
         self.uses.forget_target(target_id)
         self.limits.forget_target(target_id)
 
+    def forget_own_failures(self, targets: Iterable[TargetId]) -> None:
+        """Drop what this host's failed attempts have shown of targets."""
+        for target_id in targets:
+            self.health.forget_own_failures(target_id)
+
+    def data_centre_at(self, address: Address) -> str:
+        """Return the data centre of the target at an address; empty if unknown."""
+        for published in self.catalogue.targets.values():
+            if published.target.address == address:
+                return published.target.data_centre
+        return ""
+
     def apply_digest(self, received: ReceivedDigest) -> None:
         """Apply a peer's digest: load, adapter uses and engines' holdings."""
         digest = received.digest
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -35,6 +35,8 @@
 from .load_requests import LoadRequestClient
 from .order_lease_task import OrderLeaseTask
 from .order_task import OrderTask
+from .path_messages import OpenTunnel
+from .path_monitor import PathMonitor
 from .peers import PeerClient, PeerServer
 from .permit_issuer import PermitIssuer
 from .relay import Relay
@@ -62,6 +64,8 @@
 from .target_limiter import TargetLimiter
 from .target_probe import TargetProbe
 from .tracing import Tracing
+from .tunnel_client import TunnelClient
+from .tunnel_server import TunnelServer
 from .upstream import Upstream
 
 EXIT_PORT_IN_USE = 3
@@ -182,13 +186,28 @@
             self.announce_holdings,
         )
         self.state.orders = self.orders
-        self.upstream = Upstream(profile.callers.ip)
+        accepts = ConnectionProbe(profile.callers.ip).accepts
+        tunnels = TunnelClient(
+            self.fleet,
+            profile.callers.ip,
+            clock,
+            random,
+            self.state.data_centre_at,
+            self.metrics,
+        )
+        self.path_monitor = PathMonitor(
+            accepts, tunnels, clock, self.metrics, self.state.forget_own_failures
+        )
+        self.tunnel_server = TunnelServer(
+            profile.callers.ip, self.path_monitor.is_target, self.metrics
+        )
+        self.upstream = Upstream(profile.callers.ip, self.path_monitor)
         self.content_guard = ContentGuard(
             profile.host_id,
             self.state.quarantine,
             TargetEndDetector(
                 TargetProbe(
-                    ConnectionProbe(profile.callers.ip).accepts,
+                    accepts,
                     deployment.engines,
                     self.state.is_busy,
                     self.state.health_path,
@@ -227,6 +246,7 @@
                 ),
                 self.metrics,
                 tracing,
+                self.path_monitor,
             ),
             self.content_guard,
         )
@@ -247,6 +267,7 @@
             self.store,
             self.orders,
             self.limits,
+            self.path_monitor.paths,
             clock,
         )
         self.fetch_task: asyncio.Task[None] | None = None
@@ -257,6 +278,7 @@
     def subscribe_tasks(self) -> None:
         """Subscribe tasks to updates, and register the handlers of peers' messages."""
         self.store.catalogues.subscribe(self.state.apply_catalogue)
+        self.store.catalogues.subscribe(self.path_monitor.apply_catalogue)
         self.store.catalogues.subscribe(self.orders.apply_catalogue)
         self.store.catalogues.subscribe(self.announce_catalogue)
         self.store.catalogues.subscribe(self.content_guard.apply_catalogue)
@@ -273,6 +295,7 @@
         server.register(Digest, self.fleet.answer_digest)
         server.register(AskPermit, self.content_guard.handle_ask_permit)
         server.register(PermitBack, self.content_guard.handle_permit_back)
+        server.register_stream(OpenTunnel, self.tunnel_server.serve)
         server.register(AskToSend, self.permit_issuer.handle_ask)
         server.register(FetchItems, self.store.handle_fetch)
         server.register(Ballot, self.lease.handle_ballot)
@@ -352,6 +375,7 @@
                     group.create_task(self.store.run()),
                     group.create_task(self.fleet.run()),
                     group.create_task(self.orders.run()),
+                    group.create_task(self.path_monitor.run()),
                     group.create_task(self.server.close_overdue_connections()),
                     group.create_task(self.run_housekeeping()),
                 ]
@@ -437,6 +461,8 @@
             "reads_store": self.fleet.is_reader(),
             "hub": "" if self.fleet.is_mesh else self.fleet.hub().host_id,
             "live_hosts": self.fleet.live_hosts,
+            "cut_off": self.path_monitor.paths.is_cut_off,
+            "lost_paths": sorted(str(a) for a in self.path_monitor.paths.lost),
             "orders_engines": self.lease.is_holder,
             "in_flight": self.server.in_flight,
             "quarantined": [
@@ -463,7 +489,8 @@
         await asyncio.sleep(min(ACCEPT_AFTER_STOP_S, grace_s / 2))
         self.server.stops_at = drain_started_at + seconds(grace_s)
         self.server.is_closing = True
-        while self.server.in_flight or self.has_open_connections():
+        self.tunnel_server.is_closing = True
+        while self.is_serving():
             elapsed_s = (self.clock.monotonic() - drain_started_at).total_seconds()
             if elapsed_s > grace_s - RESIGN_BEFORE_END_S:
                 await self.orders.resign()
@@ -476,6 +503,14 @@
             await asyncio.sleep(DRAIN_POLL_S)
         await self.orders.resign()
 
+    def is_serving(self) -> bool:
+        """Return whether callers or peers still need this host while it stops."""
+        return bool(
+            self.server.in_flight
+            or self.has_open_connections()
+            or self.tunnel_server.open_tunnels
+        )
+
     def has_open_connections(self) -> bool:
         """Return whether connections of callers are still open.
 
--- a/packages/daemon/src/sardinequay_daemon/serving_messages.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_messages.py
@@ -78,6 +78,7 @@
     contact: Contact
     up_s: float
     is_leaving: bool
+    is_cut_off: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,6 +159,8 @@
         Usage by organisation since the sender started, where it changed recently.
     limits : tuple of LimitNews
         Rate limits of targets that changed since the last digest to the receiver.
+    is_cut_off : bool
+        Whether the sender appears to reach no target.
     """
 
     host: Contact
@@ -182,6 +185,7 @@
     contents: tuple[ContentNews, ...] = ()
     usage: dict[OrganisationName, Usage] = field(default_factory=dict)
     limits: tuple[LimitNews, ...] = ()
+    is_cut_off: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/sardinequay_daemon/serving_metrics.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_metrics.py
@@ -49,6 +49,18 @@
         self.permits = self.counter(
             "send_permits_total", "Permits to send to limited targets, by result"
         )
+        self.lost_paths = self.gauge(
+            "lost_target_paths", "Targets that this host reaches only through peers"
+        )
+        self.is_cut_off = self.gauge(
+            "cut_off_from_targets", "1 while this host appears to reach no target"
+        )
+        self.tunnels = self.counter(
+            "tunnels_total", "Connections to targets through peers, by result"
+        )
+        self.tunnels_served = self.counter(
+            "tunnels_served_total", "Connections to targets for peers, by result"
+        )
         self.organisations: set[str] = set()
         self.load_wait = self.histogram(
             "load_wait_seconds", "Waits for an adapter", LATENCY_BUCKETS_S
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/target_connector.py
@@ -0,0 +1,148 @@
+"""Opens connections to targets: directly, or through a peer where that fails.
+
+A connection that was never opened has carried nothing, so going another way to the same
+target is no second attempt.
+"""
+
+import asyncio
+from functools import partial
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+from sardinequay_core.names import Address
+
+from .errors import PeerError
+from .path_monitor import PathMonitor
+
+if TYPE_CHECKING:
+    from aiohttp.tracing import Trace
+
+PEER_DELAY_S = 0.15
+"""Time after which a connection that is not open yet is tried through a peer as well,
+in seconds: many round trips between data centres."""
+
+
+class StrictResponseHandler(ResponseHandler):
+    """Connection protocol that detects resets and unsolicited answers.
+
+    aiohttp takes any end of a connection for the end of an answer without a length. It
+    also reuses an idle connection on which an unsolicited answer has arrived.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Raise an error in the reader of an answer whose connection was reset."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(f"reset: {exc!r}"))
+        super().connection_lost(exc)
+
+    def is_connected(self) -> bool:
+        """Return whether the connection can take another request."""
+        return super().is_connected() and not self.should_close
+
+
+class TargetConnector(aiohttp.TCPConnector):
+    """Connector to targets whose connections use `StrictResponseHandler`."""
+
+    def __init__(self, source_ip: str, monitor: PathMonitor, **options: Any) -> None:
+        super().__init__(limit=0, local_addr=(source_ip, 0), **options)
+        self._factory = partial(StrictResponseHandler, loop=self._loop)  # type: ignore[assignment]
+        self.monitor = monitor
+
+    async def _create_connection(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list["Trace"],
+        timeout: aiohttp.ClientTimeout,
+    ) -> ResponseHandler:
+        """Open a connection, through a peer if the direct path is lost or fails."""
+        address = Address(str(req.url.raw_host), int(req.url.port or 0))
+        if self.monitor.paths.is_lost(address):
+            try:
+                return await self.connect_through_peer(address)
+            except PeerError:
+                # Peers may have lost the target, too, or the path may be back.
+                return await self.connect_directly(address, req, traces, timeout)
+        direct = asyncio.create_task(
+            self.connect_directly(address, req, traces, timeout)
+        )
+        try:
+            await asyncio.wait((direct,), timeout=PEER_DELAY_S)
+            if direct.done() and direct.exception() is None:
+                return direct.result()
+            return await self.connect_either_way(address, direct)
+        except BaseException:
+            discard(direct)
+            raise
+
+    async def connect_directly(
+        self,
+        address: Address,
+        req: aiohttp.ClientRequest,
+        traces: list["Trace"],
+        timeout: aiohttp.ClientTimeout,
+    ) -> ResponseHandler:
+        """Open a connection of this host's own."""
+        opened = await super()._create_connection(req, traces, timeout)
+        self.monitor.record_opened(address)
+        return opened
+
+    async def connect_through_peer(self, address: Address) -> ResponseHandler:
+        """Open a connection through a peer; it is used for one request.
+
+        Raises
+        ------
+        PeerError
+            If no peer opened one.
+        """
+        transport = await self.monitor.tunnels.open(address)
+        protocol = self._factory()
+        transport.set_protocol(protocol)
+        protocol.connection_made(transport)
+        protocol.force_close()
+        return protocol
+
+    async def connect_either_way(
+        self, address: Address, direct: asyncio.Task[ResponseHandler]
+    ) -> ResponseHandler:
+        """Try a peer, too, after the direct way failed or while it takes long.
+
+        The direct way's error is raised if both fail.
+        """
+        through_peer = asyncio.create_task(self.connect_through_peer(address))
+        try:
+            await asyncio.wait(
+                (direct, through_peer), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not through_peer.done() and direct.exception() is None:
+                return direct.result()
+            await asyncio.wait((through_peer,))
+        except BaseException:
+            discard(through_peer)
+            raise
+        if isinstance(through_peer.exception(), PeerError):
+            return await direct
+        if direct.done() and direct.exception() is None:
+            discard(through_peer)
+            return direct.result()
+        reason = repr(direct.exception()) if direct.done() else "not open in time"
+        discard(direct)
+        self.monitor.record_lost(address, reason)
+        return through_peer.result()
+
+
+def discard(connecting: asyncio.Task[ResponseHandler]) -> None:
+    """Cancel the opening of a connection, or close the connection."""
+    if not connecting.done():
+        connecting.add_done_callback(close_opened)
+        connecting.cancel()
+        return
+    close_opened(connecting)
+
+
+def close_opened(connecting: asyncio.Task[ResponseHandler]) -> None:
+    """Close a connection that was opened and is not needed."""
+    if not connecting.cancelled() and connecting.exception() is None:
+        connecting.result().close()
--- a/packages/daemon/src/sardinequay_daemon/upstream.py
+++ b/packages/daemon/src/sardinequay_daemon/upstream.py
@@ -4,11 +4,8 @@
 from collections.abc import AsyncGenerator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
-from functools import partial
-from typing import Any
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -16,7 +13,9 @@
 
 from .connection_probe import CONNECT_S
 from .errors import TargetError, TargetFault
+from .path_monitor import PathMonitor
 from .single_send import CountedSend, client_session, connection_reuse_trace
+from .target_connector import TargetConnector
 from .target_errors import TargetErrorTranslator
 
 KEEPALIVE_S = 3.0
@@ -48,42 +47,15 @@
     may_reuse_connection: bool
 
 
-class StrictResponseHandler(ResponseHandler):
-    """Connection protocol that detects resets and unsolicited answers.
-
-    aiohttp takes any end of a connection for the end of an answer without a length. It
-    also reuses an idle connection on which an unsolicited answer has arrived.
-    """
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Raise an error in the reader of an answer whose connection was reset."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(f"reset: {exc!r}"))
-        super().connection_lost(exc)
-
-    def is_connected(self) -> bool:
-        """Return whether the connection can take another request."""
-        return super().is_connected() and not self.should_close
-
-
-class UpstreamConnector(aiohttp.TCPConnector):
-    """Connector whose connections use `StrictResponseHandler`."""
-
-    def __init__(self, source_ip: str, **options: Any) -> None:
-        super().__init__(limit=0, local_addr=(source_ip, 0), **options)
-        self._factory = partial(StrictResponseHandler, loop=self._loop)  # type: ignore[assignment]
-
-
 class Upstream:
     """Client sessions for targets: one that reuses connections, one that does not."""
 
-    def __init__(self, source_ip: str) -> None:
+    def __init__(self, source_ip: str, monitor: PathMonitor) -> None:
         self.pooled_session = make_session(
-            UpstreamConnector(source_ip, keepalive_timeout=KEEPALIVE_S)
+            TargetConnector(source_ip, monitor, keepalive_timeout=KEEPALIVE_S)
         )
         self.fresh_session = make_session(
-            UpstreamConnector(source_ip, force_close=True)
+            TargetConnector(source_ip, monitor, force_close=True)
         )
 
     @asynccontextmanager
--- a/packages/daemon/src/sardinequay_daemon/wire.py
+++ b/packages/daemon/src/sardinequay_daemon/wire.py
@@ -41,6 +41,8 @@
     REPLY = 1
     FAILURE = 2
     ALIVE = 3
+    DATA = 4
+    END = 5
 
 
 @dataclass(unsafe_hash=True)
--- a/packages/daemon/tests/test_large_fleet.py
+++ b/packages/daemon/tests/test_large_fleet.py
@@ -38,6 +38,7 @@
 from sardinequay_core.repeat_budget import RepeatPolicy
 from sardinequay_core.roster import Target, TargetKind
 from sardinequay_core.target_health import AttemptResult
+from sardinequay_core.target_paths import TargetPaths
 from sardinequay_core.usage_view import Usage
 from sardinequay_daemon.content_updates import apply_content_update
 from sardinequay_daemon.digest_writer import DigestWriter
@@ -132,7 +133,14 @@
             lambda: self.fleet.request_update(far=True),
         )
         self.writer = DigestWriter(
-            self.me, self.fleet, self.state, Store(), self.orders, self.limits, clock
+            self.me,
+            self.fleet,
+            self.state,
+            Store(),
+            self.orders,
+            self.limits,
+            TargetPaths(),
+            clock,
         )
         self.fleet.holds_lease = lambda: self.orders.lease.is_holder
         self.fleet.digests.subscribe(self.state.apply_digest)
