Let a peer confirm the end of a target before a content is blamed for it

Callers of hosts whose paths held were refused, too: 'targets ended under such requests', while no target had ended. Cause: a connection that a cut had reset, to an address that then accepted no other, counted as the end of the target's process, and ends are told to all hosts.

Now an end counts once a peer sees it that reaches some other target; peers in the target's data centre are asked first, three at most. Unsure or silent ones leave the target alive, and a later start of it in the store still shows the end, as before. A host without peers decides by itself.

--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -35,7 +35,7 @@
 from .load_requests import LoadRequestClient
 from .order_lease_task import OrderLeaseTask
 from .order_task import OrderTask
-from .path_messages import OpenTunnel
+from .path_messages import AskAlive, OpenTunnel
 from .path_monitor import PathMonitor
 from .peers import PeerClient, PeerServer
 from .permit_issuer import PermitIssuer
@@ -63,6 +63,7 @@
 from .target_end_detector import TargetEndDetector
 from .target_limiter import TargetLimiter
 from .target_probe import TargetProbe
+from .target_witness import TargetWitness
 from .tracing import Tracing
 from .tunnel_client import TunnelClient
 from .tunnel_server import TunnelServer
@@ -202,16 +203,24 @@
             profile.callers.ip, self.path_monitor.is_target, self.metrics
         )
         self.upstream = Upstream(profile.callers.ip, self.path_monitor)
+        self.target_witness = TargetWitness(
+            TargetProbe(
+                accepts,
+                deployment.engines,
+                self.state.is_busy,
+                self.state.health_path,
+            ),
+            accepts,
+            lambda: self.state.catalogue,
+            self.fleet,
+            self.peers,
+            random,
+        )
         self.content_guard = ContentGuard(
             profile.host_id,
             self.state.quarantine,
             TargetEndDetector(
-                TargetProbe(
-                    accepts,
-                    deployment.engines,
-                    self.state.is_busy,
-                    self.state.health_path,
-                ).is_alive,
+                self.target_witness.is_alive,
                 lambda target: self.state.catalogue.is_live(target),
                 lambda pool: self.metrics.target_ends.inc({"pool": pool}),
             ),
@@ -295,6 +304,7 @@
         server.register(Digest, self.fleet.answer_digest)
         server.register(AskPermit, self.content_guard.handle_ask_permit)
         server.register(PermitBack, self.content_guard.handle_permit_back)
+        server.register(AskAlive, self.target_witness.handle_ask)
         server.register_stream(OpenTunnel, self.tunnel_server.serve)
         server.register(AskToSend, self.permit_issuer.handle_ask)
         server.register(FetchItems, self.store.handle_fetch)
