Hand the order lease on when its holder is cut off from the engines

Callers waited in vain for adapters on engines whose keeper could not reach them. Cause: the lease asks for votes of hosts, which a keeper that has lost its paths still gets; peers cannot carry its orders, since engines would see two machines order at once.

A keeper whose calls fail, and to whose engines only peers have paths, gives the lease to a host of its data centre that is not cut off, and stands back until its paths hold again. Where all hosts of a data centre are cut off the keeper stays (its hub is needed) but says that it cannot order, so that other engines are chosen.

--- a/packages/core/src/sardinequay_core/order_candidate.py
+++ b/packages/core/src/sardinequay_core/order_candidate.py
@@ -165,10 +165,11 @@
         self.token += TOKENS_PER_TICK
 
     def resign_lease(self, data_centre: str, now: Instant) -> Resign | None:
-        """Give up the lease for good; return the message to voters if it was held."""
+        """Give up the lease; return the message to voters if it was held."""
         if not self.is_holder:
             return None
         self.drop_lease()
+        self.highest_seen_token = max(self.highest_seen_token, self.token)
         self.votes.clear()
         last_order_at = self.last_order_at
         age_s = (
--- a/packages/daemon/src/sardinequay_daemon/order_lease_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_lease_task.py
@@ -97,6 +97,7 @@
         self.has_resigned = False
         self.has_reclaimed_lease = False
         self.newest_revision: Callable[[], int] = lambda: 0
+        self.should_stand_back: Callable[[], bool] = lambda: False
 
     @property
     def is_holder(self) -> bool:
@@ -179,7 +180,7 @@
             return False
         if self.candidate.is_holder:
             return True
-        if self.voter.is_leaving:
+        if self.voter.is_leaving or self.should_stand_back():
             return False
         now = self.clock.monotonic()
         if self.voter.is_vote_given_elsewhere(self.me, now):
@@ -282,6 +283,10 @@
             Whether this host held the lease.
         """
         self.has_resigned = True
+        return await self.hand_on()
+
+    async def hand_on(self) -> bool:
+        """Release the lease to a host that can do more with it; see `resign`."""
         message = self.candidate.resign_lease(self.data_centre, self.clock.monotonic())
         if message is None:
             return False
--- a/packages/daemon/src/sardinequay_daemon/order_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -22,12 +22,13 @@
 from sardinequay_core.engine_scheduler import EngineScheduler
 from sardinequay_core.names import HostId, TargetId, parse_adapter_ref
 from sardinequay_core.residency import AdapterUses
-from sardinequay_core.roster import Presence
+from sardinequay_core.roster import Presence, Target
 from sardinequay_core.serving import EnginePool, TargetPool
 
 from .load_request_handler import LoadRequestHandler
 from .managed_engine import ManagedEngine, order_subject
 from .order_lease_task import OrderLeaseTask
+from .path_monitor import PathMonitor
 from .serving_messages import (
     AdapterMissing,
     EngineHoldings,
@@ -107,6 +108,9 @@
         self.is_ordering = False
         self.last_holdings: tuple[EngineHoldings, ...] = ()
         self.last_holdings_at = ZERO
+        self.paths: PathMonitor | None = None
+        self.is_unreached = False
+        lease.should_stand_back = self.should_stand_back
         self.load_requests = LoadRequestHandler(
             self.managed_engines, lambda: self.orders_in_s, clock
         )
@@ -114,13 +118,48 @@
     @property
     def orders_in_s(self) -> float:
         """Return the time until this host may send orders, in seconds."""
-        return self.lease.orders_in_s if self.managed_engines else float("inf")
+        if not self.managed_engines or self.is_cut_off:
+            return float("inf")
+        return self.lease.orders_in_s
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether the last call failed and no engine's path holds.
+
+        Calls over connections that were open before still reach engines.
+        """
+        return self.is_unreached and self.has_lost_all_paths()
+
+    def has_lost_all_paths(self) -> bool:
+        """Return whether peers reach this data centre's engines and this host none."""
+        if self.paths is None:
+            return False
+        lost = self.paths.paths
+        engines = self.local_engines().values()
+        return bool(engines) and all(lost.is_lost(e.target.address) for e in engines)
+
+    def should_stand_back(self) -> bool:
+        """Return whether another host of this data centre should order its engines."""
+        fleet = self.lease.fleet
+        return self.has_lost_all_paths() and any(
+            fleet.is_near(p) and not p.is_cut_off for p in fleet.live_peers()
+        )
+
+    def record_call(self, target: Target, is_answered: bool) -> None:
+        """Record whether an engine answered a call, and check the path if not."""
+        self.is_unreached = not is_answered
+        if not is_answered and self.paths is not None:
+            self.paths.check(target.address)
 
     async def run(self) -> None:
         """Acquire and renew the order lease, and start or stop ordering with it."""
         while True:
             pause_s = await self.lease.step()
             self.apply_lease_state()
+            if self.is_ordering and self.is_cut_off and self.should_stand_back():
+                log.warning("lease handed on", extra={"token": self.candidate.token})
+                await self.lease.hand_on()
+                self.apply_lease_state()
             await asyncio.sleep(pause_s)
 
     def apply_lease_state(self) -> None:
@@ -316,6 +355,7 @@
         asked_at = self.clock.monotonic()
         report = await self.engines.report(engine.published.target)
         now = self.clock.monotonic()
+        self.record_call(engine.published.target, isinstance(report, Success))
         if isinstance(report, Success):
             status = report.unwrap()
             if status.incarnation > engine.scheduler.incarnation:
@@ -344,6 +384,7 @@
         result = await self.engines.order(target, order, terms)
         now = self.clock.monotonic()
         self.candidate.record_order(now)
+        self.record_call(target, isinstance(result, Success))
         if scheduler is not engine.scheduler:
             # The engine restarted while the order was sent, so the result is about
             # the previous incarnation.
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -199,6 +199,7 @@
         self.path_monitor = PathMonitor(
             accepts, tunnels, clock, self.metrics, self.state.forget_own_failures
         )
+        self.orders.paths = self.path_monitor
         self.tunnel_server = TunnelServer(
             profile.callers.ip, self.path_monitor.is_target, self.metrics
         )
