Wait for the end of a tunnel's connection without cancelling it for others

A host logged a CancelledError when a tunnel was closed from both sides at once. Cause: who waits for a stream's end awaits one future of the connection, and a cancelled waiter cancels it for the next.

--- a/packages/daemon/src/sardinequay_daemon/peers.py
+++ b/packages/daemon/src/sardinequay_daemon/peers.py
@@ -112,9 +112,12 @@
         await self.writer.drain()
 
     async def finish(self) -> None:
-        """Send what is buffered and close the connection."""
+        """Send what is buffered and close the connection.
+
+        Who waits for the same end must not be cancelled together with this.
+        """
         self.writer.close()
-        await self.writer.wait_closed()
+        await asyncio.shield(self.wait_closed())
 
 
 class PeerLink(PeerConnection):
--- a/packages/daemon/src/sardinequay_daemon/tunnel_server.py
+++ b/packages/daemon/src/sardinequay_daemon/tunnel_server.py
@@ -184,8 +184,7 @@
         reset(stream.writer)
         return
     stream.send(Frame(FrameKind.END, 0))
-    with contextlib.suppress(OSError):
-        await stream.finish()
+    await stream.finish()
 
 
 def reset(writer: asyncio.StreamWriter) -> None:
--- a/packages/daemon/tests/test_peers.py
+++ b/packages/daemon/tests/test_peers.py
@@ -12,8 +12,9 @@
 from sardinequay_core.names import Address
 from sardinequay_daemon.messages import FetchRoot, FetchRoster, RootReply
 from sardinequay_daemon.metrics import Metrics
-from sardinequay_daemon.peers import PeerClient, PeerServer
+from sardinequay_daemon.peers import PeerClient, PeerServer, PeerStream
 from sardinequay_daemon.shared_settings import TimingSettings
+from sardinequay_daemon.wire import FrameReader
 
 IP = "127.0.0.1"
 
@@ -177,3 +178,26 @@
             await asyncio.sleep(0.01)
     assert isinstance(await client.call(address, FetchRoot()), Success)
     client.close()
+
+
+async def test_a_stream_whose_end_was_given_up_can_still_be_waited_for(
+    metrics: Metrics,
+) -> None:
+    streams: asyncio.Queue[PeerStream] = asyncio.Queue()
+
+    async def serve(reader, writer) -> None:
+        await streams.put(PeerStream(reader, writer, metrics, FrameReader(), 0))
+
+    server = await asyncio.start_server(serve, IP, 0)
+    port = server.sockets[0].getsockname()[1]
+    _, unread = await asyncio.open_connection(IP, port)
+    stream = await streams.get()
+    stream.writer.write(b"x" * 50_000_000)
+    ending = asyncio.create_task(stream.finish())
+    await asyncio.sleep(0.05)
+    ending.cancel()
+    await asyncio.wait((ending,))
+    unread.transport.abort()
+    async with asyncio.timeout(5):
+        await stream.wait_closed()
+    server.close()
