Give out the room at brittle targets, so that they turn nobody away

Cause: no decision read the statement, and each host found out that a target is full by a rejection of its own. Class: a capacity that the fleet shares, decided by each host from what it alone has seen, as rate limits were.

The statement is recorded, told and ended as rate limits are (one more recorder). While it holds, one host a target, by rendezvous, gives out its room: no more requests than it has slots, beginning with one, growing and shrinking as a window of congestion control does, by the waiting requests that answers state and by rejections; half of the rejections that a target bears stop all sends for a second. A request that only brittle targets can serve waits while its answer can be on time, the rest is refused at once with the time until there is room.

--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -11,6 +11,7 @@
 from sardinequay_core.names import AdapterRef
 from sardinequay_core.retry_decision import AttemptEnd
 from sardinequay_core.target_health import AttemptResult
+from sardinequay_core.target_room import RoomReport
 
 from .errors import TargetError, TargetFault
 from .exchange import AnswerHead, AnswerSink, RelayExchange
@@ -18,6 +19,7 @@
 from .load_requests import LoadRequestClient
 from .path_monitor import PathMonitor
 from .relay_state import RelayState
+from .room_client import RoomClient
 from .server_sent_events import EventSplitter
 from .serving_metrics import ServingMetrics
 from .serving_ports import AnswerFacts, HttpDialect, SendTerms
@@ -47,6 +49,8 @@
     load_requests: LoadRequestClient
     limits: LimitRecorder
     limiter: TargetLimiter
+    rejection_limits: LimitRecorder
+    rooms: RoomClient
     metrics: ServingMetrics
     tracing: Tracing
     paths: PathMonitor
@@ -85,6 +89,7 @@
         self.has_first_event = False
         self.was_served = False
         self.trace_headers: dict[str, str] = {}
+        self.room_report = RoomReport(is_abandoned=True)
 
     def find_adapter(self) -> AdapterRef | None:
         """Return the request's adapter in the version that the target holds."""
@@ -231,12 +236,19 @@
             if facts.request_id != self.exchange.terms.request_id:
                 detail = f"an answer to {facts.request_id!r}"
                 raise TargetError(TargetFault.BROKEN, detail)
-            self.dependencies.limits.record_answer(
-                self.published, facts, answer.status, self.sent_at
-            )
+            for recorder in (
+                self.dependencies.limits,
+                self.dependencies.rejection_limits,
+            ):
+                recorder.record_answer(
+                    self.published, facts, answer.status, self.sent_at
+                )
             if facts.not_run:
+                self.room_report = RoomReport(is_rejected=not facts.is_misdirected)
                 return self.handle_rejection(answer.status, facts)
-            return await self.forward_answer(answer, sink)
+            end = await self.forward_answer(answer, sink)
+            self.room_report = RoomReport(waiting=facts.waiting)
+            return end
 
     def count_send(self) -> None:
         """Count the request as sent to the target."""
--- a/packages/daemon/src/sardinequay_daemon/digest_writer.py
+++ b/packages/daemon/src/sardinequay_daemon/digest_writer.py
@@ -45,6 +45,7 @@
         store: StoreTask,
         orders: OrderTask,
         limits: LimitRecorder,
+        rejection_limits: LimitRecorder,
         paths: TargetPaths,
         clock: Clock,
     ) -> None:
@@ -54,6 +55,7 @@
         self.store = store
         self.orders = orders
         self.limits = limits
+        self.rejection_limits = rejection_limits
         self.paths = paths
         self.clock = clock
         self.sent_holdings: dict[HostId, dict[str, tuple[HoldingsState, Instant]]] = {}
@@ -61,6 +63,7 @@
         self.sent_members: dict[HostId, MemberState] = {}
         self.sent_content_numbers: dict[HostId, int] = {}
         self.sent_limit_numbers: dict[HostId, int] = {}
+        self.sent_rejection_limit_numbers: dict[HostId, int] = {}
         self.sent_usage_scopes: dict[HostId, DigestScope] = {}
         self.restarted_peers: set[HostId] = set()
 
@@ -84,7 +87,10 @@
             store_age_s=store_status.age_s,
             has_missed=host_id in self.fleet.failed_exchanges,
             contents=self.unsent_contents(host_id),
-            limits=self.unsent_limits(host_id),
+            limits=self.unsent_limits(host_id, self.limits, self.sent_limit_numbers),
+            rejection_limits=self.unsent_limits(
+                host_id, self.rejection_limits, self.sent_rejection_limit_numbers
+            ),
             is_cut_off=self.paths.is_cut_off,
         )
         if self.fleet.is_mesh:
@@ -196,6 +202,7 @@
         self.sent_members.pop(host_id, None)
         self.sent_content_numbers.pop(host_id, None)
         self.sent_limit_numbers.pop(host_id, None)
+        self.sent_rejection_limit_numbers.pop(host_id, None)
         self.sent_usage_scopes.pop(host_id, None)
         self.sent_holdings.pop(host_id, None)
 
@@ -226,14 +233,16 @@
         now = self.clock.monotonic()
         return tuple(content_update(quarantine, content, now) for content in changed)
 
-    def unsent_limits(self, host_id: HostId) -> tuple[LimitNews, ...]:
+    def unsent_limits(
+        self, host_id: HostId, recorder: LimitRecorder, sent_numbers: dict[HostId, int]
+    ) -> tuple[LimitNews, ...]:
         """Return the limits of targets that changed since they were sent to a peer.
 
         This includes what other hosts heard, as each host hears only some answers.
         """
-        last_sent = self.sent_limit_numbers.get(host_id, 0)
-        self.sent_limit_numbers[host_id] = self.state.limits.last_number
-        return self.limits.changed_since(last_sent)
+        last_sent = sent_numbers.get(host_id, 0)
+        sent_numbers[host_id] = recorder.limits.last_number
+        return recorder.changed_since(last_sent)
 
     def unsent_usage(self, host_id: HostId, scope: DigestScope) -> UsageCounts:
         """Return the usage that changed recently, by organisation; all at first."""
--- a/packages/daemon/src/sardinequay_daemon/exchange.py
+++ b/packages/daemon/src/sardinequay_daemon/exchange.py
@@ -17,6 +17,7 @@
 
 from .errors import DaemonError
 from .guarded_request import GuardedRequest
+from .room_client import RoomPermit
 from .serving_ports import Headers, RequestTerms
 
 FIRST_EVENT_FLOOR_S = 2.0
@@ -52,6 +53,8 @@
         Budget that counts the attempt in flight as a repeat; None if it is not one.
     is_demand_recorded : bool
         Whether the request has been counted in the demand for its adapter.
+    room_permit : RoomPermit or None
+        Room for the next attempt at its target; None before it is known.
     """
 
     terms: RequestTerms
@@ -73,6 +76,7 @@
     last_event: str = ""
     answer_started: bool = False
     is_demand_recorded: bool = False
+    room_permit: RoomPermit | None = None
 
     @property
     def priority(self) -> int:
--- a/packages/daemon/src/sardinequay_daemon/limit_recorder.py
+++ b/packages/daemon/src/sardinequay_daemon/limit_recorder.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
-from returns.result import Success
+from aioprometheus.collectors import Gauge
+from returns.result import Result, Success
 
 from sardinequay_core.catalogue import PublishedTarget
 from sardinequay_core.clock import ZERO, Clock, Instant, seconds
@@ -14,7 +15,7 @@
 
 from .limit_messages import LimitNews
 from .serving_metrics import ServingMetrics
-from .serving_ports import AnswerFacts
+from .serving_ports import AnswerFacts, InvalidLimit
 
 INVALID_LOG_INTERVAL = seconds(10)
 """Interval between two log lines about invalid limits of one target."""
@@ -38,8 +39,35 @@
     status: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class LimitKind:
+    """A kind of limit that targets state.
+
+    Parameters
+    ----------
+    event : str
+        The log event of a limit that began, changed or ended.
+    read : callable
+        Returns what an answer states of it.
+    gauge : callable
+        Returns the gauge that shows it.
+    """
+
+    event: str
+    read: Callable[[AnswerFacts], Result[float | None, InvalidLimit]]
+    gauge: Callable[[ServingMetrics], Gauge]
+
+
+RATE_LIMITS = LimitKind(
+    "target limit", lambda facts: facts.rate_limit, lambda m: m.target_limit
+)
+REJECTION_LIMITS = LimitKind(
+    "target brittle", lambda facts: facts.rejection_limit, lambda m: m.target_brittle
+)
+
+
 class LimitRecorder:
-    """Records targets' limits, and logs and shows them.
+    """Records targets' limits of one kind, and logs and shows them.
 
     Parameters
     ----------
@@ -55,7 +83,9 @@
         clock: Clock,
         metrics: ServingMetrics,
         announce_change: Callable[[], None],
+        kind: LimitKind = RATE_LIMITS,
     ) -> None:
+        self.kind = kind
         self.limits = limits
         self.clock = clock
         self.metrics = metrics
@@ -80,10 +110,11 @@
         target = published.target.target_id
         if facts.is_misdirected or facts.instance not in ("", target):
             return
-        if not isinstance(facts.rate_limit, Success):
-            self.log_invalid(target, facts.rate_limit.failure().text)
+        stated_limit = self.kind.read(facts)
+        if not isinstance(stated_limit, Success):
+            self.log_invalid(target, stated_limit.failure().text)
             return
-        rate_per_s = facts.rate_limit.unwrap()
+        rate_per_s = stated_limit.unwrap()
         if rate_per_s is None and facts.not_run:
             # A rejection may come from a queue in front of the target.
             return
@@ -139,7 +170,7 @@
 
     def show_limits(self) -> None:
         """Set the gauge of each limited target, and remove those of all others."""
-        gauge, statements = self.metrics.target_limit, self.limits.statements
+        gauge, statements = self.kind.gauge(self.metrics), self.limits.statements
         limited = {
             target: statement.rate_per_s
             for target, statement in statements.items()
@@ -157,14 +188,14 @@
             return
         self.invalid_logged_at[target] = self.clock.monotonic()
         extra = {"target": target, "stated": text}
-        log.warning("target limit invalid", extra=extra)
+        log.warning(f"{self.kind.event} invalid", extra=extra)
 
     def log_change(
         self, change: LimitChange, source: LimitSource, age: timedelta
     ) -> None:
         """Log a limit that began, changed or ended."""
         log.info(
-            "target limit",
+            self.kind.event,
             extra={
                 "target": change.target,
                 "before_per_s": change.before_per_s,
--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -10,6 +10,7 @@
 from sardinequay_core.retry_decision import AttemptEnd, RetryDecision, decide_retry
 from sardinequay_core.serving import Repetition
 from sardinequay_core.target_health import AttemptResult
+from sardinequay_core.target_room import RoomReport
 
 from .attempt import Attempt, RelayDependencies
 from .chosen_target import NO_TARGET_RETRY, ChosenTarget, jittered_retry_after
@@ -75,7 +76,7 @@
             await self.allow_retry_or_raise(exchange, end)
 
     async def may_send(self, exchange: RelayExchange, chosen: ChosenTarget) -> bool:
-        """Return whether a target's rate limit permits the next attempt.
+        """Return whether a target's limits permit the next attempt, and take its room.
 
         During a wait for a permit the target may leave.
         """
@@ -84,10 +85,22 @@
         is_permitted = await self.dependencies.limiter.may_send(
             exchange.terms.request_id, chosen.published, max_wait
         )
-        may_have_left = max_wait is not None
-        return is_permitted and not (
-            may_have_left and not self.state.catalogue.is_live(target_id)
+        if not is_permitted:
+            return False
+        permit = await self.dependencies.rooms.acquire(
+            exchange.terms.request_id,
+            chosen.published,
+            max_wait,
+            exchange.time_left(self.clock.monotonic()),
         )
+        if permit is None:
+            return False
+        may_have_left = max_wait is not None
+        if may_have_left and not self.state.catalogue.is_live(target_id):
+            self.dependencies.rooms.release(permit, RoomReport())
+            return False
+        exchange.room_permit = permit
+        return True
 
     def record_end(
         self, exchange: RelayExchange, target: TargetId, end: AttemptEnd
@@ -221,6 +234,12 @@
         wait = jittered_retry_after(self.state.random, NO_TARGET_RETRY)
         return not_run_refusal(Reason.TARGET_REFUSED, text, wait)
 
+    def give_room_back(self, attempt: Attempt) -> None:
+        """Give back an attempt's room at its target, with what its end showed."""
+        permit, attempt.exchange.room_permit = attempt.exchange.room_permit, None
+        if permit is not None:
+            self.dependencies.rooms.release(permit, attempt.room_report)
+
     async def run_attempt(
         self, attempt: Attempt, sink: AnswerSink
     ) -> AttemptEnd | None:
@@ -249,6 +268,7 @@
         finally:
             attempt.end_accounting()
             exchange.end_repeat(self.clock.monotonic())
+            self.give_room_back(attempt)
         if attempt.was_served:
             self.guard.record_answer(exchange.guarded_request.content)
         result = end.value if end else "answered"
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -91,6 +91,7 @@
     demand: AdapterDemand = field(default_factory=AdapterDemand)
     quarantine: Quarantine = field(default_factory=Quarantine)
     limits: TargetLimits = field(default_factory=TargetLimits)
+    rejection_limits: TargetLimits = field(default_factory=TargetLimits)
     orders: OrderTask | None = None
     fleet_view_hub: HostId | None = None
     fleet_view_at: Instant = ZERO
@@ -115,6 +116,7 @@
         self.health.prune_unlisted(known)
         self.residency.prune_unlisted(known)
         self.limits.prune_unlisted(known)
+        self.rejection_limits.prune_unlisted(known)
 
     def forget_incarnation(self, target_id: TargetId) -> None:
         """Drop the state of an earlier incarnation of a target."""
@@ -122,6 +124,27 @@
         self.loads.forget_target(target_id)
         self.uses.forget_target(target_id)
         self.limits.forget_target(target_id)
+        self.rejection_limits.forget_target(target_id)
+
+    def is_limited(self, target_id: TargetId, now: Instant) -> bool:
+        """Return whether requests to a target need a permit, by a rate or for room."""
+        return any(
+            limits.rate_of(target_id, now) is not None
+            for limits in (self.limits, self.rejection_limits)
+        )
+
+    def permit_wait_s(self, target_id: TargetId, can_wait: bool, now: Instant) -> float:
+        """Return the expected wait for the permits to send to a target, in seconds.
+
+        Parameters
+        ----------
+        can_wait : bool
+            Whether the request waits for this target, as no other can serve it.
+        """
+        return max(
+            limits.permit_wait_s(target_id, can_wait, now)
+            for limits in (self.limits, self.rejection_limits)
+        )
 
     def forget_own_failures(self, targets: Iterable[TargetId]) -> None:
         """Drop what this host's failed attempts have shown of targets."""
--- a/packages/daemon/src/sardinequay_daemon/service_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/service_picker.py
@@ -70,11 +70,10 @@
         """
         if exchange.attempts_so_far.runs:
             return answer_lost_refusal()
-        text = "all targets of the pool state a rate limit, and it is used"
+        text = "all targets of the pool state a limit, and it is used"
         now = self.clock.monotonic()
         after_s = min(
-            self.state.limits.permit_wait_s(o.target, can_wait=False, now=now)
-            for o in options
+            self.state.permit_wait_s(o.target, can_wait=False, now=now) for o in options
         )
         wait = jittered_retry_after(self.state.random, seconds(after_s))
         return not_run_refusal(Reason.TARGET_LIMITED, text, wait)
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -31,7 +31,7 @@
 from .fleet_task import FleetTask, ReceivedDigest
 from .host_pages import create_status_app
 from .limit_messages import AskToSend
-from .limit_recorder import LimitRecorder
+from .limit_recorder import REJECTION_LIMITS, LimitRecorder
 from .load_requests import LoadRequestClient
 from .order_lease_task import OrderLeaseTask
 from .order_task import OrderTask
@@ -42,6 +42,9 @@
 from .relay import Relay
 from .relay_server import RelayServer, readiness_app
 from .relay_state import RelayState
+from .room_client import RoomClient
+from .room_issuer import RoomIssuer
+from .room_messages import AskRoom, RoomBack
 from .serving_messages import (
     AdapterMissing,
     Contact,
@@ -235,6 +238,14 @@
             self.metrics,
             lambda: self.fleet.request_update(far=True),
         )
+        self.rejection_limits = LimitRecorder(
+            self.state.rejection_limits,
+            clock,
+            self.metrics,
+            lambda: self.fleet.request_update(far=True),
+            REJECTION_LIMITS,
+        )
+        self.room_issuer = RoomIssuer(self.rejection_limits, clock)
         self.permit_issuer = PermitIssuer(
             self.limits, clock, self.state.fleet_size.live_fraction, random.random
         )
@@ -254,6 +265,16 @@
                     clock,
                     self.metrics,
                 ),
+                self.rejection_limits,
+                RoomClient(
+                    profile.host_id,
+                    self.rejection_limits,
+                    self.room_issuer,
+                    self.fleet,
+                    self.peers,
+                    clock,
+                    self.metrics,
+                ),
                 self.metrics,
                 tracing,
                 self.path_monitor,
@@ -277,6 +298,7 @@
             self.store,
             self.orders,
             self.limits,
+            self.rejection_limits,
             self.path_monitor.paths,
             clock,
         )
@@ -308,6 +330,8 @@
         server.register(AskAlive, self.target_witness.handle_ask)
         server.register_stream(OpenTunnel, self.tunnel_server.serve)
         server.register(AskToSend, self.permit_issuer.handle_ask)
+        server.register(AskRoom, self.room_issuer.handle_ask)
+        server.register(RoomBack, self.room_issuer.handle_back)
         server.register(FetchItems, self.store.handle_fetch)
         server.register(Ballot, self.lease.handle_ballot)
         server.register(Resign, self.lease.handle_resign)
@@ -348,6 +372,9 @@
         """Apply the limits of targets in a peer's digest."""
         digest = received.digest
         self.limits.apply_reports(digest.limits, digest.host.host_id)
+        self.rejection_limits.apply_reports(
+            digest.rejection_limits, digest.host.host_id
+        )
 
     def handle_digest(self, received: ReceivedDigest) -> None:
         """Fetch newer store items from a peer whose digest has a later revision."""
@@ -414,7 +441,9 @@
             self.metrics.in_flight.set({}, self.server.in_flight)
             self.content_guard.expire()
             self.limits.expire()
+            self.rejection_limits.expire()
             self.permit_issuer.expire()
+            self.room_issuer.expire()
             self.state.count_hosts()
             held = self.state.quarantine.held_contents(self.clock.monotonic())
             self.metrics.quarantined.set({}, len(held))
--- a/packages/daemon/src/sardinequay_daemon/serving_messages.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_messages.py
@@ -161,6 +161,8 @@
         Rate limits of targets that changed since the last digest to the receiver.
     is_cut_off : bool
         Whether the sender appears to reach no target.
+    rejection_limits : tuple of LimitNews
+        Like `limits`, how many requests brittle targets can turn away in a second.
     """
 
     host: Contact
@@ -186,6 +188,7 @@
     usage: dict[OrganisationName, Usage] = field(default_factory=dict)
     limits: tuple[LimitNews, ...] = ()
     is_cut_off: bool = False
+    rejection_limits: tuple[LimitNews, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/sardinequay_daemon/serving_metrics.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_metrics.py
@@ -46,6 +46,12 @@
         self.target_limit = self.gauge(
             "target_limit_per_second", "Limits that targets state"
         )
+        self.target_brittle = self.gauge(
+            "target_rejections_per_second", "Rejections that brittle targets bear"
+        )
+        self.room_permits = self.counter(
+            "room_permits_total", "Requests for room at brittle targets, by result"
+        )
         self.permits = self.counter(
             "send_permits_total", "Permits to send to limited targets, by result"
         )
--- a/packages/daemon/src/sardinequay_daemon/serving_ports.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_ports.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from multidict import CIMultiDict, CIMultiDictProxy
-from returns.result import Result
+from returns.result import Result, Success
 
 from sardinequay_core.catalogue import Change
 from sardinequay_core.engine_orders import EngineOrder, EngineStatus
@@ -87,8 +87,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class InvalidRateLimit:
-    """A rate limit in a target's answer that could not be parsed.
+class InvalidLimit:
+    """A limit in a target's answer that could not be parsed.
 
     Parameters
     ----------
@@ -117,13 +117,20 @@
     rate_limit : Result
         Requests a second that the target takes from all hosts together; None if it
         states no limit.
+    rejection_limit : Result
+        Requests that it can turn away in a second without ending; None unless it is
+        brittle.
+    waiting : int
+        Requests that wait at the target; 0 if not stated.
     """
 
     request_id: str
     instance: str
     not_run: bool
     is_misdirected: bool
-    rate_limit: Result[float | None, InvalidRateLimit]
+    rate_limit: Result[float | None, InvalidLimit]
+    rejection_limit: Result[float | None, InvalidLimit] = Success(None)  # noqa: RUF009
+    waiting: int = 0
 
 
 class HttpDialect(Protocol):
--- a/packages/daemon/src/sardinequay_daemon/target_options.py
+++ b/packages/daemon/src/sardinequay_daemon/target_options.py
@@ -81,16 +81,13 @@
         take its place. A load on a limited engine would take permits from the adapters
         that it has, so it costs one permit's time at least.
         """
-        limits = self.state.limits
-        rates = {
-            target: rate
-            for target in limits.statements
-            if (rate := limits.rate_of(target, now)) is not None
-        }
-        if not rates:
+        limits, state = self.state.limits, self.state
+        stating = limits.statements.keys() | state.rejection_limits.statements.keys()
+        limited = {target for target in stating if state.is_limited(target, now)}
+        if not limited:
             return options
         options = [
-            replace(o, is_limited=True) if o.target in rates else o for o in options
+            replace(o, is_limited=True) if o.target in limited else o for o in options
         ]
         has_copy = has_unlimited_copy(options)
         has_unlimited = any(
@@ -99,10 +96,12 @@
 
         def permit_wait_s(option: EngineOption) -> float:
             if has_adapter(option):
-                return limits.permit_wait_s(option.target, not has_copy, now)
-            wait_s = limits.permit_wait_s(option.target, not has_unlimited, now)
-            interval_s = 1 / rates[option.target]
-            return max(wait_s, interval_s) if has_unlimited else wait_s
+                return state.permit_wait_s(option.target, not has_copy, now)
+            wait_s = state.permit_wait_s(option.target, not has_unlimited, now)
+            rate_per_s = limits.rate_of(option.target, now)
+            if rate_per_s is None or not has_unlimited:
+                return wait_s
+            return max(wait_s, 1 / rate_per_s)
 
         return [
             replace(o, permit_wait_s=permit_wait_s(o)) if o.is_limited else o
@@ -205,12 +204,11 @@
     ) -> list[ServiceOption]:
         """Return the usable targets of a plain service as candidates."""
         now = self.state.clock.monotonic()
-        limits = self.state.limits
         usable = self.usable_targets(pool, now)
         limited = {
             t.target.target_id
             for t in usable
-            if limits.rate_of(t.target.target_id, now) is not None
+            if self.state.is_limited(t.target.target_id, now)
         }
         can_wait = all(t.target.target_id in limited | tried for t in usable)
         options = []
@@ -226,7 +224,7 @@
                     was_tried=target_id in tried,
                     tie_breaker=self.state.random.random(),
                     is_limited=target_id in limited,
-                    permit_wait_s=limits.permit_wait_s(target_id, can_wait, now),
+                    permit_wait_s=self.state.permit_wait_s(target_id, can_wait, now),
                 )
             )
         return options
--- a/packages/daemon/tests/test_large_fleet.py
+++ b/packages/daemon/tests/test_large_fleet.py
@@ -44,7 +44,7 @@
 from sardinequay_daemon.digest_writer import DigestWriter
 from sardinequay_daemon.fleet_task import SEED_PERIOD_S, FleetTask, ReceivedDigest
 from sardinequay_daemon.limit_messages import LimitNews
-from sardinequay_daemon.limit_recorder import LimitRecorder
+from sardinequay_daemon.limit_recorder import REJECTION_LIMITS, LimitRecorder
 from sardinequay_daemon.relay_state import RelayState
 from sardinequay_daemon.serving_messages import (
     AdapterUse,
@@ -139,6 +139,13 @@
             Store(),
             self.orders,
             self.limits,
+            LimitRecorder(
+                self.state.rejection_limits,
+                clock,
+                ServingMetrics(self.me.host_id, data_centre),
+                lambda: self.fleet.request_update(far=True),
+                REJECTION_LIMITS,
+            ),
             TargetPaths(),
             clock,
         )
--- a/packages/daemon/tests/test_target_picker.py
+++ b/packages/daemon/tests/test_target_picker.py
@@ -137,7 +137,7 @@
     metrics = ServingMetrics("h1", "za")
     return TargetPicker(
         RelayDependencies(
-            state, None, None, load_client, None, None, metrics, None, None
+            state, None, None, load_client, None, None, None, None, metrics, None, None
         )
     )
 
