--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -15,16 +15,14 @@
 
 from .errors import TargetError, TargetFault
 from .exchange import AnswerHead, AnswerSink, RelayExchange
-from .limit_recorder import LimitRecorder
+from .limit_parts import LimitParts
 from .load_requests import LoadRequestClient
 from .path_monitor import PathMonitor
 from .relay_state import RelayState
-from .room_client import RoomClient
 from .server_sent_events import EventSplitter
 from .serving_metrics import ServingMetrics
 from .serving_ports import AnswerFacts, HttpDialect, SendTerms
 from .target_errors import TargetErrorTranslator
-from .target_limiter import TargetLimiter
 from .tracing import Tracing
 from .tunnel_client import current_request
 from .upstream import MAX_BUFFERED_BYTES, Upstream, UpstreamRequest
@@ -47,10 +45,7 @@
     dialect: HttpDialect
     upstream: Upstream
     load_requests: LoadRequestClient
-    limits: LimitRecorder
-    limiter: TargetLimiter
-    rejection_limits: LimitRecorder
-    rooms: RoomClient
+    limits: LimitParts
     metrics: ServingMetrics
     tracing: Tracing
     paths: PathMonitor
@@ -236,13 +231,9 @@
             if facts.request_id != self.exchange.terms.request_id:
                 detail = f"an answer to {facts.request_id!r}"
                 raise TargetError(TargetFault.BROKEN, detail)
-            for recorder in (
-                self.dependencies.limits,
-                self.dependencies.rejection_limits,
-            ):
-                recorder.record_answer(
-                    self.published, facts, answer.status, self.sent_at
-                )
+            self.dependencies.limits.record_answer(
+                self.published, facts, answer.status, self.sent_at
+            )
             if facts.not_run:
                 self.room_report = RoomReport(is_rejected=not facts.is_misdirected)
                 return self.handle_rejection(answer.status, facts)
--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/limit_parts.py
@@ -0,0 +1,119 @@
+"""The parts of a host that keep what targets state of themselves with all other hosts.
+
+A target may state how many requests a second it takes, and how many it can turn away.
+"""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+from sardinequay_core.catalogue import PublishedTarget
+from sardinequay_core.clock import Clock, Instant
+from sardinequay_core.names import HostId
+
+from .fleet_task import FleetTask, ReceivedDigest
+from .limit_messages import AskToSend
+from .limit_recorder import REJECTION_LIMITS, LimitRecorder
+from .peers import PeerClient, PeerServer
+from .permit_issuer import PermitIssuer
+from .relay_state import RelayState
+from .room_client import RoomClient, RoomPermit
+from .room_issuer import RoomIssuer
+from .room_messages import AskRoom, RoomBack
+from .serving_metrics import ServingMetrics
+from .serving_ports import AnswerFacts
+from .target_limiter import TargetLimiter
+
+
+class LimitParts:
+    """Creates and connects the parts.
+
+    Parameters
+    ----------
+    draw : callable
+        Returns a random number from 0 to 1.
+    """
+
+    def __init__(
+        self,
+        me: HostId,
+        state: RelayState,
+        fleet: FleetTask,
+        peers: PeerClient,
+        clock: Clock,
+        draw: Callable[[], float],
+        metrics: ServingMetrics,
+    ) -> None:
+        def announce_change() -> None:
+            fleet.request_update(far=True)
+
+        self.recorder = LimitRecorder(state.limits, clock, metrics, announce_change)
+        self.rejection_recorder = LimitRecorder(
+            state.rejection_limits, clock, metrics, announce_change, REJECTION_LIMITS
+        )
+        self.permit_issuer = PermitIssuer(
+            self.recorder, clock, state.fleet_size.live_fraction, draw
+        )
+        self.room_issuer = RoomIssuer(self.rejection_recorder, clock)
+        self.limiter = TargetLimiter(
+            me, self.recorder, self.permit_issuer, fleet, peers, clock, metrics
+        )
+        self.rooms = RoomClient(
+            me, self.rejection_recorder, self.room_issuer, fleet, peers, clock, metrics
+        )
+
+    def subscribe(self, fleet: FleetTask, server: PeerServer) -> None:
+        """Hear what peers know of targets' limits, and answer those that ask."""
+        fleet.digests.subscribe(self.apply_digest)
+        server.register(AskToSend, self.permit_issuer.handle_ask)
+        server.register(AskRoom, self.room_issuer.handle_ask)
+        server.register(RoomBack, self.room_issuer.handle_back)
+
+    def apply_digest(self, received: ReceivedDigest) -> None:
+        """Apply the limits of targets in a peer's digest."""
+        digest = received.digest
+        peer = digest.host.host_id
+        self.recorder.apply_reports(digest.limits, peer)
+        self.rejection_recorder.apply_reports(digest.rejection_limits, peer)
+
+    def record_answer(
+        self,
+        published: PublishedTarget,
+        facts: AnswerFacts,
+        status: int,
+        sent_at: Instant,
+    ) -> None:
+        """Apply what the head of a target's answer states about its limits."""
+        for recorder in (self.recorder, self.rejection_recorder):
+            recorder.record_answer(published, facts, status, sent_at)
+
+    async def permit_send(
+        self,
+        request_id: str,
+        published: PublishedTarget,
+        max_wait: timedelta | None,
+        lasts: timedelta,
+    ) -> RoomPermit | None:
+        """Wait for the permits to send a request to a target.
+
+        Parameters
+        ----------
+        max_wait : timedelta or None
+            How long the request can wait for this target; None if others can serve it.
+        lasts : timedelta
+            Time after which the request has ended in any case.
+
+        Returns
+        -------
+        RoomPermit or None
+            To be released at the request's end; None if it may not be sent there.
+        """
+        if not await self.limiter.may_send(request_id, published, max_wait):
+            return None
+        return await self.rooms.acquire(request_id, published, max_wait, lasts)
+
+    def expire(self) -> None:
+        """Drop what nobody needs any more."""
+        self.recorder.expire()
+        self.rejection_recorder.expire()
+        self.permit_issuer.expire()
+        self.room_issuer.expire()
--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -82,12 +82,7 @@
         """
         max_wait = chosen.max_permit_wait
         target_id = chosen.published.target.target_id
-        is_permitted = await self.dependencies.limiter.may_send(
-            exchange.terms.request_id, chosen.published, max_wait
-        )
-        if not is_permitted:
-            return False
-        permit = await self.dependencies.rooms.acquire(
+        permit = await self.dependencies.limits.permit_send(
             exchange.terms.request_id,
             chosen.published,
             max_wait,
@@ -97,7 +92,7 @@
             return False
         may_have_left = max_wait is not None
         if may_have_left and not self.state.catalogue.is_live(target_id):
-            self.dependencies.rooms.release(permit, RoomReport())
+            self.dependencies.limits.rooms.release(permit, RoomReport())
             return False
         exchange.room_permit = permit
         return True
@@ -238,7 +233,7 @@
         """Give back an attempt's room at its target, with what its end showed."""
         permit, attempt.exchange.room_permit = attempt.exchange.room_permit, None
         if permit is not None:
-            self.dependencies.rooms.release(permit, attempt.room_report)
+            self.dependencies.limits.rooms.release(permit, attempt.room_report)
 
     async def run_attempt(
         self, attempt: Attempt, sink: AnswerSink
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -23,28 +23,21 @@
 from .attempt import RelayDependencies
 from .bounded_log import NonBlockingLogHandler
 from .caller_admission import CallerAdmission
-from .connection_probe import ConnectionProbe
 from .content_guard import ContentGuard
 from .content_messages import AskPermit, PermitBack
 from .digest_writer import DigestWriter
 from .errors import StartError
 from .fleet_task import FleetTask, ReceivedDigest
 from .host_pages import create_status_app
-from .limit_messages import AskToSend
-from .limit_recorder import REJECTION_LIMITS, LimitRecorder
+from .limit_parts import LimitParts
 from .load_requests import LoadRequestClient
 from .order_lease_task import OrderLeaseTask
 from .order_task import OrderTask
-from .path_messages import AskAlive, OpenTunnel
-from .path_monitor import PathMonitor
+from .path_parts import PathParts
 from .peers import PeerClient, PeerServer
-from .permit_issuer import PermitIssuer
 from .relay import Relay
 from .relay_server import RelayServer, readiness_app
 from .relay_state import RelayState
-from .room_client import RoomClient
-from .room_issuer import RoomIssuer
-from .room_messages import AskRoom, RoomBack
 from .serving_messages import (
     AdapterMissing,
     Contact,
@@ -64,12 +57,7 @@
 from .shared_settings import TimingSettings
 from .store_task import StoreTask, head_start_s
 from .target_end_detector import TargetEndDetector
-from .target_limiter import TargetLimiter
-from .target_probe import TargetProbe
-from .target_witness import TargetWitness
 from .tracing import Tracing
-from .tunnel_client import TunnelClient
-from .tunnel_server import TunnelServer
 from .upstream import Upstream
 
 EXIT_PORT_IN_USE = 3
@@ -190,41 +178,23 @@
             self.announce_holdings,
         )
         self.state.orders = self.orders
-        accepts = ConnectionProbe(profile.callers.ip).accepts
-        tunnels = TunnelClient(
-            self.fleet,
+        self.paths = PathParts(
             profile.callers.ip,
-            clock,
-            random,
-            self.state.data_centre_at,
-            self.metrics,
-        )
-        self.path_monitor = PathMonitor(
-            accepts, tunnels, clock, self.metrics, self.state.forget_own_failures
-        )
-        self.orders.paths = self.path_monitor
-        self.tunnel_server = TunnelServer(
-            profile.callers.ip, self.path_monitor.is_target, self.metrics
-        )
-        self.upstream = Upstream(profile.callers.ip, self.path_monitor)
-        self.target_witness = TargetWitness(
-            TargetProbe(
-                accepts,
-                deployment.engines,
-                self.state.is_busy,
-                self.state.health_path,
-            ),
-            accepts,
-            lambda: self.state.catalogue,
+            self.state,
             self.fleet,
             self.peers,
+            deployment.engines,
+            clock,
             random,
+            self.metrics,
         )
+        self.orders.paths = self.paths.monitor
+        self.upstream = Upstream(profile.callers.ip, self.paths.monitor)
         self.content_guard = ContentGuard(
             profile.host_id,
             self.state.quarantine,
             TargetEndDetector(
-                self.target_witness.is_alive,
+                self.paths.witness.is_alive,
                 lambda target: self.state.catalogue.is_live(target),
                 lambda pool: self.metrics.target_ends.inc({"pool": pool}),
             ),
@@ -232,22 +202,14 @@
             self.peers,
             clock,
         )
-        self.limits = LimitRecorder(
-            self.state.limits,
-            clock,
-            self.metrics,
-            lambda: self.fleet.request_update(far=True),
-        )
-        self.rejection_limits = LimitRecorder(
-            self.state.rejection_limits,
+        self.limits = LimitParts(
+            profile.host_id,
+            self.state,
+            self.fleet,
+            self.peers,
             clock,
+            random.random,
             self.metrics,
-            lambda: self.fleet.request_update(far=True),
-            REJECTION_LIMITS,
-        )
-        self.room_issuer = RoomIssuer(self.rejection_limits, clock)
-        self.permit_issuer = PermitIssuer(
-            self.limits, clock, self.state.fleet_size.live_fraction, random.random
         )
         self.relay = Relay(
             RelayDependencies(
@@ -256,28 +218,9 @@
                 self.upstream,
                 LoadRequestClient(self.state, self.peers),
                 self.limits,
-                TargetLimiter(
-                    profile.host_id,
-                    self.limits,
-                    self.permit_issuer,
-                    self.fleet,
-                    self.peers,
-                    clock,
-                    self.metrics,
-                ),
-                self.rejection_limits,
-                RoomClient(
-                    profile.host_id,
-                    self.rejection_limits,
-                    self.room_issuer,
-                    self.fleet,
-                    self.peers,
-                    clock,
-                    self.metrics,
-                ),
                 self.metrics,
                 tracing,
-                self.path_monitor,
+                self.paths.monitor,
             ),
             self.content_guard,
         )
@@ -297,9 +240,9 @@
             self.state,
             self.store,
             self.orders,
-            self.limits,
-            self.rejection_limits,
-            self.path_monitor.paths,
+            self.limits.recorder,
+            self.limits.rejection_recorder,
+            self.paths.monitor.paths,
             clock,
         )
         self.fetch_task: asyncio.Task[None] | None = None
@@ -310,13 +253,13 @@
     def subscribe_tasks(self) -> None:
         """Subscribe tasks to updates, and register the handlers of peers' messages."""
         self.store.catalogues.subscribe(self.state.apply_catalogue)
-        self.store.catalogues.subscribe(self.path_monitor.apply_catalogue)
+        self.paths.subscribe(self.store, self.peer_server)
         self.store.catalogues.subscribe(self.orders.apply_catalogue)
         self.store.catalogues.subscribe(self.announce_catalogue)
         self.store.catalogues.subscribe(self.content_guard.apply_catalogue)
         self.fleet.digests.subscribe(self.state.apply_digest)
         self.fleet.digests.subscribe(self.handle_peer_contents)
-        self.fleet.digests.subscribe(self.handle_peer_limits)
+        self.limits.subscribe(self.fleet, self.peer_server)
         self.fleet.digests.subscribe(self.digest_writer.handle_digest)
         self.fleet.digests.subscribe(self.handle_digest)
         self.fleet.lost_peers.subscribe(self.state.forget_peer)
@@ -327,11 +270,6 @@
         server.register(Digest, self.fleet.answer_digest)
         server.register(AskPermit, self.content_guard.handle_ask_permit)
         server.register(PermitBack, self.content_guard.handle_permit_back)
-        server.register(AskAlive, self.target_witness.handle_ask)
-        server.register_stream(OpenTunnel, self.tunnel_server.serve)
-        server.register(AskToSend, self.permit_issuer.handle_ask)
-        server.register(AskRoom, self.room_issuer.handle_ask)
-        server.register(RoomBack, self.room_issuer.handle_back)
         server.register(FetchItems, self.store.handle_fetch)
         server.register(Ballot, self.lease.handle_ballot)
         server.register(Resign, self.lease.handle_resign)
@@ -368,14 +306,6 @@
         """Apply the updates about suspected contents in a peer's digest."""
         self.content_guard.apply_updates(received.digest.contents)
 
-    def handle_peer_limits(self, received: ReceivedDigest) -> None:
-        """Apply the limits of targets in a peer's digest."""
-        digest = received.digest
-        self.limits.apply_reports(digest.limits, digest.host.host_id)
-        self.rejection_limits.apply_reports(
-            digest.rejection_limits, digest.host.host_id
-        )
-
     def handle_digest(self, received: ReceivedDigest) -> None:
         """Fetch newer store items from a peer whose digest has a later revision."""
         digest = received.digest
@@ -413,7 +343,7 @@
                     group.create_task(self.store.run()),
                     group.create_task(self.fleet.run()),
                     group.create_task(self.orders.run()),
-                    group.create_task(self.path_monitor.run()),
+                    group.create_task(self.paths.monitor.run()),
                     group.create_task(self.server.close_overdue_connections()),
                     group.create_task(self.run_housekeeping()),
                 ]
@@ -441,9 +371,6 @@
             self.metrics.in_flight.set({}, self.server.in_flight)
             self.content_guard.expire()
             self.limits.expire()
-            self.rejection_limits.expire()
-            self.permit_issuer.expire()
-            self.room_issuer.expire()
             self.state.count_hosts()
             held = self.state.quarantine.held_contents(self.clock.monotonic())
             self.metrics.quarantined.set({}, len(held))
@@ -501,8 +428,8 @@
             "reads_store": self.fleet.is_reader(),
             "hub": "" if self.fleet.is_mesh else self.fleet.hub().host_id,
             "live_hosts": self.fleet.live_hosts,
-            "cut_off": self.path_monitor.paths.is_cut_off,
-            "lost_paths": sorted(str(a) for a in self.path_monitor.paths.lost),
+            "cut_off": self.paths.monitor.paths.is_cut_off,
+            "lost_paths": sorted(str(a) for a in self.paths.monitor.paths.lost),
             "orders_engines": self.lease.is_holder,
             "in_flight": self.server.in_flight,
             "quarantined": [
@@ -529,7 +456,7 @@
         await asyncio.sleep(min(ACCEPT_AFTER_STOP_S, grace_s / 2))
         self.server.stops_at = drain_started_at + seconds(grace_s)
         self.server.is_closing = True
-        self.tunnel_server.is_closing = True
+        self.paths.tunnel_server.is_closing = True
         while self.is_serving():
             elapsed_s = (self.clock.monotonic() - drain_started_at).total_seconds()
             if elapsed_s > grace_s - RESIGN_BEFORE_END_S:
@@ -548,7 +475,7 @@
         return bool(
             self.server.in_flight
             or self.has_open_connections()
-            or self.tunnel_server.open_tunnels
+            or self.paths.tunnel_server.open_tunnels
         )
 
     def has_open_connections(self) -> bool:
