Count a new target of a brittle pool as brittle before it has stated that

Traced: each time one came back under a new id, all hosts sent it requests before any had an answer of it; the first 'target brittle' line of each new id comes with status 503, beside three rejections in 30 ms. Statements are kept by target, and a new one has made none.

All targets of a pool are brittle at the same time. So hosts assume of a target that is new in the catalogue, or has started again, what the newest statement in its pool says, until its own answer says otherwise; a pool whose targets have all left is remembered for as long as a statement holds.

--- a/packages/core/src/sardinequay_core/target_limits.py
+++ b/packages/core/src/sardinequay_core/target_limits.py
@@ -176,6 +176,10 @@
             return None
         return self.replace(target, stated)
 
+    def assume(self, target: TargetId, statement: LimitStatement) -> None:
+        """Take a statement of others for one of a target that has made none."""
+        self.statements.setdefault(target, statement)
+
     def replace(self, target: TargetId, stated: LimitStatement) -> LimitChange | None:
         """Set a target's statement; return the change of the limit, if any."""
         known = self.statements.get(target)
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from sardinequay_core.adapter_demand import AdapterDemand
+from sardinequay_core.brittle_pools import BrittlePools
 from sardinequay_core.catalogue import Catalogue
 from sardinequay_core.clock import ZERO, Clock, Instant, seconds
 from sardinequay_core.fleet_topology import DigestScope
@@ -96,17 +97,20 @@
     fleet_view_hub: HostId | None = None
     fleet_view_at: Instant = ZERO
     repeat_slack_from: Instant = ZERO
+    brittle_pools: BrittlePools = field(init=False)
     fleet_size: FleetSize = field(init=False)
     quotas: FleetQuotas = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the parts that depend on the fleet and the clock."""
+        self.brittle_pools = BrittlePools(self.rejection_limits)
         self.fleet_size = FleetSize(self.fleet, self.clock)
         self.quotas = FleetQuotas(self.fleet_size, self.clock, self.random.random)
 
     def apply_catalogue(self, catalogue: Catalogue) -> None:
         """Replace the catalogue; drop the state of targets that left or restarted."""
         before, self.catalogue = self.catalogue, catalogue
+        self.brittle_pools.note_statements(before, self.clock.monotonic())
         for target_id, published in catalogue.targets.items():
             previous = before.targets.get(target_id)
             if previous is not None and previous.incarnation < published.incarnation:
@@ -117,6 +121,7 @@
         self.residency.prune_unlisted(known)
         self.limits.prune_unlisted(known)
         self.rejection_limits.prune_unlisted(known)
+        self.brittle_pools.assume_of_new_targets(before, catalogue)
 
     def forget_incarnation(self, target_id: TargetId) -> None:
         """Drop the state of an earlier incarnation of a target."""
