Close a tunnel that opens after the direct connection it was to stand in for

Where a direct connection took over 0.15 s and then opened before the peer's, the tunnel was left to open behind it: nobody held it, and it took one of the peer's 256 and a connection of the target until its idle timeout, and held up the peer's stop. Found in reading; the test failed before.

--- a/packages/daemon/src/sardinequay_daemon/order_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -132,7 +132,7 @@
 
     def has_lost_all_paths(self) -> bool:
         """Return whether peers reach this data centre's engines and this host none."""
-        if self.paths is None:
+        if self.paths is None or not self.paths.paths.lost:
             return False
         lost = self.paths.paths
         engines = self.local_engines().values()
--- a/packages/daemon/src/sardinequay_daemon/target_connector.py
+++ b/packages/daemon/src/sardinequay_daemon/target_connector.py
@@ -117,6 +117,7 @@
                 (direct, through_peer), return_when=asyncio.FIRST_COMPLETED
             )
             if not through_peer.done() and direct.exception() is None:
+                discard(through_peer)
                 return direct.result()
             await asyncio.wait((through_peer,))
         except BaseException:
--- a/packages/daemon/tests/test_tunnels.py
+++ b/packages/daemon/tests/test_tunnels.py
@@ -223,3 +223,25 @@
     with pytest.raises(aiohttp.ClientConnectorError):
         await paths.get(target)
     assert not paths.monitor.tunnels.choose_peers(target.address)
+
+
+async def test_a_tunnel_that_opens_after_a_slow_direct_connection_is_closed(
+    paths: Paths, serve, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    target = await serve(RawTarget(UNFRAMED + b"whole"))
+    direct, tunnel = TargetConnector.connect_directly, paths.tunnel_server.connect
+
+    async def connect_slowly(self, address, req, traces, timeout):
+        await asyncio.sleep(0.2)
+        return await direct(self, address, req, traces, timeout)
+
+    async def open_slowly(address: Address):
+        await asyncio.sleep(0.15)
+        return await tunnel(address)
+
+    monkeypatch.setattr(RefusedConnector, "connect_directly", connect_slowly)
+    monkeypatch.setattr(paths.tunnel_server, "connect", open_slowly)
+    assert await paths.get(target) == b"whole"
+    await asyncio.sleep(0.3)
+    assert not paths.tunnel_server.open_tunnels
+    assert not paths.monitor.paths.is_lost(target.address)
