Give back room that was granted to a request whose caller had left

A request cancelled while its host waited for the issuer's word left the room taken until the request's time was over, since the issuer grants without knowing. Found in reading; the test failed before.

--- a/packages/daemon/src/sardinequay_daemon/room_client.py
+++ b/packages/daemon/src/sardinequay_daemon/room_client.py
@@ -34,6 +34,9 @@
 MIN_OUTLOOK = seconds(0.02)
 """Least time for which a target without room is left out."""
 
+UNUSED = RoomReport(is_abandoned=True)
+"""Report of room that may have been granted, and that no request has used."""
+
 log = logging.getLogger(__name__)
 
 
@@ -118,14 +121,17 @@
             max(ZERO, lasts).total_seconds(),
             news,
         )
-        reply = await self.ask(issuer, message)
+        try:
+            reply = await self.ask(issuer, message)
+        except asyncio.CancelledError:
+            self.release(permit, UNUSED, max_wait_s + REPLY_SLACK_S)
+            raise
         self.log_reply(request_id, permit, reply)
         if reply is not None and reply.is_granted:
             self.limits.outlooks.pop(target, None)
             return permit
         if reply is None:
-            # The issuer may have granted it after all.
-            self.release(permit, RoomReport(is_abandoned=True))
+            self.release(permit, UNUSED, max_wait_s)
         self.record_denial(target, reply)
         return None
 
@@ -150,18 +156,30 @@
         until = now + free_in
         self.limits.record_outlook(target, PermitOutlook(until, until))
 
-    def release(self, permit: RoomPermit, report: RoomReport) -> None:
-        """Give room back, without waiting for that."""
+    def release(
+        self, permit: RoomPermit, report: RoomReport, after_s: float = 0.0
+    ) -> None:
+        """Give room back, without waiting for that.
+
+        Parameters
+        ----------
+        after_s : float
+            Time for which the issuer may still grant the room, in seconds, if it has
+            not replied.
+        """
         if permit.issuer is None:
             return
-        task = asyncio.create_task(self.give_back(permit.issuer, permit, report))
+        task = asyncio.create_task(
+            self.give_back(permit.issuer, permit, report, after_s)
+        )
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
     async def give_back(
-        self, issuer: HostId, permit: RoomPermit, report: RoomReport
+        self, issuer: HostId, permit: RoomPermit, report: RoomReport, after_s: float
     ) -> None:
-        """Give room back to its issuer."""
+        """Give room back to its issuer, after some time."""
+        await asyncio.sleep(after_s)
         message = RoomBack(permit.target, permit.name, report)
         if issuer == self.me:
             await self.issuer.handle_back(message)
