Reset connections to targets whose request is given up

Requests that a host had given up on a silent path were closed, not reset: they reached the target when the path healed, beside their repeats.

A connection is reset while an answer is due, directly and through a peer; one whose answer is complete is closed as before.

--- /dev/null
+++ b/packages/daemon/src/sardinequay_daemon/connection_reset.py
@@ -0,0 +1,20 @@
+"""Resets of TCP connections.
+
+A connection that is closed still delivers what was sent on it, also when a path that
+was lost comes back. One that is reset does not, and its other end does not take it for
+complete.
+"""
+
+import asyncio
+import socket
+import struct
+
+NO_LINGER = struct.pack("ii", 1, 0)
+
+
+def reset(transport: asyncio.WriteTransport) -> None:
+    """Close a connection at once, and drop what was sent and has not arrived."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    transport.abort()
--- a/packages/daemon/src/sardinequay_daemon/target_connector.py
+++ b/packages/daemon/src/sardinequay_daemon/target_connector.py
@@ -13,6 +13,7 @@
 
 from sardinequay_core.names import Address
 
+from .connection_reset import reset
 from .errors import PeerError
 from .path_monitor import PathMonitor
 
@@ -38,6 +39,18 @@
             payload.set_exception(aiohttp.ClientPayloadError(f"reset: {exc!r}"))
         super().connection_lost(exc)
 
+    def close(self) -> None:
+        """Close the connection; reset it while an answer is due.
+
+        The request was given up then. On a lost path it would else reach the target
+        once the path is back, beside its repeats.
+        """
+        transport, payload = self.transport, self._payload
+        is_complete = payload is not None and payload.is_eof()
+        if isinstance(transport, asyncio.Transport) and not is_complete:
+            reset(transport)
+        super().close()
+
     def is_connected(self) -> bool:
         """Return whether the connection can take another request."""
         return super().is_connected() and not self.should_close
--- a/packages/daemon/src/sardinequay_daemon/tunnel_server.py
+++ b/packages/daemon/src/sardinequay_daemon/tunnel_server.py
@@ -5,16 +5,14 @@
 """
 
 import asyncio
-import contextlib
 import logging
-import socket
-import struct
 from collections.abc import Callable
 
 from returns.result import Success
 
 from sardinequay_core.names import Address, parse_address
 
+from .connection_reset import reset
 from .path_messages import OpenTunnel, TunnelReply
 from .peers import PeerStream
 from .serving_metrics import ServingMetrics
@@ -32,7 +30,6 @@
 for peers that vanish without a word."""
 
 READ_BYTES = 65_536
-NO_LINGER = struct.pack("ii", 1, 0)
 log = logging.getLogger(__name__)
 
 
@@ -163,12 +160,17 @@
 async def pass_requests_on(
     stream: PeerStream, writer: asyncio.StreamWriter, last_byte: LastByte
 ) -> None:
-    """Pass on to a target what a peer sends, until the peer closes the tunnel."""
-    with contextlib.suppress(OSError):
+    """Pass on to a target what a peer sends, until the peer closes the tunnel.
+
+    A peer that resets the tunnel has given its request up: so is the connection reset.
+    """
+    try:
         async for frame in stream.read_frames():
             last_byte.record()
             writer.write(frame.body)
             await writer.drain()
+    except OSError:
+        reset(writer.transport)
 
 
 async def pass_answers_on(
@@ -181,15 +183,7 @@
             stream.send(Frame(FrameKind.DATA, 0, "", data))
             await stream.drain()
     except OSError:
-        reset(stream.writer)
+        reset(stream.writer.transport)
         return
     stream.send(Frame(FrameKind.END, 0))
     await stream.finish()
-
-
-def reset(writer: asyncio.StreamWriter) -> None:
-    """Reset a connection, so that its other end does not take it for closed."""
-    sock = writer.get_extra_info("socket")
-    if sock is not None and not writer.transport.is_closing():
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-    writer.transport.abort()
--- a/packages/daemon/tests/test_tunnels.py
+++ b/packages/daemon/tests/test_tunnels.py
@@ -10,6 +10,7 @@
 
 from sardinequay_core.clock import seconds
 from sardinequay_core.names import Address, HostId
+from sardinequay_daemon.connection_reset import reset
 from sardinequay_daemon.path_messages import OpenTunnel
 from sardinequay_daemon.path_monitor import PathMonitor
 from sardinequay_daemon.peer_table import Peer
@@ -19,7 +20,7 @@
 from sardinequay_daemon.system_clock import SystemClock
 from sardinequay_daemon.target_connector import TargetConnector
 from sardinequay_daemon.tunnel_client import TunnelClient
-from sardinequay_daemon.tunnel_server import TunnelServer, reset
+from sardinequay_daemon.tunnel_server import TunnelServer
 
 IP = "127.0.0.1"
 LATER = seconds(1e6)
@@ -35,6 +36,7 @@
     answer: bytes
     ending: str = "close"
     received: bytes = b""
+    was_reset: bool = False
     closed: asyncio.Event = field(default_factory=asyncio.Event)
     address: Address = field(default=Address(IP, 0))
 
@@ -44,11 +46,14 @@
         await writer.drain()
         if self.ending == "reset":
             await asyncio.sleep(0.05)
-            reset(writer)
+            reset(writer.transport)
         elif self.ending == "close":
             writer.close()
         else:
-            await reader.read()
+            try:
+                await reader.read()
+            except ConnectionResetError:
+                self.was_reset = True
             self.closed.set()
 
 
@@ -179,6 +184,7 @@
         answer.close()
     async with asyncio.timeout(2):
         await target.closed.wait()
+    assert target.was_reset
     async with asyncio.timeout(2):
         while paths.tunnel_server.open_tunnels:
             await asyncio.sleep(0.01)
@@ -245,3 +251,30 @@
     await asyncio.sleep(0.3)
     assert not paths.tunnel_server.open_tunnels
     assert not paths.monitor.paths.is_lost(target.address)
+
+
+async def test_a_request_that_is_given_up_is_not_delivered_later(
+    paths: Paths, serve, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    direct = TargetConnector.connect_directly
+    monkeypatch.setattr(RefusedConnector, "connect_directly", direct)
+    target = await serve(RawTarget(b"", "stay"))
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.1):
+            await paths.get(target)
+    async with asyncio.timeout(2):
+        await target.closed.wait()
+    assert target.was_reset
+
+
+async def test_a_connection_whose_answer_is_complete_is_closed_and_not_reset(
+    paths: Paths, serve, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    direct = TargetConnector.connect_directly
+    monkeypatch.setattr(RefusedConnector, "connect_directly", direct)
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n"
+    target = await serve(RawTarget(head + b"ok", "stay"))
+    assert await paths.get(target) == b"ok"
+    async with asyncio.timeout(2):
+        await target.closed.wait()
+    assert not target.was_reset
