Say in the texts of rooms and brittle pools what the code does

Read again: a class text said that the strictest statement of a pool counts, and the newest does; two constants stood in the other order than their text. No code changed; the tests of both modules pass.

--- a/packages/core/src/sardinequay_core/brittle_pools.py
+++ b/packages/core/src/sardinequay_core/brittle_pools.py
@@ -15,7 +15,7 @@
 
 @dataclass(slots=True)
 class BrittlePools:
-    """The strictest of the last statements of each pool's targets.
+    """The newest statement of the targets of each pool.
 
     Parameters
     ----------
--- a/packages/core/src/sardinequay_core/target_room.py
+++ b/packages/core/src/sardinequay_core/target_room.py
@@ -34,10 +34,10 @@
 ABANDONED_HOLD = seconds(0.5)
 """How long a request still counts that its host has given up: the target may go on."""
 
-TYPICAL_DECAY = 0.9
 FIRST_TYPICAL = seconds(0.05)
-"""Assumed time of a request at the target, and the weight of the old mean at each
-further one."""
+TYPICAL_DECAY = 0.9
+"""Time of a request at the target that is assumed at first, and the weight of the old
+mean at each further one."""
 
 
 @dataclass(frozen=True, slots=True)
