Name the log line of a connection through a peer for what it says

'sent through peer' was also written when a host only found out whether a peer reaches a target, with nothing sent. Read again; the tests of tunnels pass.

--- a/packages/daemon/src/sardinequay_daemon/tunnel_client.py
+++ b/packages/daemon/src/sardinequay_daemon/tunnel_client.py
@@ -105,7 +105,7 @@
                 continue
             self.metrics.tunnels.inc({"result": "opened"})
             log.info(
-                "sent through peer",
+                "connected through peer",
                 extra={
                     "request": current_request.get(),
                     "peer": peer.contact.host_id,
