Don't count room that no request used as an answer of its target

A target that left during the wait for its room gave that room back like an answer, so the room grew without one. Read again; no test shows it, as the effect is one request's room at a target that leaves.

--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -10,7 +10,6 @@
 from sardinequay_core.retry_decision import AttemptEnd, RetryDecision, decide_retry
 from sardinequay_core.serving import Repetition
 from sardinequay_core.target_health import AttemptResult
-from sardinequay_core.target_room import RoomReport
 
 from .attempt import Attempt, RelayDependencies
 from .chosen_target import NO_TARGET_RETRY, ChosenTarget, jittered_retry_after
@@ -18,6 +17,7 @@
 from .errors import TargetError, TargetFault
 from .exchange import AnswerCutOffError, AnswerSink, RelayExchange
 from .progress import RequestRefusedError, answer_lost_refusal
+from .room_client import UNUSED
 from .target_picker import TargetPicker
 
 log = logging.getLogger(__name__)
@@ -92,7 +92,7 @@
             return False
         may_have_left = max_wait is not None
         if may_have_left and not self.state.catalogue.is_live(target_id):
-            self.dependencies.limits.rooms.release(permit, RoomReport())
+            self.dependencies.limits.rooms.release(permit, UNUSED)
             return False
         exchange.room_permit = permit
         return True
