--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -364,8 +364,10 @@
         """Pass a stream on in whole server-sent events."""
         exchange = self.exchange
         splitter = EventSplitter()
+        size = 0
         body = AnswerBody(answer, exchange, self.clock)
         while data := await body.read_chunk():
+            size += len(data)
             events = splitter.feed(data)
             if events is None:
                 continue
@@ -376,9 +378,31 @@
                 self.record_read_pace()
             await self.forward_head(answer, sink)
             await sink.write_body(events.data)
+        self.log_stream_end(answer, size, len(splitter.remainder))
         await self.forward_head(answer, sink)
         await sink.write_body(splitter.remainder)
 
+    def log_stream_end(
+        self, answer: aiohttp.ClientResponse, size: int, unfinished: int
+    ) -> None:
+        """Log how a stream that the target ended was framed, and where it ended."""
+        framing = "connection"
+        if "Transfer-Encoding" in answer.headers:
+            framing = "chunks"
+        elif answer.content_length is not None:
+            framing = "length"
+        log.info(
+            "stream ended",
+            extra={
+                "request": self.exchange.terms.request_id,
+                "target": self.target_id,
+                "framing": framing,
+                "bytes": size,
+                "unfinished_bytes": unfinished,
+                "last_event": self.exchange.last_event,
+            },
+        )
+
     def record_read_pace(self) -> None:
         """Record the time to the first event, by which prompt speed is estimated."""
         now = self.clock.monotonic()
