End a stream as whole only where its target ended it between two events

What callers saw: an answer framed as complete, with a part missing (ORDER), also once as 'goes on' with events twice or missing where the data of an event looked like an id.

Cause: the end of a connection was taken for the end of the answer. An answer with neither length nor chunks ends with its connection; the host passed the unfinished event on and completed its own answer with a last chunk. The event splitter searched bytes for blank lines and 'id: ', so it saw ids in data and no lines that end in CRLF or CR. An answer to an HTTP/1.0 caller was cut off by closing, which completes it.

Ruled out: resets lost on the way to the reader (each was logged as one), peers' tunnels (nothing went through them).

Why this works: events are read by their published format, and a stream is whole only if no byte of an unfinished event is left, and, where only the connection's end tells, if there was an event at all. Else the attempt is broken off like one that was reset: resumed after the last whole event where the route and the budgets permit, else visible to the caller. An event without an id leaves nothing to resume after. An answer without a length or chunks towards a caller is cut off by a reset. A stream that ends with its connection between two events cannot be told from a whole one; it is logged.

Both deployments read streams in one module (target_stream); what passes an answer on has left attempt.py (answer_forwarder).

--- a/packages/daemon/src/sardinequay_daemon/answers.py
+++ b/packages/daemon/src/sardinequay_daemon/answers.py
@@ -8,7 +8,7 @@
 
 from sardinequay_core.outcome import Refusal
 
-from .server_sent_events import DONE, EVENT_END, event_data
+from .server_sent_events import DONE_DATA, EVENT_END, event_payloads
 
 REQUEST_HEADER = "Sardinequay-Request"
 OUTCOME_HEADER = "Sardinequay-Outcome"
@@ -68,9 +68,8 @@
 
     def add_events(self, data: bytes) -> None:
         """Add the chunks of whole events."""
-        for event in data.split(EVENT_END):
-            payload = event_data(event)
-            if payload and DONE not in event:
+        for payload in event_payloads(data):
+            if payload != DONE_DATA:
                 self.add_chunk(msgspec.json.decode(payload))
 
     def add_chunk(self, chunk: dict[str, Any]) -> None:
--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -7,25 +7,24 @@
 import aiohttp
 
 from sardinequay_core.catalogue import PublishedTarget
-from sardinequay_core.clock import Clock, seconds
+from sardinequay_core.clock import seconds
 from sardinequay_core.names import AdapterRef
 from sardinequay_core.retry_decision import AttemptEnd
 from sardinequay_core.target_health import AttemptResult
 from sardinequay_core.target_room import RoomReport
 
+from .answer_forwarder import AnswerForwarder
 from .errors import TargetError, TargetFault
-from .exchange import AnswerHead, AnswerSink, RelayExchange
+from .exchange import AnswerSink, RelayExchange
 from .limit_parts import LimitParts
 from .load_requests import LoadRequestClient
 from .path_monitor import PathMonitor
 from .relay_state import RelayState
-from .server_sent_events import EventSplitter
 from .serving_metrics import ServingMetrics
 from .serving_ports import AnswerFacts, HttpDialect, SendTerms
-from .target_errors import TargetErrorTranslator
 from .tracing import Tracing
 from .tunnel_client import current_request
-from .upstream import MAX_BUFFERED_BYTES, Upstream, UpstreamRequest
+from .upstream import Upstream, UpstreamRequest
 
 HEAD_TIMEOUT_GOALS = 2.0
 """Wait for the head of an answer before another target is tried, for requests that may
@@ -320,88 +319,19 @@
                 and attempts.runs < exchange.route.max_runs
             ):
                 return AttemptEnd.MAY_HAVE_RUN
-        if exchange.route.repetition.is_stream:
-            await self.forward_stream(answer, sink)
-        else:
-            await self.forward_body(answer, sink)
+        forwarder = AnswerForwarder(
+            exchange, answer, sink, self.clock, self.handle_first_event
+        )
+        await forwarder.forward()
         if not is_failure:
             self.was_served = True
             self.record_result(AttemptResult.SUCCEEDED)
         return None
 
-    async def forward_head(
-        self, answer: aiohttp.ClientResponse, sink: AnswerSink
-    ) -> None:
-        """Pass the answer's head on, unless an earlier attempt has passed one on."""
-        if not self.exchange.answer_started:
-            self.exchange.answer_started = True
-            await sink.begin_answer(AnswerHead(answer.status, answer))
-
-    async def forward_body(
-        self, answer: aiohttp.ClientResponse, sink: AnswerSink
-    ) -> None:
-        """Pass a plain answer on: in one piece if it is small, else in chunks.
-
-        A small answer is buffered, so that the caller gets nothing of it if it breaks
-        off and another target may still answer.
-        """
-        body = AnswerBody(answer, self.exchange, self.clock)
-        chunks: list[bytes] = []
-        size = 0
-        while data := await body.read_chunk():
-            chunks.append(data)
-            size += len(data)
-            if size > MAX_BUFFERED_BYTES:
-                await self.forward_head(answer, sink)
-                await sink.write_body(b"".join(chunks))
-                chunks.clear()
-        await self.forward_head(answer, sink)
-        await sink.write_body(b"".join(chunks))
-
-    async def forward_stream(
-        self, answer: aiohttp.ClientResponse, sink: AnswerSink
-    ) -> None:
-        """Pass a stream on in whole server-sent events."""
-        exchange = self.exchange
-        splitter = EventSplitter()
-        size = 0
-        body = AnswerBody(answer, exchange, self.clock)
-        while data := await body.read_chunk():
-            size += len(data)
-            events = splitter.feed(data)
-            if events is None:
-                continue
-            if events.last_id:
-                exchange.last_event = str(events.last_id)
-            if not self.has_first_event:
-                self.record_first_event()
-                self.record_read_pace()
-            await self.forward_head(answer, sink)
-            await sink.write_body(events.data)
-        self.log_stream_end(answer, size, len(splitter.remainder))
-        await self.forward_head(answer, sink)
-        await sink.write_body(splitter.remainder)
-
-    def log_stream_end(
-        self, answer: aiohttp.ClientResponse, size: int, unfinished: int
-    ) -> None:
-        """Log how a stream that the target ended was framed, and where it ended."""
-        framing = "connection"
-        if "Transfer-Encoding" in answer.headers:
-            framing = "chunks"
-        elif answer.content_length is not None:
-            framing = "length"
-        log.info(
-            "stream ended",
-            extra={
-                "request": self.exchange.terms.request_id,
-                "target": self.target_id,
-                "framing": framing,
-                "bytes": size,
-                "unfinished_bytes": unfinished,
-                "last_event": self.exchange.last_event,
-            },
-        )
+    async def handle_first_event(self) -> None:
+        """Record the first event and the time to it."""
+        self.record_first_event()
+        self.record_read_pace()
 
     def record_read_pace(self) -> None:
         """Record the time to the first event, by which prompt speed is estimated."""
@@ -409,31 +339,3 @@
         self.state.loads.record_pace(
             self.target_id, self.typical_s, self.elapsed_s(), now
         )
-
-
-class AnswerBody:
-    """Reader of an answer's body that observes the request's deadline."""
-
-    def __init__(
-        self, answer: aiohttp.ClientResponse, exchange: RelayExchange, clock: Clock
-    ) -> None:
-        self.answer = answer
-        self.exchange = exchange
-        self.clock = clock
-
-    async def read_chunk(self) -> bytes:
-        """Return the next chunk; empty at the end.
-
-        Raises
-        ------
-        TargetError
-            If the connection breaks or the request's deadline passes.
-        """
-        left_s = self.exchange.time_left(self.clock.monotonic()).total_seconds()
-        try:
-            async with asyncio.timeout(max(0.0, left_s)):
-                with TargetErrorTranslator():
-                    return await self.answer.content.readany()
-        except TimeoutError as error:
-            detail = "the request's time is over"
-            raise TargetError(TargetFault.SILENT, detail) from error
--- a/packages/daemon/src/sardinequay_daemon/caller_answer.py
+++ b/packages/daemon/src/sardinequay_daemon/caller_answer.py
@@ -9,6 +9,7 @@
 from sardinequay_core.clock import Clock, Instant
 from sardinequay_core.outcome import Outcome, Reason, Refusal
 
+from .connection_reset import cut_off
 from .exchange import AnswerHead, AnswerSink
 from .relay_state import RelayState
 from .serving_metrics import ServingMetrics
@@ -114,10 +115,9 @@
         return response
 
     def abort_answer(self, request_id: str, detail: str) -> web.StreamResponse:
-        """Abort the connection, so that the caller sees an incomplete answer."""
+        """End the connection, so that the caller sees an incomplete answer."""
         self.record_end(request_id, "cut off", "cut_off", detail)
-        if self.http.transport is not None:
-            self.http.transport.abort()
+        cut_off(self.http.transport, self.response)
         return self.response or web.Response(status=HTTPStatus.BAD_GATEWAY)
 
 
--- a/packages/daemon/src/sardinequay_daemon/caller_server.py
+++ b/packages/daemon/src/sardinequay_daemon/caller_server.py
@@ -34,6 +34,7 @@
     read_envelope,
     read_model_request,
 )
+from .connection_reset import cut_off
 from .dispatch import ModelDispatcher
 from .journal import Journal
 from .metrics import Metrics
@@ -349,8 +350,7 @@
                 return await self.finish_stream(exchange)
             except CallerGoneError:
                 return response
-        if exchange.http.transport is not None:
-            exchange.http.transport.abort()
+        cut_off(exchange.http.transport, response)
         return response
 
 
--- a/packages/daemon/src/sardinequay_daemon/connection_reset.py
+++ b/packages/daemon/src/sardinequay_daemon/connection_reset.py
@@ -9,6 +9,8 @@
 import socket
 import struct
 
+from aiohttp import web
+
 NO_LINGER = struct.pack("ii", 1, 0)
 
 
@@ -18,3 +20,19 @@
     if sock is not None and not transport.is_closing():
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
     transport.abort()
+
+
+def cut_off(
+    transport: asyncio.WriteTransport | None, answer: web.StreamResponse | None
+) -> None:
+    """Close a caller's connection so that its answer is seen to be incomplete.
+
+    The end of a connection completes an answer without a length or chunks, so that one
+    is reset. Others keep what was sent of them.
+    """
+    if transport is None:
+        return
+    if answer is None or answer.chunked or answer.content_length is not None:
+        transport.abort()
+    else:
+        reset(transport)
--- a/packages/daemon/src/sardinequay_daemon/engine_client.py
+++ b/packages/daemon/src/sardinequay_daemon/engine_client.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncGenerator, AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -20,7 +20,6 @@
 from sardinequay_core.roster import Target, TargetKind
 
 from .errors import TargetError, TargetFault
-from .server_sent_events import EventBatch, EventSplitter
 from .target_errors import TargetErrorTranslator
 from .target_probe import ProbeResult
 
@@ -241,18 +240,6 @@
         )
 
 
-async def read_events(
-    response: aiohttp.ClientResponse,
-) -> AsyncGenerator[EventBatch, None]:
-    """Yield complete events of a stream as they arrive."""
-    splitter = EventSplitter()
-    with TargetErrorTranslator():
-        while data := await response.content.readany():
-            events = splitter.feed(data)
-            if events is not None:
-                yield events
-
-
 def decode_report(target: TargetId, data: bytes) -> Result[EngineReport, TargetError]:
     """Decode an engine's report from JSON."""
     try:
--- a/packages/daemon/src/sardinequay_daemon/exchange.py
+++ b/packages/daemon/src/sardinequay_daemon/exchange.py
@@ -53,6 +53,10 @@
         Budget that counts the attempt in flight as a repeat; None if it is not one.
     is_demand_recorded : bool
         Whether the request has been counted in the demand for its adapter.
+    last_event : str
+        Id of the last event that the caller has; empty if it has none.
+    can_resume : bool
+        Whether the stream can go on after that event; without an id it cannot.
     room_permit : RoomPermit or None
         Room for the next attempt at its target; None before it is known.
     """
@@ -74,6 +78,7 @@
     rejections: Counter[TargetId] = field(default_factory=Counter)
     repeat: RepeatBudget | None = None
     last_event: str = ""
+    can_resume: bool = True
     answer_started: bool = False
     is_demand_recorded: bool = False
     room_permit: RoomPermit | None = None
--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -162,10 +162,8 @@
         usage = self.repeat_usage(exchange, now)
         is_within_budget = end is AttemptEnd.NOT_SENT or usage.has_room
         route = exchange.route
-        if (
-            exchange.answer_started
-            and route.repetition is not Repetition.RESUMABLE_STREAM
-        ):
+        is_resumable = route.repetition is Repetition.RESUMABLE_STREAM
+        if exchange.answer_started and not (is_resumable and exchange.can_resume):
             raise AnswerCutOffError
         decision = decide_retry(
             route.repetition,
--- a/packages/daemon/tests/test_events.py
+++ b/packages/daemon/tests/test_events.py
@@ -1,32 +1,99 @@
 """Splitting of server-sent events, and assembly of chunks to a whole answer."""
 
 import json
+from itertools import pairwise
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from sardinequay_daemon.answers import CompletionAssembler
-from sardinequay_daemon.server_sent_events import MAX_EVENT_BYTES, EventSplitter
+from sardinequay_daemon.server_sent_events import (
+    MAX_EVENT_BYTES,
+    EventBatch,
+    EventReader,
+    event_payloads,
+)
 
 STREAM = b'id: 1\ndata: {"a":1}\n\n: alive\n\nid: 2\ndata: [DONE]\n\n'
+TRICKY = (
+    b"\xef\xbb\xbfid: 1\ndata: a\n\n",
+    b"id:2\ndata: a valid id: 9\n\n",
+    b": id: 7\n",
+    b"id: 3\ndata: id: 8\ndata\n\n",
+    b"sardinequay-weight-versions: 5\nid: 4\ndata: data: [DONE]\n\n",
+    b"event: x\nid: 5\ndata:\n\n",
+)
+LINE_ENDS = (b"\n", b"\r\n", b"\r")
+
+
+def feed_all(pieces: list[bytes]) -> tuple[EventReader, list[EventBatch]]:
+    reader = EventReader()
+    batches = [batch for batch in map(reader.feed, pieces) if batch is not None]
+    return reader, batches
+
+
+def split_at(data: bytes, places: list[int]) -> list[bytes]:
+    borders = [0, *sorted(place % (len(data) + 1) for place in places), len(data)]
+    return [data[a:b] for a, b in pairwise(borders)]
 
 
 @given(st.integers(1, len(STREAM)))
 def test_events_are_whole_for_any_chunk_size(size: int) -> None:
-    cutter = EventSplitter()
     pieces = [STREAM[i : i + size] for i in range(0, len(STREAM), size)]
-    events = [e for e in map(cutter.feed, pieces) if e is not None]
-    assert b"".join(e.data for e in events) == STREAM
-    assert max(e.last_id for e in events) == 2
-    assert events[-1].done
-    assert all(e.data.endswith(b"\n\n") for e in events)
+    _, batches = feed_all(pieces)
+    assert b"".join(e.data for e in batches) == STREAM
+    assert max(e.last_id for e in batches) == 2
+    assert batches[-1].done
+
+
+@given(st.sampled_from(LINE_ENDS), st.lists(st.integers(0, 400)))
+def test_ids_are_read_from_fields_alone_for_any_split(
+    line_end: bytes, places: list[int]
+) -> None:
+    whole = b"".join(TRICKY).replace(b"\n", line_end)
+    reader, batches = feed_all(split_at(whole, places))
+    assert b"".join(batch.data for batch in batches) == whole
+    assert reader.unfinished == b""
+    numbered = [batch for batch in batches if batch.last_id]
+    assert numbered[0].first_id == 1
+    assert numbered[-1].last_id == 5
+    assert numbered[-1].resume_after == "5"
+    for before, after in pairwise(numbered):
+        assert after.first_id == before.last_id + 1
+    assert not any(batch.done for batch in batches)
+
+
+@given(st.sampled_from(LINE_ENDS), st.integers(1, 200))
+def test_a_stream_that_ends_inside_an_event_has_unfinished_bytes(
+    line_end: bytes, length: int
+) -> None:
+    event = b"id: 1\ndata: some text\n\n".replace(b"\n", line_end)
+    cut = event[: min(length, len(event) - 1)]
+    reader, batches = feed_all([cut])
+    assert reader.unfinished == cut
+    assert not batches
+
+
+def test_an_event_without_an_id_leaves_no_id_to_resume_after() -> None:
+    _, batches = feed_all([b"id: 1\ndata: a\n\n", b"data: b\n\n", b": c\n"])
+    assert [batch.resume_after for batch in batches] == ["1", "", None]
+
+
+def test_an_id_that_fits_no_header_leaves_no_id_to_resume_after() -> None:
+    _, batches = feed_all([b"id: a b\ndata: a\n\n"])
+    assert [batch.resume_after for batch in batches] == [""]
 
 
 def test_event_above_the_size_limit_is_rejected() -> None:
-    cutter = EventSplitter()
-    with pytest.raises(ValueError, match="limit"):
-        cutter.feed(b"x" * (MAX_EVENT_BYTES + 1))
+    reader = EventReader()
+    with pytest.raises(ValueError, match="exceeds"):
+        reader.feed(b"x" * (MAX_EVENT_BYTES + 1))
+
+
+def test_payloads_are_the_data_fields_of_events() -> None:
+    data = b": data: c\ndata: a\ndata:b\n\nid: 1\n\ndata: data: [DONE]\n\n"
+    assert event_payloads(data) == [b"a\nb", b"data: [DONE]"]
 
 
 def chunk(choice: dict[str, object], kind: str) -> bytes:
--- a/packages/lab/tests/test_ports.py
+++ b/packages/lab/tests/test_ports.py
@@ -14,11 +14,7 @@
 from sardinequay_core.leases import AdapterUse
 from sardinequay_core.names import AdapterRef, Address, DataCentre, PoolName, TargetId
 from sardinequay_core.roster import Target, TargetKind
-from sardinequay_daemon.engine_client import (
-    EngineRequest,
-    HttpEngineClient,
-    read_events,
-)
+from sardinequay_daemon.engine_client import EngineRequest, HttpEngineClient
 from sardinequay_daemon.errors import TargetError, TargetFault
 from sardinequay_daemon.metrics import Metrics
 from sardinequay_daemon.platform import (
@@ -26,6 +22,7 @@
     HttpHostList,
     HttpReader,
 )
+from sardinequay_daemon.target_stream import read_events
 from sardinequay_lab.history import HistoryWriter
 from sardinequay_lab.standins.engine import Engine, whole_text
 from sardinequay_lab.standins.published import (
