Tell a reset from the end of an answer of a plain service, too

The connection protocol that tells them apart, which only the hosts before the users' targets had, is in a module of its own now (strict_connector), and both have it. test_strict_connector fails with aiohttp's own connector: it returns the half that came.

--- a/packages/daemon/src/sardinequay_daemon/host.py
+++ b/packages/daemon/src/sardinequay_daemon/host.py
@@ -57,6 +57,7 @@
 from .services import ServiceForwarder
 from .settings import Settings
 from .single_send import client_session
+from .strict_connector import StrictConnector
 from .target_end_detector import TargetEndDetector
 from .target_probe import TargetProbe
 from .tls import client_context, server_context
@@ -194,13 +195,11 @@
 
     def make_session(self, is_fresh: bool) -> aiohttp.ClientSession:
         """Create an HTTP client; `is_fresh` opens a new connection for each request."""
-        source = (self.listener.ip, 0)
+        source_ip = self.listener.ip
         connector = (
-            aiohttp.TCPConnector(limit=0, force_close=True, local_addr=source)
+            StrictConnector(source_ip, force_close=True)
             if is_fresh
-            else aiohttp.TCPConnector(
-                limit=0, keepalive_timeout=IDLE_CONNECTION_S, local_addr=source
-            )
+            else StrictConnector(source_ip, keepalive_timeout=IDLE_CONNECTION_S)
         )
         return client_session(
             connector, auto_decompress=False, cookie_jar=aiohttp.DummyCookieJar()
--- a/packages/daemon/src/sardinequay_daemon/target_connector.py
+++ b/packages/daemon/src/sardinequay_daemon/target_connector.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -13,9 +12,9 @@
 
 from sardinequay_core.names import Address
 
-from .connection_reset import reset
 from .errors import PeerError
 from .path_monitor import PathMonitor
+from .strict_connector import StrictConnector
 
 if TYPE_CHECKING:
     from aiohttp.tracing import Trace
@@ -25,43 +24,11 @@
 in seconds: many round trips between data centres."""
 
 
-class StrictResponseHandler(ResponseHandler):
-    """Connection protocol that detects resets and unsolicited answers.
-
-    aiohttp takes any end of a connection for the end of an answer without a length. It
-    also reuses an idle connection on which an unsolicited answer has arrived.
-    """
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Raise an error in the reader of an answer whose connection was reset."""
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(f"reset: {exc!r}"))
-        super().connection_lost(exc)
-
-    def close(self) -> None:
-        """Close the connection; reset it while an answer is due.
-
-        The request was given up then. On a lost path it would else reach the target
-        once the path is back, beside its repeats.
-        """
-        transport, payload = self.transport, self._payload
-        is_complete = payload is not None and payload.is_eof()
-        if isinstance(transport, asyncio.Transport) and not is_complete:
-            reset(transport)
-        super().close()
-
-    def is_connected(self) -> bool:
-        """Return whether the connection can take another request."""
-        return super().is_connected() and not self.should_close
-
-
-class TargetConnector(aiohttp.TCPConnector):
+class TargetConnector(StrictConnector):
     """Connector to targets whose connections use `StrictResponseHandler`."""
 
     def __init__(self, source_ip: str, monitor: PathMonitor, **options: Any) -> None:
-        super().__init__(limit=0, local_addr=(source_ip, 0), **options)
-        self._factory = partial(StrictResponseHandler, loop=self._loop)  # type: ignore[assignment]
+        super().__init__(source_ip, **options)
         self.monitor = monitor
 
     async def _create_connection(
