Keep a stream to the software version that began it

What callers saw: events of engines of two versions of their software in one stream, which do not fit together: within one answer, where a stream that broke off went on at any engine, and over a caller's attempts, where nobody knew what had begun the stream.

Cause: nothing read the version of an engine's software, nor the attempt that a caller names. The class: a decision that depends on what another host did, taken by a host that does not know it and does not know that it does not.

Why this works: - In one answer the version of the first event's engine is kept, and only engines of it are chosen from then on; none: the answer is broken off at once. - For a caller that comes back, the version is known by a record (under a digest of caller, pool and the first attempt's id), or because the pool has had one version for as long as streams last: by a list of targets at most 3 s old, without a gap, or by a peer's. A version that is new is used for streams only 4 s after it was seen, so nobody can still rely on a list without it. What is not known is refused as not run, with a time. - Records go to two hosts by hashing and to one of the own data centre, before the first event is passed on (for 0.05 s at most), only while a pool may have several versions; when that begins, records of streams that began before are sent, too. Four and two hosts are asked, so a host that died or joined hides none. - A host that restarts, or was cut off, learns from peers for how long nothing was missed.

--- a/packages/core/src/sardinequay_core/catalogue.py
+++ b/packages/core/src/sardinequay_core/catalogue.py
@@ -11,12 +11,13 @@
 from typing import TypeVar
 
 from .clock import Instant
-from .names import AdapterRef, PoolName, TargetId
+from .names import AdapterRef, PoolName, SoftwareVersion, TargetId
 from .roster import Presence, Target
 from .serving import ServingConfig
 
 K = TypeVar("K")
 V = TypeVar("V")
+UNSTATED_VERSION = SoftwareVersion("")
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +35,8 @@
         Start time of the target's process, in Unix milliseconds, as the target reports
         it; 0 if it reports none. A target can restart under the same id and has then
         lost its models and adapters.
+    software_version : SoftwareVersion
+        Version of the target's program; empty if it states none.
     """
 
     target: Target
@@ -42,6 +45,7 @@
     models: frozenset[str] = frozenset()
     adapters: frozenset[AdapterRef] = frozenset()
     incarnation: int = 0
+    software_version: SoftwareVersion = UNSTATED_VERSION
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/sardinequay_core/names.py
+++ b/packages/core/src/sardinequay_core/names.py
@@ -16,6 +16,7 @@
 AttemptId = NewType("AttemptId", str)
 Digest = NewType("Digest", str)
 ContentId = NewType("ContentId", str)
+SoftwareVersion = NewType("SoftwareVersion", str)
 
 MAX_NAME_CHARS = 200
 SEPARATOR = "@"
--- a/packages/core/src/sardinequay_core/outcome.py
+++ b/packages/core/src/sardinequay_core/outcome.py
@@ -30,6 +30,7 @@
     OVER_QUOTA = "over_quota"
     QUARANTINED = "quarantined"
     TARGET_LIMITED = "target_limited"
+    STREAM_VERSION = "stream_version"
     LOAD_QUEUE_FULL = "load_queue_full"
     NO_TARGET = "no_target"
     SHUTTING_DOWN = "shutting_down"
--- a/packages/core/src/sardinequay_core/target_choice.py
+++ b/packages/core/src/sardinequay_core/target_choice.py
@@ -49,6 +49,10 @@
 """Penalty for an engine that rejected a request a moment ago because it was full, in
 seconds."""
 
+LAST_OF_VERSION_COST_S = 0.02
+"""Cost of an engine beside which no other has its software version, in seconds: a
+stream that breaks off there could not go on."""
+
 CROSS_DATA_CENTRE_S = 0.004
 """Round trip to another data centre, in seconds; also keeps traffic between data
 centres low."""
@@ -108,6 +112,8 @@
         Whether the engine states a rate limit.
     permit_wait_s : float
         Expected wait for a permit to send to it, in seconds.
+    is_last_of_version : bool
+        Whether a stream that may be resumed could go on at no other engine.
     """
 
     target: TargetId
@@ -127,6 +133,7 @@
     keeper_estimate_s: float | None = None
     is_limited: bool = False
     permit_wait_s: float = 0.0
+    is_last_of_version: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -254,6 +261,8 @@
         cost += FULL_ENGINE_PENALTY_S
     if option.has_failed_request:
         cost += FAILED_ENGINE_PENALTY_S
+    if option.is_last_of_version:
+        cost += LAST_OF_VERSION_COST_S
     return cost
 
 
--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -22,6 +22,7 @@
 from .relay_state import RelayState
 from .serving_metrics import ServingMetrics
 from .serving_ports import AnswerFacts, HttpDialect, SendTerms
+from .stream_versions import StreamVersions
 from .tracing import Tracing
 from .tunnel_client import current_request
 from .upstream import Upstream, UpstreamRequest
@@ -48,6 +49,7 @@
     metrics: ServingMetrics
     tracing: Tracing
     paths: PathMonitor
+    streams: StreamVersions
 
 
 class Attempt:
@@ -329,9 +331,10 @@
         return None
 
     async def handle_first_event(self) -> None:
-        """Record the first event and the time to it."""
+        """Record the first event, and keep the stream to its target's version."""
         self.record_first_event()
         self.record_read_pace()
+        await self.dependencies.streams.begin(self.exchange, self.published)
 
     def record_read_pace(self) -> None:
         """Record the time to the first event, by which prompt speed is estimated."""
--- a/packages/daemon/src/sardinequay_daemon/engine_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/engine_picker.py
@@ -26,6 +26,11 @@
 from .exchange import RelayExchange
 from .progress import RequestRefusedError, answer_lost_refusal
 from .serving_messages import WantAdapter, WantReply
+from .software_choice import (
+    no_version_refusal,
+    options_by_software,
+    with_last_of_version,
+)
 from .target_options import TargetOptions
 
 REEVALUATE_AFTER_S = 0.4
@@ -73,6 +78,8 @@
                 exchange.tried,
                 seconds_until(expected_ready_at, now),
             )
+            options = options_by_software(self.state, exchange, options)
+            options = with_last_of_version(self.state, exchange, options)
             time_left_s = exchange.first_event_left_s(now)
             desired_copies = self.options.copies_due(terms, len(options))
             max_wait_s = max_permit_wait_s(exchange, now)
@@ -122,6 +129,8 @@
         """Return the refusal of a request that no engine can start in time."""
         if exchange.attempts_so_far.runs:
             return answer_lost_refusal()
+        if isinstance(choice, NoEngine) and exchange.software_version is not None:
+            return no_version_refusal(self.state, exchange.software_version)
         if isinstance(choice, EnginesTooBusy):
             text = f"no engine can begin within {time_left_s:.2f} s"
             wait = jittered_retry_after(self.state.random, seconds(choice.wait_s))
--- a/packages/daemon/src/sardinequay_daemon/exchange.py
+++ b/packages/daemon/src/sardinequay_daemon/exchange.py
@@ -9,7 +9,7 @@
 from opentelemetry.trace import Span
 
 from sardinequay_core.clock import Instant, seconds
-from sardinequay_core.names import PoolName, TargetId
+from sardinequay_core.names import PoolName, SoftwareVersion, TargetId
 from sardinequay_core.organisations import Organisation
 from sardinequay_core.repeat_budget import RepeatBudget
 from sardinequay_core.retry_decision import AttemptCounts
@@ -57,6 +57,9 @@
         Id of the last event that the caller has; empty if it has none.
     can_resume : bool
         Whether the stream can go on after that event; without an id it cannot.
+    software_version : SoftwareVersion or None
+        Version of the software that the stream must go on with; None before its first
+        event.
     room_permit : RoomPermit or None
         Room for the next attempt at its target; None before it is known.
     """
@@ -79,6 +82,7 @@
     repeat: RepeatBudget | None = None
     last_event: str = ""
     can_resume: bool = True
+    software_version: SoftwareVersion | None = None
     answer_started: bool = False
     is_demand_recorded: bool = False
     room_permit: RoomPermit | None = None
--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -45,6 +45,7 @@
         """
         self.state.repeat_budget(exchange.pool).record_request(self.clock.monotonic())
         try:
+            await self.dependencies.streams.resolve(exchange)
             await self.serve_with_retries(exchange, sink)
         finally:
             exchange.end_repeat(self.clock.monotonic())
--- a/packages/daemon/src/sardinequay_daemon/relay_server.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_server.py
@@ -225,7 +225,7 @@
         return RelayExchange(
             terms,
             route,
-            route.pool_for(terms.request_id),
+            route.pool_for(terms.stream_request),
             http.method,
             http.raw_path,
             http.headers,
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -26,6 +26,7 @@
 from sardinequay_core.quarantine import Quarantine
 from sardinequay_core.repeat_budget import RepeatBudget, RepeatPolicy
 from sardinequay_core.residency import AdapterUses, HeldAdapters, Residency
+from sardinequay_core.software_history import SoftwareHistory
 from sardinequay_core.target_health import TargetHealth
 from sardinequay_core.target_limits import TargetLimits
 
@@ -93,6 +94,7 @@
     quarantine: Quarantine = field(default_factory=Quarantine)
     limits: TargetLimits = field(default_factory=TargetLimits)
     rejection_limits: TargetLimits = field(default_factory=TargetLimits)
+    software: SoftwareHistory = field(default_factory=SoftwareHistory)
     orders: OrderTask | None = None
     fleet_view_hub: HostId | None = None
     fleet_view_at: Instant = ZERO
--- a/packages/daemon/src/sardinequay_daemon/service_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/service_picker.py
@@ -20,6 +20,7 @@
 from .exchange import RelayExchange
 from .progress import RequestRefusedError, answer_lost_refusal
 from .relay_state import RelayState
+from .software_choice import no_version_refusal, options_by_software
 from .target_options import TargetOptions
 
 MAX_REJECTIONS_PER_TARGET = 2
@@ -44,7 +45,11 @@
 
     def choose(self, exchange: RelayExchange) -> ChosenTarget:
         """Return the least loaded target of a plain service."""
-        options = self.options.service_options(exchange.pool, exchange.tried)
+        options = options_by_software(
+            self.state,
+            exchange,
+            self.options.service_options(exchange.pool, exchange.tried),
+        )
         max_wait_s = None
         if may_wait_for_permit(options):
             max_wait_s = max_permit_wait_s(exchange, self.clock.monotonic())
@@ -106,6 +111,8 @@
         """Return the refusal of a request whose pool has no live target."""
         if exchange.attempts_so_far.runs:
             return answer_lost_refusal()
+        if exchange.software_version is not None:
+            return no_version_refusal(self.state, exchange.software_version)
         text = "no target of the pool is live"
         return not_run_refusal(
             Reason.NO_TARGET,
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -18,6 +18,7 @@
 from sardinequay_core.names import Address, HostId
 from sardinequay_core.order_lease import Ballot, OrderPolicy, Resign
 from sardinequay_core.repeat_budget import SLACK_DELAY
+from sardinequay_core.software_history import SoftwareHistory
 from sardinequay_core.target_health import trial_turn_of
 
 from .attempt import RelayDependencies
@@ -56,6 +57,8 @@
 )
 from .shared_settings import TimingSettings
 from .store_task import StoreTask, head_start_s
+from .stream_messages import AskHistory, AskStream, RecordStreams
+from .stream_versions import StreamVersions
 from .target_end_detector import TargetEndDetector
 from .tracing import Tracing
 from .upstream import Upstream
@@ -153,6 +156,7 @@
             repeat_slack_from=ZERO
             if profile.is_first_start
             else process_started_at + SLACK_DELAY,
+            software=SoftwareHistory(profile.is_first_start),
         )
         self.state.quotas.apply_policy(bounds.quotas)
         self.state.health.trial_turn = trial_turn_of(profile.host_id)
@@ -211,6 +215,16 @@
             random.random,
             self.metrics,
         )
+        self.streams = StreamVersions(
+            profile.host_id,
+            self.state,
+            self.store,
+            self.fleet,
+            self.peers,
+            clock,
+            random,
+            self.metrics,
+        )
         self.relay = Relay(
             RelayDependencies(
                 self.state,
@@ -221,6 +235,7 @@
                 self.metrics,
                 tracing,
                 self.paths.monitor,
+                self.streams,
             ),
             self.content_guard,
         )
@@ -266,7 +281,12 @@
         self.fleet.lost_peers.subscribe(self.digest_writer.reset_sent_state)
         self.fleet.holds_lease = lambda: self.lease.is_holder
         self.lease.newest_revision = lambda: self.store.newest_revision
+        self.store.catalogues.subscribe(self.streams.apply_catalogue)
+        self.fleet.digests.subscribe(self.streams.apply_digest)
         server = self.peer_server
+        server.register(RecordStreams, self.streams.handle_records)
+        server.register(AskStream, self.streams.handle_ask)
+        server.register(AskHistory, self.streams.handle_ask_history)
         server.register(Digest, self.fleet.answer_digest)
         server.register(AskPermit, self.content_guard.handle_ask_permit)
         server.register(PermitBack, self.content_guard.handle_permit_back)
@@ -371,6 +391,7 @@
             self.metrics.in_flight.set({}, self.server.in_flight)
             self.content_guard.expire()
             self.limits.expire()
+            self.streams.do_housekeeping()
             self.state.count_hosts()
             held = self.state.quarantine.held_contents(self.clock.monotonic())
             self.metrics.quarantined.set({}, len(held))
--- a/packages/daemon/src/sardinequay_daemon/serving_metrics.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_metrics.py
@@ -55,6 +55,12 @@
         self.permits = self.counter(
             "send_permits_total", "Permits to send to limited targets, by result"
         )
+        self.stream_records = self.counter(
+            "stream_records_total", "Records of streams sent to peers, by result"
+        )
+        self.stream_take_ups = self.counter(
+            "stream_take_ups_total", "Streams taken up, by how their version is known"
+        )
         self.lost_paths = self.gauge(
             "lost_target_paths", "Targets that this host reaches only through peers"
         )
--- a/packages/daemon/src/sardinequay_daemon/serving_ports.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_ports.py
@@ -47,6 +47,9 @@
         Digest of the key that the request carries, if any.
     tokens : int or None
         Prompt tokens and the maximum of generated tokens; None if not stated.
+    resumed_request : str
+        Id of the attempt that brought the first event of the stream which this request
+        resumes; empty if not stated.
     """
 
     request_id: str
@@ -58,6 +61,17 @@
     caller: str = ""
     key: KeyDigest | None = None
     tokens: int | None = None
+    resumed_request: str = ""
+
+    @property
+    def resumes_stream(self) -> bool:
+        """Return whether the caller has events of the stream already."""
+        return bool(self.resumed_request) or self.last_event not in ("", "0")
+
+    @property
+    def stream_request(self) -> str:
+        """Return the id of the attempt by which the stream is known."""
+        return self.resumed_request or self.request_id
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/tests/test_target_picker.py
+++ b/packages/daemon/tests/test_target_picker.py
@@ -136,7 +136,9 @@
 def picker(state: RelayState, load_client: FakeLoadRequestClient) -> TargetPicker:
     metrics = ServingMetrics("h1", "za")
     return TargetPicker(
-        RelayDependencies(state, None, None, load_client, None, metrics, None, None)
+        RelayDependencies(
+            state, None, None, load_client, None, metrics, None, None, None
+        )
     )
 
 
