--- a/packages/lab/src/sardinequay_lab/cut_relay.py
+++ b/packages/lab/src/sardinequay_lab/cut_relay.py
@@ -127,9 +127,9 @@
             while data := await reader.read(READ_BYTES):
                 while self.cuts.mode(source, self.ip) in held_by:
                     await asyncio.sleep(POLL_S)
-                if reader.exception() is not None:
+                if (error := reader.exception()) is not None:
                     # What a cut holds back is lost if its sender resets.
-                    break
+                    raise error
                 if self.cuts.mode(source, self.ip) == SLOW:
                     await asyncio.sleep(SLOW_S)
                 writer.write(data)
--- a/packages/lab/tests/test_stream_replay.py
+++ b/packages/lab/tests/test_stream_replay.py
@@ -15,10 +15,8 @@
 
 
 NAMES = [trouble.name for trouble in troubles(6)]
-CASES = [
-    *((hosts, name) for hosts in (6, 30) for name in NAMES),
-    (87, "release, kills"),
-]
+CASES = [(hosts, name) for hosts in (6, 30) for name in NAMES]
+CASES.append((87, "release, kills"))
 
 
 @pytest.mark.parametrize(("hosts", "name"), CASES)
