Refuse a request whose time ended while it waited to be sent

What callers saw: 502 for requests that no target had begun ('silent for 0.001 s'), one of two causes traced for the test of brittle targets beside load. Cause: the time left was looked at before the wait for a permit or for room, and not after it, so the request went out with a millisecond. It is refused as not run now, and its room given back. The test failed before (502, sent to a target).

--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -79,7 +79,7 @@
     async def may_send(self, exchange: RelayExchange, chosen: ChosenTarget) -> bool:
         """Return whether a target's limits permit the next attempt, and take its room.
 
-        During a wait for a permit the target may leave.
+        During a wait for a permit the target may leave, and the request's time may end.
         """
         max_wait = chosen.max_permit_wait
         target_id = chosen.published.target.target_id
@@ -91,6 +91,9 @@
         )
         if permit is None:
             return False
+        if exchange.time_left(self.clock.monotonic()) <= ZERO:
+            self.dependencies.limits.rooms.release(permit, UNUSED)
+            raise RequestRefusedError(self.time_over_refusal(exchange))
         may_have_left = max_wait is not None
         if may_have_left and not self.state.catalogue.is_live(target_id):
             self.dependencies.limits.rooms.release(permit, UNUSED)
@@ -98,6 +101,13 @@
         exchange.room_permit = permit
         return True
 
+    def time_over_refusal(self, exchange: RelayExchange) -> Refusal:
+        """Return the refusal of a request whose time ended before it was sent."""
+        if exchange.attempts_so_far.runs:
+            return answer_lost_refusal()
+        text = "the request's time ended while it waited to be sent"
+        return not_run_refusal(Reason.DEADLINE_EXPIRED, text)
+
     def record_end(
         self, exchange: RelayExchange, target: TargetId, end: AttemptEnd
     ) -> None:
