--- a/packages/daemon/tests/test_stream_versions.py
+++ b/packages/daemon/tests/test_stream_versions.py
@@ -113,6 +113,7 @@
     streams.state.catalogue = Catalogue(targets=listed)
     now = streams.clock.monotonic()
     streams.history.sightings.clear()
+    streams.history.viewed_at = None
     streams.history.apply_view(listed.values(), now)
 
 
