--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -58,6 +58,7 @@
 from .shared_settings import TimingSettings
 from .store_task import StoreTask, head_start_s
 from .stream_messages import AskHistory, AskStream, RecordStreams
+from .stream_record_client import StreamRecordClient
 from .stream_versions import StreamVersions
 from .target_end_detector import TargetEndDetector
 from .tracing import Tracing
@@ -216,13 +217,12 @@
             self.metrics,
         )
         self.streams = StreamVersions(
-            profile.host_id,
+            StreamRecordClient(
+                profile.host_id, self.fleet, self.peers, clock, random, self.metrics
+            ),
             self.state,
             self.store,
-            self.fleet,
-            self.peers,
             clock,
-            random,
             self.metrics,
         )
         self.relay = Relay(
--- a/packages/daemon/tests/test_stream_versions.py
+++ b/packages/daemon/tests/test_stream_versions.py
@@ -32,6 +32,7 @@
 from sardinequay_daemon.serving_metrics import ServingMetrics
 from sardinequay_daemon.serving_ports import RequestTerms
 from sardinequay_daemon.stream_messages import AskStream, RecordStreams, StreamReply
+from sardinequay_daemon.stream_record_client import StreamRecordClient
 from sardinequay_daemon.stream_versions import StreamVersions
 from sardinequay_daemon.system_clock import SystemClock
 
@@ -97,13 +98,14 @@
 def streams(peers: Peers) -> StreamVersions:
     """Of a host that has seen engines of two versions."""
     state = SimpleNamespace(
-        catalogue=Catalogue(), software=SoftwareHistory(is_first_start=True)
+        catalogue=Catalogue(),
+        software=SoftwareHistory(is_first_start=True),
+        random=Random(1),
     )
     store = SimpleNamespace(last_read_at=None, must_list=True, catalogue=Catalogue())
     clock, metrics = SystemClock(), ServingMetrics("h1", "za")
-    made = StreamVersions(
-        HostId("h1"), state, store, peers, peers, clock, Random(1), metrics
-    )
+    client = StreamRecordClient(HostId("h1"), peers, peers, clock, Random(1), metrics)
+    made = StreamVersions(client, state, store, clock, metrics)
     list_engines(made, V1, V2)
     return made
 
@@ -240,7 +242,7 @@
     list_engines(streams, V1, V2)
     streams.state.catalogue = SimpleNamespace(config=SimpleNamespace(pools={POOL: 1}))
     streams.share_records(streams.clock.monotonic())
-    await asyncio.gather(*streams.tasks)
+    await asyncio.gather(*streams.client.tasks)
     assert [m.streams[0].version for m in peers.records] == [V1, V1]
 
 
