--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import gc
 import logging
 from dataclasses import asdict, dataclass, replace
@@ -15,7 +14,7 @@
 
 from sardinequay_core.catalogue import Catalogue
 from sardinequay_core.clock import ZERO, Clock, Instant, seconds
-from sardinequay_core.names import Address, HostId
+from sardinequay_core.names import HostId
 from sardinequay_core.order_lease import Ballot, OrderPolicy, Resign
 from sardinequay_core.repeat_budget import SLACK_DELAY
 from sardinequay_core.software_history import SoftwareHistory
@@ -30,6 +29,7 @@
 from .errors import StartError
 from .fleet_task import FleetTask, ReceivedDigest
 from .host_pages import create_status_app
+from .http_listeners import HttpListeners
 from .limit_parts import LimitParts
 from .load_requests import LoadRequestClient
 from .order_lease_task import OrderLeaseTask
@@ -57,7 +57,6 @@
 )
 from .shared_settings import TimingSettings
 from .store_task import StoreTask, head_start_s
-from .stream_messages import AskHistory, AskStream, RecordStreams
 from .stream_record_client import StreamRecordClient
 from .stream_versions import StreamVersions
 from .target_end_detector import TargetEndDetector
@@ -84,7 +83,6 @@
 is over."""
 
 DRAIN_POLL_S = 0.05
-AnyRunner = web.AppRunner | web.ServerRunner
 log = logging.getLogger(__name__)
 
 
@@ -262,7 +260,7 @@
         )
         self.fetch_task: asyncio.Task[None] | None = None
         self.is_stopping = False
-        self.runners: list[AnyRunner] = []
+        self.listeners = HttpListeners()
         self.subscribe_tasks()
 
     def subscribe_tasks(self) -> None:
@@ -281,12 +279,8 @@
         self.fleet.lost_peers.subscribe(self.digest_writer.reset_sent_state)
         self.fleet.holds_lease = lambda: self.lease.is_holder
         self.lease.newest_revision = lambda: self.store.newest_revision
-        self.store.catalogues.subscribe(self.streams.apply_catalogue)
-        self.fleet.digests.subscribe(self.streams.apply_digest)
+        self.streams.subscribe(self.fleet, self.peer_server)
         server = self.peer_server
-        server.register(RecordStreams, self.streams.handle_records)
-        server.register(AskStream, self.streams.handle_ask)
-        server.register(AskHistory, self.streams.handle_ask_history)
         server.register(Digest, self.fleet.answer_digest)
         server.register(AskPermit, self.content_guard.handle_ask_permit)
         server.register(PermitBack, self.content_guard.handle_permit_back)
@@ -406,7 +400,7 @@
             ready = web.AppRunner(
                 readiness_app(profile.readiness_path, self.is_ready), access_log=None
             )
-            await self.serve_http(ready, profile.readiness)
+            await self.listeners.serve(ready, profile.readiness)
             metrics = web.AppRunner(
                 create_status_app(
                     self.metrics.registry,
@@ -415,22 +409,12 @@
                 ),
                 access_log=None,
             )
-            await self.serve_http(metrics, profile.metrics)
-            await self.serve_http(web.ServerRunner(self.server), profile.callers)
+            await self.listeners.serve(metrics, profile.metrics)
+            await self.listeners.serve(web.ServerRunner(self.server), profile.callers)
         except OSError as error:
             raise StartError(f"cannot listen: {error}", EXIT_PORT_IN_USE) from error
         return listener
 
-    async def serve_http(
-        self,
-        runner: AnyRunner,
-        address: Address,
-    ) -> None:
-        """Serve HTTP at an address."""
-        await runner.setup()
-        self.runners.append(runner)
-        await web.TCPSite(runner, address.ip, address.port).start()
-
     def store_age_s(self) -> float:
         """Return the time since this host or a peer last read the store, in seconds."""
         return min(self.store.status().age_s, self.fleet.freshest_store_age_s())
@@ -508,9 +492,7 @@
 
     async def close(self) -> None:
         """Close listeners and connections."""
-        for runner in reversed(self.runners):
-            with contextlib.suppress(asyncio.TimeoutError):
-                await runner.cleanup()
+        await self.listeners.close()
         await self.upstream.close()
         self.peers.close()
         self.peer_server.close()
--- a/packages/daemon/src/sardinequay_daemon/stream_versions.py
+++ b/packages/daemon/src/sardinequay_daemon/stream_versions.py
@@ -23,7 +23,8 @@
 from .chosen_target import jittered_retry_after
 from .errors import TargetError, TargetFault
 from .exchange import RelayExchange
-from .fleet_task import ReceivedDigest
+from .fleet_task import FleetTask, ReceivedDigest
+from .peers import PeerServer
 from .progress import RequestRefusedError
 from .relay_state import RelayState
 from .serving_messages import Noted
@@ -69,6 +70,14 @@
         self.lifetime_config: ServingConfig | None = None
         self.lifetime = stream_lifetime(())
 
+    def subscribe(self, fleet: FleetTask, server: PeerServer) -> None:
+        """Follow the list of targets, and answer peers."""
+        self.store.catalogues.subscribe(self.apply_catalogue)
+        fleet.digests.subscribe(self.apply_digest)
+        server.register(RecordStreams, self.handle_records)
+        server.register(AskStream, self.handle_ask)
+        server.register(AskHistory, self.handle_ask_history)
+
     def apply_catalogue(self, catalogue: Catalogue) -> None:
         """Record the versions that are listed now."""
         self.history.record_listed(catalogue.targets.values(), self.clock.monotonic())
