--- a/packages/daemon/src/sardinequay_daemon/host.py
+++ b/packages/daemon/src/sardinequay_daemon/host.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import ssl
 from datetime import timedelta
 from random import Random
 
@@ -16,7 +15,7 @@
 from sardinequay_core.clock import Clock
 from sardinequay_core.leases import HolderId
 from sardinequay_core.membership import Member
-from sardinequay_core.names import Address, parse_address
+from sardinequay_core.names import parse_address
 from sardinequay_core.quarantine import Quarantine, QuarantinePolicy
 from sardinequay_core.rollout import OfferedBundle
 from sardinequay_core.roster import Roster
@@ -30,6 +29,7 @@
 from .engine_client import EngineHealthCheck, HttpEngineClient
 from .errors import StartError
 from .guard_task import GuardTask, claim_policy
+from .http_listeners import HttpListeners
 from .journal import Journal
 from .keeper_task import KeeperTask
 from .mailbox import run_periodically
@@ -65,7 +65,6 @@
 from .use_lease_task import UseLeaseTask
 
 EXIT_PORT_IN_USE = 3
-AnyRunner = web.AppRunner | web.ServerRunner
 EXIT_BAD_KEY = 4
 GUARD_MESSAGES = (ClaimRequest, Settle, HandoverRequest, ViewQuery)
 KEEPER_MESSAGES = (Acquire, Renew, GiveBack, Want)
@@ -107,7 +106,7 @@
             client_context(settings.peer_tls),
         )
         self.sessions: list[aiohttp.ClientSession] = []
-        self.runners: list[AnyRunner] = []
+        self.listeners = HttpListeners()
 
     def build_tasks(self) -> None:
         """Create all tasks and connect them."""
@@ -434,25 +433,19 @@
             peer_tls = server_context(settings.peer_tls)
             listener = await self.peer_server.start(self.listener, peer_tls)
             operators = web.AppRunner(self.operators.app(), access_log=None)
-            await self.serve_http(operators, settings.operator_listener, None)
+            await self.listeners.serve(
+                operators, parse_address(settings.operator_listener).unwrap()
+            )
             caller_tls = server_context(settings.caller_tls)
             runner = web.ServerRunner(self.callers.server(), shutdown_timeout=1.0)
-            await self.serve_http(runner, settings.caller_listener, caller_tls)
+            await self.listeners.serve(
+                runner, parse_address(settings.caller_listener).unwrap(), caller_tls
+            )
         except OSError as error:
             raise StartError(f"cannot listen: {error}", EXIT_PORT_IN_USE) from error
         log.info("listening", extra={"callers": settings.caller_listener})
         return listener
 
-    async def serve_http(
-        self, runner: AnyRunner, listener: str, tls: ssl.SSLContext | None
-    ) -> None:
-        """Serve HTTP at an address."""
-        address: Address = parse_address(listener).unwrap()
-        await runner.setup()
-        self.runners.append(runner)
-        site = web.TCPSite(runner, address.ip, address.port, ssl_context=tls)
-        await site.start()
-
     async def drain(self) -> None:
         """Become unready, notify peers, and wait for requests in flight."""
         timing = self.settings.timing
@@ -472,8 +465,7 @@
 
     async def close(self) -> None:
         """Close listeners, connections and sessions."""
-        for runner in reversed(self.runners):
-            await runner.cleanup()
+        await self.listeners.close()
         self.peers.close()
         self.peer_server.close()
         for session in self.sessions:
--- a/packages/daemon/src/sardinequay_daemon/http_listeners.py
+++ b/packages/daemon/src/sardinequay_daemon/http_listeners.py
@@ -1,13 +1,14 @@
 """The HTTP listeners of a host, opened one after the other and closed together."""
 
-import asyncio
-import contextlib
+import logging
+import ssl
 
 from aiohttp import web
 
 from sardinequay_core.names import Address
 
 AnyRunner = web.AppRunner | web.ServerRunner
+log = logging.getLogger(__name__)
 
 
 class HttpListeners:
@@ -16,7 +17,12 @@
     def __init__(self) -> None:
         self.runners: list[AnyRunner] = []
 
-    async def serve(self, runner: AnyRunner, address: Address) -> None:
+    async def serve(
+        self,
+        runner: AnyRunner,
+        address: Address,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
         """Serve HTTP at an address.
 
         Raises
@@ -26,10 +32,13 @@
         """
         await runner.setup()
         self.runners.append(runner)
-        await web.TCPSite(runner, address.ip, address.port).start()
+        site = web.TCPSite(runner, address.ip, address.port, ssl_context=tls)
+        await site.start()
 
     async def close(self) -> None:
         """Close all listeners and their connections."""
         for runner in reversed(self.runners):
-            with contextlib.suppress(asyncio.TimeoutError):
+            try:
                 await runner.cleanup()
+            except TimeoutError:
+                log.warning("listener not closed in time")
