--- a/packages/daemon/src/sardinequay_daemon/serving_metrics.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_metrics.py
@@ -58,8 +58,8 @@
         self.stream_records = self.counter(
             "stream_records_total", "Records of streams sent to peers, by result"
         )
-        self.stream_take_ups = self.counter(
-            "stream_take_ups_total", "Streams taken up, by how their version is known"
+        self.stream_resumptions = self.counter(
+            "stream_resumptions_total", "Streams resumed, by how their version is known"
         )
         self.lost_paths = self.gauge(
             "lost_target_paths", "Targets that this host reaches only through peers"
--- a/packages/daemon/src/sardinequay_daemon/stream_versions.py
+++ b/packages/daemon/src/sardinequay_daemon/stream_versions.py
@@ -157,7 +157,7 @@
         if found is None:
             left_s = exchange.time_left(self.clock.monotonic()).total_seconds()
             found = await self.client.find(key, exchange.pool, left_s)
-        self.log_take_up(exchange, key, found)
+        self.log_resumption(exchange, key, found)
         if found is None:
             raise RequestRefusedError(self.unknown_refusal())
         exchange.software_version = found.version
@@ -174,14 +174,14 @@
             return None
         return FoundVersion(sole, VersionSource.SOLE_VERSION)
 
-    def log_take_up(
+    def log_resumption(
         self, exchange: RelayExchange, key: StreamKey, found: FoundVersion | None
     ) -> None:
         """Log and count a request that goes on with a stream."""
         source = found.source.value if found is not None else UNKNOWN_SOURCE
-        self.metrics.stream_take_ups.inc({"source": source})
+        self.metrics.stream_resumptions.inc({"source": source})
         log.info(
-            "stream taken up",
+            "stream resumption",
             extra={
                 "request": exchange.terms.request_id,
                 "resumes": exchange.terms.resumed_request,
--- a/packages/daemon/tests/test_stream_versions.py
+++ b/packages/daemon/tests/test_stream_versions.py
@@ -1,4 +1,4 @@
-"""The software version of streams that callers take up at this host."""
+"""The software version of streams that callers resume at this host."""
 
 import asyncio
 from dataclasses import dataclass, field
--- a/packages/lab/src/sardinequay_lab/stream_replay.py
+++ b/packages/lab/src/sardinequay_lab/stream_replay.py
@@ -1,4 +1,4 @@
-"""Ways to know the software version of a stream that a caller takes up, compared.
+"""Ways to know the software version of a stream that a caller resumes, compared.
 
 Streams break off at random, or with their host, and their callers come back at another
 one. Each way is replayed on the same draws, without sockets, see `stream_world`.
@@ -63,26 +63,26 @@
     ----------
     mixed : int
         Streams that went on with another version than theirs.
-    taken_up, gone_on : int
-        Streams taken up at hosts that ran for 3 s, whose version still serves, and
+    resumed, continued : int
+        Streams resumed at hosts that ran for 3 s, whose version still serves, and
         those of them that went on.
-    fresh_taken_up, fresh_gone_on : int
+    fresh_resumed, fresh_continued : int
         The same at hosts that have just started.
     bytes_sent : int
         Bytes of records that all hosts sent.
     """
 
     mixed: int = 0
-    taken_up: int = 0
-    gone_on: int = 0
-    fresh_taken_up: int = 0
-    fresh_gone_on: int = 0
+    resumed: int = 0
+    continued: int = 0
+    fresh_resumed: int = 0
+    fresh_continued: int = 0
     bytes_sent: int = 0
 
     @property
     def share(self) -> float:
-        """Return the share of streams that went on; 1 if none was taken up."""
-        return self.gone_on / self.taken_up if self.taken_up else 1.0
+        """Return the share of streams that went on; 1 if none was resumed."""
+        return self.continued / self.resumed if self.resumed else 1.0
 
 
 @dataclass
@@ -108,7 +108,7 @@
             self.deliver_digests()
             self.share_records()
             self.begin_streams()
-            self.take_up_broken()
+            self.resume_broken()
             world.now_s += STEP_S
         return self.figures
 
@@ -178,7 +178,7 @@
             for key, record in host.records.share({POOL}, self.world.now):
                 self.send_to_holders(host, key, record)
 
-    def take_up_broken(self) -> None:
+    def resume_broken(self) -> None:
         """Let the callers of streams that broke off come back at another host."""
         world, going = self.world, []
         for stream in self.streams:
@@ -187,11 +187,11 @@
                 stream.breaks_at_s = min(stream.breaks_at_s, world.now_s)
             is_broken = stream.breaks_at_s + COME_BACK_S <= world.now_s
             is_whole = stream.breaks_at_s >= stream.ends_at_s
-            if not is_broken or not (is_whole or self.take_up(stream)):
+            if not is_broken or not (is_whole or self.resume(stream)):
                 going.append(stream)
         self.streams = going
 
-    def take_up(self, stream: Stream) -> bool:
+    def resume(self, stream: Stream) -> bool:
         """Let a caller come back with one stream; return whether any host is there."""
         world = self.world
         running = [h for h in world.hosts if world.is_up(h) and h.view]
@@ -205,11 +205,11 @@
         is_fresh = world.now_s - host.starts_at_s < IN_TOUCH_S and host.starts_at_s > 0
         self.figures.mixed += version not in (None, stream.version)
         if is_fresh:
-            self.figures.fresh_taken_up += 1
-            self.figures.fresh_gone_on += version is not None
+            self.figures.fresh_resumed += 1
+            self.figures.fresh_continued += version is not None
         else:
-            self.figures.taken_up += 1
-            self.figures.gone_on += version is not None
+            self.figures.resumed += 1
+            self.figures.continued += version is not None
         return True
 
     def find_version(
@@ -260,8 +260,8 @@
                 found = replay(hosts, trouble, way, parsed.seed)
                 print(
                     f"{hosts}, {trouble.name}, {way.value}: {found.mixed},"
-                    f" {found.gone_on}/{found.taken_up},"
-                    f" {found.fresh_gone_on}/{found.fresh_taken_up},"
+                    f" {found.continued}/{found.resumed},"
+                    f" {found.fresh_continued}/{found.fresh_resumed},"
                     f" {found.bytes_sent / SECONDS / hosts:.0f}",
                     flush=True,
                 )
--- a/packages/lab/tests/test_stream_replay.py
+++ b/packages/lab/tests/test_stream_replay.py
@@ -23,7 +23,7 @@
 def test_streams_go_on_with_their_own_version_alone(hosts: int, name: str) -> None:
     found = replay(hosts, named(hosts, name), Way.RECORDS, 1)
     assert found.mixed == 0
-    assert found.taken_up >= 12
+    assert found.resumed >= 12
     # A host knows nothing of streams that began before all hosts died at once.
     if "herd" not in name:
         assert found.share >= MIN_SHARE
