Begin streams at listed versions however long the store is silent

Found by reading the diff: versions are forgotten a while after they were last listed, and while the store is silent no list is applied, so after twice a stream's lifetime no version was left at which a stream that may be resumed could begin, and each was refused. What is listed counts as seen at each housekeeping. The test failed before (no version).

--- a/packages/daemon/src/sardinequay_daemon/stream_versions.py
+++ b/packages/daemon/src/sardinequay_daemon/stream_versions.py
@@ -226,6 +226,9 @@
         self.apply_own_view()
         now = self.clock.monotonic()
         self.records.expire(now)
+        # What is listed counts as seen also while the store is silent.
+        listed = self.state.catalogue.targets.values()
+        self.history.record_listed(listed, now)
         self.history.forget_before(now - self.lifetime * 2)
         if not self.history.is_complete(now, self.lifetime):
             self.client.start(self.fetch_history())
--- a/packages/daemon/tests/test_stream_versions.py
+++ b/packages/daemon/tests/test_stream_versions.py
@@ -24,7 +24,7 @@
 from sardinequay_core.outcome import Outcome, Reason
 from sardinequay_core.roster import Target, TargetKind
 from sardinequay_core.serving import PoolShare, Repetition, Route
-from sardinequay_core.software_history import SoftwareHistory
+from sardinequay_core.software_history import Sighting, SoftwareHistory
 from sardinequay_daemon.errors import TargetError
 from sardinequay_daemon.exchange import RelayExchange
 from sardinequay_daemon.guarded_request import GuardedRequest
@@ -254,6 +254,19 @@
         await streams.begin(request(), engine(V2))
 
 
+async def test_listed_versions_are_used_however_long_the_store_is_silent(
+    streams: StreamVersions,
+) -> None:
+    list_engines(streams, V1, V2)
+    for key, sighting in streams.history.sightings.items():
+        long_ago = sighting.last - 3 * streams.lifetime
+        streams.history.sightings[key] = Sighting(long_ago, long_ago)
+    streams.do_housekeeping()
+    await asyncio.gather(*streams.client.tasks)
+    now = streams.clock.monotonic()
+    assert streams.history.versions_to_begin_on(POOL, {V1, V2}, now) == {V1, V2}
+
+
 async def test_an_engine_that_was_replaced_begins_no_stream(
     streams: StreamVersions,
 ) -> None:
