Hold a stream's first event until a host has kept its record

Found by reading the diff: the wait ended at the first call that ended, also one that was refused at once, and 'is_held' said that a host had the record. Now one that keeps it ends the wait. The test failed before (no record when the event was passed on).

--- a/packages/daemon/src/sardinequay_daemon/stream_record_client.py
+++ b/packages/daemon/src/sardinequay_daemon/stream_record_client.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from enum import Enum
 from random import Random
-from typing import Protocol
+from typing import Any, Protocol, TypeVar
 
 from sardinequay_core.clock import Clock
 from sardinequay_core.names import Address, HostId, PoolName, SoftwareVersion
@@ -40,6 +40,7 @@
 
 RECORDS_PER_MESSAGE = 128
 
+T = TypeVar("T")
 NamedRecord = tuple[StreamKey, StreamRecord]
 log = logging.getLogger(__name__)
 
@@ -96,20 +97,15 @@
         self.clock = clock
         self.random = random
         self.metrics = metrics
-        self.tasks: set[asyncio.Task[object]] = set()
+        self.tasks: set[asyncio.Task[Any]] = set()
 
     async def send_first(
         self, request_id: str, key: StreamKey, record: StreamRecord
     ) -> None:
         """Send a new stream's record to its holders, and wait until one has it."""
         holders = self.holders_of(key)
-        tasks = [self.send(holder, ((key, record),)) for holder in holders]
-        if tasks:
-            await asyncio.wait(
-                tasks,
-                timeout=FIRST_RECORD_WAIT_S,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
+        calls = [self.send(holder, ((key, record),)) for holder in holders]
+        is_held = await self.is_kept_in_time(calls)
         log.info(
             "stream recorded",
             extra={
@@ -117,10 +113,21 @@
                 "stream": key,
                 "software": record.version,
                 "holders": holders,
-                "is_held": any(task.done() for task in tasks),
+                "is_held": is_held,
             },
         )
 
+    async def is_kept_in_time(self, calls: Sequence[asyncio.Task[bool]]) -> bool:
+        """Wait until one of some calls has succeeded; the others go on."""
+        try:
+            async with asyncio.timeout(FIRST_RECORD_WAIT_S):
+                for call in asyncio.as_completed(calls):
+                    if await call:
+                        return True
+        except TimeoutError:
+            return False
+        return False
+
     def send_all(self, records: Iterable[NamedRecord]) -> None:
         """Send records to their holders, in the background."""
         by_holder: dict[HostId, list[NamedRecord]] = defaultdict(list)
@@ -147,7 +154,7 @@
 
     def send(
         self, holder: HostId, records: Sequence[NamedRecord]
-    ) -> asyncio.Task[object]:
+    ) -> asyncio.Task[bool]:
         """Send records to a host, in the background."""
         now = self.clock.monotonic()
         notes = tuple(
@@ -161,19 +168,21 @@
         )
         return self.start(self.call_holder(holder, RecordStreams(notes)))
 
-    async def call_holder(self, holder: HostId, message: RecordStreams) -> None:
-        """Send records to a host and count whether it has them."""
+    async def call_holder(self, holder: HostId, message: RecordStreams) -> bool:
+        """Send records to a host; count and return whether it keeps them."""
         address = self.fleet.address_of(holder)
         reply = None
         if address is not None:
             answer = await self.peers.call(address, message, RECORD_TIMEOUT_S)
             reply = answer.value_or(None)
-        result = "kept" if isinstance(reply, Noted) else "failed"
+        is_kept = isinstance(reply, Noted)
+        result = "kept" if is_kept else "failed"
         self.metrics.stream_records.add({"result": result}, len(message.streams))
+        return is_kept
 
-    def start(self, work: Coroutine[object, object, object]) -> asyncio.Task[object]:
+    def start(self, work: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
         """Start a task that ends by itself."""
-        task: asyncio.Task[object] = asyncio.create_task(work)
+        task = asyncio.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         return task
--- a/packages/daemon/tests/test_stream_versions.py
+++ b/packages/daemon/tests/test_stream_versions.py
@@ -8,7 +8,7 @@
 import pytest
 from multidict import CIMultiDict, CIMultiDictProxy
 from opentelemetry.trace import INVALID_SPAN
-from returns.result import Success
+from returns.result import Failure, Success
 
 from sardinequay_core.catalogue import Catalogue, PublishedTarget
 from sardinequay_core.clock import seconds
@@ -25,10 +25,11 @@
 from sardinequay_core.roster import Target, TargetKind
 from sardinequay_core.serving import PoolShare, Repetition, Route
 from sardinequay_core.software_history import Sighting, SoftwareHistory
-from sardinequay_daemon.errors import TargetError
+from sardinequay_daemon.errors import PeerError, TargetError
 from sardinequay_daemon.exchange import RelayExchange
 from sardinequay_daemon.guarded_request import GuardedRequest
 from sardinequay_daemon.progress import RequestRefusedError
+from sardinequay_daemon.serving_messages import Noted
 from sardinequay_daemon.serving_metrics import ServingMetrics
 from sardinequay_daemon.serving_ports import RequestTerms
 from sardinequay_daemon.stream_messages import AskStream, RecordStreams, StreamReply
@@ -58,6 +59,7 @@
     replies: dict[str, StreamReply] = field(default_factory=dict)
     records: list[RecordStreams] = field(default_factory=list)
     is_silent: bool = False
+    refusing: str = ""
 
     def known_to_all(self) -> list[HostId]:
         return [HostId(f"h{number}") for number in range(1, 6)]
@@ -72,8 +74,11 @@
         if self.is_silent:
             await asyncio.sleep(60)
         if isinstance(message, RecordStreams):
+            if address.ip == self.refusing:
+                return Failure(PeerError(address.ip, "refused"))
+            await asyncio.sleep(0.01)
             self.records.append(message)
-            return Success(None)
+            return Success(Noted())
         assert isinstance(message, AskStream)
         return Success(self.replies.get(address.ip, StreamReply(None)))
 
@@ -223,9 +228,21 @@
     streams: StreamVersions, peers: Peers
 ) -> None:
     await streams.begin(request(), engine(V2))
+    await asyncio.gather(*streams.client.tasks)
     assert [m.streams[0].version for m in peers.records] == [V2, V2]
 
 
+async def test_the_first_event_waits_for_a_host_that_keeps_the_record(
+    streams: StreamVersions, peers: Peers
+) -> None:
+    """One holder refuses at once; the other keeps the record a little later."""
+    key = streams.key_of(request())
+    dead, _ = streams.client.holders_of(key)
+    peers.refusing = dead
+    await streams.begin(request(), engine(V2))
+    assert [m.streams[0].key for m in peers.records] == [key]
+
+
 async def test_no_record_is_sent_while_there_is_one_version(
     streams: StreamVersions, peers: Peers
 ) -> None:
