Cut off answers with chunks without a reset, as before

Found by reading the diff: the mend of answers without chunks asked 'chunked', which aiohttp does not set where it chooses chunks itself, so every stream that was cut off was reset, and what its caller had not read was lost. The header tells now.

--- a/packages/daemon/src/sardinequay_daemon/connection_reset.py
+++ b/packages/daemon/src/sardinequay_daemon/connection_reset.py
@@ -32,7 +32,13 @@
     """
     if transport is None:
         return
-    if answer is None or answer.chunked or answer.content_length is not None:
+    if answer is None or has_framing(answer):
         transport.abort()
     else:
         reset(transport)
+
+
+def has_framing(answer: web.StreamResponse) -> bool:
+    """Return whether an answer's length or last chunk tells its end."""
+    # `chunked` is not set where aiohttp chooses chunks by itself.
+    return "Transfer-Encoding" in answer.headers or answer.content_length is not None
