--- a/packages/core/src/sardinequay_core/software_history.py
+++ b/packages/core/src/sardinequay_core/software_history.py
@@ -1,7 +1,7 @@
 """Which versions of their software the targets of a pool have had lately.
 
-A stream may go on only at a target of the version that began it. Where a pool has had
-one version for as long as streams last, that is the version of each stream.
+A stream is resumed only by targets of the version that started it. If a pool has had a
+single version for the lifetime of a stream, that is the version of every stream.
 
 Hosts see a change of the list of targets at different times. So a version that is new
 is not used at once: when a host begins to use it, no other host can rely on a list
--- a/packages/core/src/sardinequay_core/stream_records.py
+++ b/packages/core/src/sardinequay_core/stream_records.py
@@ -2,7 +2,7 @@
 
 A record is kept by the host that passes the stream on and, where a pool may have
 several versions, by a few others that are chosen by hashing, so that a host which a
-caller comes back to can find it. Without a record a stream does not go on there.
+caller comes back to can find it. Without a record the stream is not resumed there.
 """
 
 from collections.abc import Collection, Iterable
--- a/packages/core/src/sardinequay_core/target_choice.py
+++ b/packages/core/src/sardinequay_core/target_choice.py
@@ -51,7 +51,7 @@
 
 LAST_OF_VERSION_COST_S = 0.02
 """Cost of an engine beside which no other has its software version, in seconds: a
-stream that breaks off there could not go on."""
+stream that breaks off there could not be resumed."""
 
 CROSS_DATA_CENTRE_S = 0.004
 """Round trip to another data centre, in seconds; also keeps traffic between data
@@ -113,7 +113,7 @@
     permit_wait_s : float
         Expected wait for a permit to send to it, in seconds.
     is_last_of_version : bool
-        Whether a stream that may be resumed could go on at no other engine.
+        Whether no other engine could resume a stream that breaks off there.
     """
 
     target: TargetId
--- a/packages/daemon/src/sardinequay_daemon/answer_forwarder.py
+++ b/packages/daemon/src/sardinequay_daemon/answer_forwarder.py
@@ -93,7 +93,7 @@
             self.log_end_by_connection()
 
     async def forward_batch(self, batch: EventBatch) -> None:
-        """Pass whole events on, and keep the id after which the stream can go on."""
+        """Pass whole events on, and keep the id to resume the stream after."""
         if not self.has_first_event:
             self.has_first_event = True
             await self.on_first_event()
--- a/packages/daemon/src/sardinequay_daemon/exchange.py
+++ b/packages/daemon/src/sardinequay_daemon/exchange.py
@@ -56,9 +56,9 @@
     last_event : str
         Id of the last event that the caller has; empty if it has none.
     can_resume : bool
-        Whether the stream can go on after that event; without an id it cannot.
+        Whether the stream can be resumed after that event; without an id it cannot.
     software_version : SoftwareVersion or None
-        Version of the software that the stream must go on with; None before its first
+        Software version that must resume the stream; None before its first
         event.
     room_permit : RoomPermit or None
         Room for the next attempt at its target; None before it is known.
--- a/packages/daemon/src/sardinequay_daemon/software_choice.py
+++ b/packages/daemon/src/sardinequay_daemon/software_choice.py
@@ -1,4 +1,4 @@
-"""Which targets a stream may begin at, or go on at, by their software versions."""
+"""Choice of the targets that may start or resume a stream, by software version."""
 
 from collections import Counter
 from collections.abc import Sequence
@@ -31,7 +31,7 @@
 ) -> list[AnyOption]:
     """Return the candidates whose software version a request may use.
 
-    A stream that has events goes on at its own version. One that may be resumed begins
+    A stream that has events is resumed by its own version. A resumable one starts
     at a version that all hosts know of.
     """
     versions = {o.target: version_of(state, o.target) for o in options}
@@ -54,7 +54,7 @@
 def with_last_of_version(
     state: RelayState, exchange: RelayExchange, options: list[EngineOption]
 ) -> list[EngineOption]:
-    """Return candidates that tell where a stream that may be resumed could not go on.
+    """Return candidates marked where no other target could resume the stream.
 
     Where all targets have one version that is no reason to prefer another.
     """
--- a/packages/daemon/src/sardinequay_daemon/stream_record_client.py
+++ b/packages/daemon/src/sardinequay_daemon/stream_record_client.py
@@ -36,7 +36,7 @@
 RECORD_TIMEOUT_S = 0.3
 FIRST_RECORD_WAIT_S = 0.05
 """How long the first event of a stream is held until another host has its record, in
-seconds. Without a record its caller cannot come back; the stream itself goes on."""
+seconds. Without a record its caller cannot resume it; the stream itself continues."""
 
 RECORDS_PER_MESSAGE = 128
 
--- a/packages/daemon/src/sardinequay_daemon/stream_versions.py
+++ b/packages/daemon/src/sardinequay_daemon/stream_versions.py
@@ -142,7 +142,7 @@
             await self.client.send_first(exchange.terms.request_id, key, record)
 
     async def resolve(self, exchange: RelayExchange) -> None:
-        """Find the version that a request's stream must go on with, if it has events.
+        """Find the version that must resume a request's stream, if it has events.
 
         Raises
         ------
@@ -177,7 +177,7 @@
     def log_resumption(
         self, exchange: RelayExchange, key: StreamKey, found: FoundVersion | None
     ) -> None:
-        """Log and count a request that goes on with a stream."""
+        """Log and count a request that resumes a stream."""
         source = found.source.value if found is not None else UNKNOWN_SOURCE
         self.metrics.stream_resumptions.inc({"source": source})
         log.info(
