Log that targets leave and that they ask for a backoff, as their answers say

The lines could not tell whether a host ignores what a target states, or has never read it: no event said what a target had stated. 'target leaving' and 'target backoff' do, with the request that was answered and its status; two gauges show how many hold now.

--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -237,7 +237,11 @@
                 detail = f"an answer to {facts.request_id!r}"
                 raise TargetError(TargetFault.BROKEN, detail)
             self.dependencies.limits.record_answer(
-                self.published, facts, answer.status, self.sent_at
+                self.published,
+                facts,
+                answer.status,
+                self.sent_at,
+                self.exchange.terms.request_id,
             )
             if facts.not_run:
                 self.room_report = RoomReport(is_rejected=not facts.is_misdirected)
--- a/packages/daemon/src/sardinequay_daemon/limit_parts.py
+++ b/packages/daemon/src/sardinequay_daemon/limit_parts.py
@@ -21,6 +21,7 @@
 from .room_messages import AskRoom, RoomBack
 from .serving_metrics import ServingMetrics
 from .serving_ports import AnswerFacts
+from .statements.recorder import StatementRecorder
 from .target_limiter import TargetLimiter
 
 
@@ -50,6 +51,7 @@
         self.rejection_recorder = LimitRecorder(
             state.rejection_limits, clock, metrics, announce_change, REJECTION_LIMITS
         )
+        self.statement_recorder = StatementRecorder(state.statements, clock, metrics)
         self.permit_issuer = PermitIssuer(
             self.recorder, clock, state.fleet_size.live_fraction, draw
         )
@@ -81,10 +83,12 @@
         facts: AnswerFacts,
         status: int,
         sent_at: Instant,
+        request_id: str,
     ) -> None:
-        """Apply what the head of a target's answer states about its limits."""
+        """Apply what the head of a target's answer states."""
         for recorder in (self.recorder, self.rejection_recorder):
             recorder.record_answer(published, facts, status, sent_at)
+        self.statement_recorder.record_answer(published, facts, status, request_id)
 
     async def permit_send(
         self,
@@ -115,5 +119,6 @@
         """Drop what nobody needs any more."""
         self.recorder.expire()
         self.rejection_recorder.expire()
+        self.statement_recorder.expire()
         self.permit_issuer.expire()
         self.room_issuer.expire()
--- a/packages/daemon/src/sardinequay_daemon/limit_recorder.py
+++ b/packages/daemon/src/sardinequay_daemon/limit_recorder.py
@@ -15,7 +15,7 @@
 
 from .limit_messages import LimitNews
 from .serving_metrics import ServingMetrics
-from .serving_ports import AnswerFacts, InvalidLimit
+from .serving_ports import AnswerFacts, InvalidValue
 
 INVALID_LOG_INTERVAL = seconds(10)
 """Interval between two log lines about invalid limits of one target."""
@@ -54,7 +54,7 @@
     """
 
     event: str
-    read: Callable[[AnswerFacts], Result[float | None, InvalidLimit]]
+    read: Callable[[AnswerFacts], Result[float | None, InvalidValue]]
     gauge: Callable[[ServingMetrics], Gauge]
 
 
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -27,6 +27,7 @@
 from sardinequay_core.repeat_budget import RepeatBudget, RepeatPolicy
 from sardinequay_core.residency import AdapterUses, HeldAdapters, Residency
 from sardinequay_core.software_history import SoftwareHistory
+from sardinequay_core.statements.target_statements import TargetStatements
 from sardinequay_core.target_health import TargetHealth
 from sardinequay_core.target_limits import TargetLimits
 
@@ -92,6 +93,7 @@
     budgets: dict[PoolName, RepeatBudget] = field(default_factory=dict)
     demand: AdapterDemand = field(default_factory=AdapterDemand)
     quarantine: Quarantine = field(default_factory=Quarantine)
+    statements: TargetStatements = field(default_factory=TargetStatements)
     limits: TargetLimits = field(default_factory=TargetLimits)
     rejection_limits: TargetLimits = field(default_factory=TargetLimits)
     software: SoftwareHistory = field(default_factory=SoftwareHistory)
@@ -117,6 +119,7 @@
             previous = before.targets.get(target_id)
             if previous is not None and previous.incarnation < published.incarnation:
                 self.forget_incarnation(target_id)
+        self.statements.apply_catalogue(catalogue, self.clock.monotonic())
         self.quotas.apply_catalogue(before, catalogue)
         known = frozenset(catalogue.targets)
         self.health.prune_unlisted(known)
--- a/packages/daemon/src/sardinequay_daemon/serving_metrics.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_metrics.py
@@ -55,6 +55,12 @@
         self.target_brittle = self.gauge(
             "target_rejections_per_second", "Rejections that brittle targets bear"
         )
+        self.leaving_targets = self.gauge(
+            "leaving_targets", "Targets that have stated that they leave"
+        )
+        self.target_backoffs = self.gauge(
+            "target_backoffs", "Targets that have asked this host for a backoff"
+        )
         self.room_permits = self.counter(
             "room_permits_total", "Requests for room at brittle targets, by result"
         )
--- a/packages/daemon/src/sardinequay_daemon/serving_ports.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_ports.py
@@ -104,8 +104,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class InvalidLimit:
-    """A limit in a target's answer that could not be parsed.
+class InvalidValue:
+    """A statement in a target's answer that could not be parsed.
 
     Parameters
     ----------
@@ -139,15 +139,22 @@
         brittle.
     waiting : int
         Requests that wait at the target; 0 if not stated.
+    is_leaving : Result
+        Whether the target states that it leaves.
+    backoff : Result
+        How long the target wants no further request from this host; None if it does not
+        say so.
     """
 
     request_id: str
     instance: str
     not_run: bool
     is_misdirected: bool
-    rate_limit: Result[float | None, InvalidLimit]
-    rejection_limit: Result[float | None, InvalidLimit] = Success(None)  # noqa: RUF009
+    rate_limit: Result[float | None, InvalidValue]
+    rejection_limit: Result[float | None, InvalidValue] = Success(None)  # noqa: RUF009
     waiting: int = 0
+    is_leaving: Result[bool, InvalidValue] = Success(False)  # noqa: RUF009
+    backoff: Result[timedelta | None, InvalidValue] = Success(None)  # noqa: RUF009
 
 
 class HttpDialect(Protocol):
--- a/packages/daemon/tests/test_limit_recorder.py
+++ b/packages/daemon/tests/test_limit_recorder.py
@@ -4,7 +4,7 @@
 
 from returns.result import Failure
 
-from sardinequay_daemon.serving_ports import InvalidLimit
+from sardinequay_daemon.serving_ports import InvalidValue
 
 from .limit_helpers import TARGET, facts, hear, news, rate
 
@@ -30,7 +30,7 @@
 
 def test_invalid_limit_changes_nothing_and_is_logged_once(recorder, caplog) -> None:
     hear(recorder, 2.0)
-    invalid = facts(Failure(InvalidLimit("two")))
+    invalid = facts(Failure(InvalidValue("two")))
     for _ in range(3):
         recorder.record_answer(TARGET, invalid, 200, recorder.clock.monotonic())
     assert rate(recorder) == 2.0
