--- a/packages/lab/src/sardinequay_lab/cut_relay.py
+++ b/packages/lab/src/sardinequay_lab/cut_relay.py
@@ -76,10 +76,19 @@
 
 
 class Relay:
-    """Relays connections from one address to another unless they are cut."""
+    """Relays connections from one address to another unless they are cut.
 
-    def __init__(self, cuts: Cuts, destination: str) -> None:
+    Parameters
+    ----------
+    keeps_source : bool
+        Whether the destination sees the source's IP number, as without a relay.
+    """
+
+    def __init__(
+        self, cuts: Cuts, destination: str, keeps_source: bool = False
+    ) -> None:
         self.cuts = cuts
+        self.keeps_source = keeps_source
         self.ip, _, port = destination.rpartition(":")
         self.port = int(port)
 
@@ -92,7 +101,11 @@
             reset(writer.transport)
             return
         try:
-            far_reader, far_writer = await asyncio.open_connection(self.ip, self.port)
+            far_reader, far_writer = await asyncio.open_connection(
+                self.ip,
+                self.port,
+                local_addr=(source, 0) if self.keeps_source else None,
+            )
         except OSError:
             reset(writer.transport)
             return
