Gather what targets state of themselves in one folder of the core and of the daemon

Modules move with their tests, nothing else changes: limits, their permits and the room at brittle targets each knew a piece of what a target has said, in flat modules among fifty others. LimitParts is StatementParts, as it also holds what was stated of leaving.

--- a/packages/core/src/sardinequay_core/brittle_pools.py
+++ b/packages/core/src/sardinequay_core/statements/brittle_pools.py
@@ -7,10 +7,10 @@
 
 from dataclasses import dataclass, field, replace
 
-from .catalogue import Catalogue
-from .clock import Instant
-from .names import PoolName
-from .target_limits import LimitStatement, TargetLimits
+from ..catalogue import Catalogue
+from ..clock import Instant
+from ..names import PoolName
+from .limits import LimitStatement, TargetLimits
 
 
 @dataclass(slots=True)
--- a/packages/core/src/sardinequay_core/target_limits.py
+++ b/packages/core/src/sardinequay_core/statements/limits.py
@@ -11,8 +11,8 @@
 
 from dataclasses import dataclass, field
 
-from .clock import Instant, seconds
-from .names import TargetId
+from ..clock import Instant, seconds
+from ..names import TargetId
 
 MIN_RATE_PER_S = 0.2
 """Lowest limit that is applied, in requests a second. A target that states 0 still gets
--- a/packages/core/src/sardinequay_core/target_room.py
+++ b/packages/core/src/sardinequay_core/statements/room.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from .clock import ZERO, Instant, seconds
+from ..clock import ZERO, Instant, seconds
 
 FIRST_ROOM = 1.0
 """Room at a target of which this issuer knows nothing yet: another one may have let
--- a/packages/core/src/sardinequay_core/send_schedule.py
+++ b/packages/core/src/sardinequay_core/statements/send_schedule.py
@@ -14,8 +14,8 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from .clock import ZERO, Instant, seconds
-from .names import HostId
+from ..clock import ZERO, Instant, seconds
+from ..names import HostId
 
 BURST_PERMITS = 2
 BURST_S = 0.5
--- a/packages/core/tests/test_brittle_pools.py
+++ b/packages/core/tests/test_statements_brittle_pools.py
@@ -2,12 +2,12 @@
 
 import pytest
 
-from sardinequay_core.brittle_pools import BrittlePools
 from sardinequay_core.catalogue import Catalogue, PublishedTarget
 from sardinequay_core.clock import seconds
 from sardinequay_core.names import Address, DataCentre, PoolName, TargetId
 from sardinequay_core.roster import Target, TargetKind
-from sardinequay_core.target_limits import LimitStatement, TargetLimits
+from sardinequay_core.statements.brittle_pools import BrittlePools
+from sardinequay_core.statements.limits import LimitStatement, TargetLimits
 
 NOW = seconds(100)
 A, B, NEW = TargetId("a"), TargetId("b"), TargetId("new")
--- a/packages/core/tests/test_target_limits.py
+++ b/packages/core/tests/test_statements_limits.py
@@ -4,7 +4,7 @@
 
 from sardinequay_core.clock import Instant, seconds
 from sardinequay_core.names import TargetId
-from sardinequay_core.target_limits import (
+from sardinequay_core.statements.limits import (
     MIN_RATE_PER_S,
     LimitChange,
     LimitStatement,
--- a/packages/core/tests/test_target_room.py
+++ b/packages/core/tests/test_statements_room.py
@@ -3,7 +3,7 @@
 import pytest
 
 from sardinequay_core.clock import seconds
-from sardinequay_core.target_room import (
+from sardinequay_core.statements.room import (
     ABANDONED_HOLD,
     REJECTED_PAUSE,
     RoomReport,
--- a/packages/core/tests/test_send_schedule.py
+++ b/packages/core/tests/test_statements_send_schedule.py
@@ -8,7 +8,7 @@
 
 from sardinequay_core.clock import ZERO, Instant, seconds
 from sardinequay_core.names import HostId
-from sardinequay_core.send_schedule import (
+from sardinequay_core.statements.send_schedule import (
     BURST_PERMITS,
     BURST_S,
     Denied,
--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -10,19 +10,19 @@
 from sardinequay_core.clock import seconds
 from sardinequay_core.names import AdapterRef
 from sardinequay_core.retry_decision import AttemptEnd
+from sardinequay_core.statements.room import RoomReport
 from sardinequay_core.target_health import AttemptResult
-from sardinequay_core.target_room import RoomReport
 
 from .answer_forwarder import AnswerForwarder
 from .errors import TargetError, TargetFault
 from .exchange import AnswerSink, RelayExchange
-from .limit_parts import LimitParts
 from .load_requests import LoadRequestClient
 from .path_monitor import PathMonitor
 from .quarantine.guard import FeatureGuard
 from .relay_state import RelayState
 from .serving_metrics import ServingMetrics
 from .serving_ports import AnswerFacts, HttpDialect, SendTerms
+from .statements.parts import StatementParts
 from .stream_versions import StreamVersions
 from .tracing import Tracing
 from .tunnel_client import current_request
@@ -46,7 +46,7 @@
     dialect: HttpDialect
     upstream: Upstream
     load_requests: LoadRequestClient
-    limits: LimitParts
+    limits: StatementParts
     metrics: ServingMetrics
     tracing: Tracing
     paths: PathMonitor
--- a/packages/daemon/src/sardinequay_daemon/digest_writer.py
+++ b/packages/daemon/src/sardinequay_daemon/digest_writer.py
@@ -12,14 +12,14 @@
 from sardinequay_core.usage_view import UsageCounts
 
 from .fleet_task import FleetTask, ReceivedDigest
-from .limit_messages import LimitNews
-from .limit_recorder import LimitRecorder
 from .order_task import OrderTask
 from .peer_table import Peer
 from .quarantine.messages import ContentNews
 from .quarantine.updates import content_update
 from .relay_state import RelayState
 from .serving_messages import Contact, Digest, EngineHoldings, HubNotes, Member
+from .statements.limit_messages import LimitNews
+from .statements.limit_recorder import LimitRecorder
 from .store_task import StoreTask
 
 RESEND_HOLDINGS_AFTER = seconds(1)
--- a/packages/daemon/src/sardinequay_daemon/exchange.py
+++ b/packages/daemon/src/sardinequay_daemon/exchange.py
@@ -17,8 +17,8 @@
 
 from .errors import DaemonError
 from .quarantine.guarded_request import GuardedRequest
-from .room_client import RoomPermit
 from .serving_ports import Headers, RequestTerms
+from .statements.room_client import RoomPermit
 
 FIRST_EVENT_FLOOR_S = 2.0
 FIRST_EVENT_GOALS = 4.0
--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -17,7 +17,7 @@
 from .exchange import AnswerCutOffError, AnswerSink, RelayExchange
 from .progress import RequestRefusedError, answer_lost_refusal
 from .quarantine.guard import FeatureGuard
-from .room_client import UNUSED
+from .statements.room_client import UNUSED
 from .target_picker import TargetPicker
 
 log = logging.getLogger(__name__)
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -10,7 +10,6 @@
 from random import Random
 
 from sardinequay_core.adapter_demand import AdapterDemand
-from sardinequay_core.brittle_pools import BrittlePools
 from sardinequay_core.catalogue import Catalogue
 from sardinequay_core.clock import ZERO, Clock, Instant, seconds
 from sardinequay_core.fleet_topology import DigestScope
@@ -27,9 +26,10 @@
 from sardinequay_core.repeat_budget import RepeatBudget, RepeatPolicy
 from sardinequay_core.residency import AdapterUses, HeldAdapters, Residency
 from sardinequay_core.software_history import SoftwareHistory
+from sardinequay_core.statements.brittle_pools import BrittlePools
+from sardinequay_core.statements.limits import TargetLimits
 from sardinequay_core.statements.target_statements import TargetStatements
 from sardinequay_core.target_health import TargetHealth
-from sardinequay_core.target_limits import TargetLimits
 
 from .fleet_quotas import FleetQuotas
 from .fleet_size import FleetSize
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -29,7 +29,6 @@
 from .fleet_task import FleetTask, ReceivedDigest
 from .host_pages import create_status_app
 from .http_listeners import HttpListeners
-from .limit_parts import LimitParts
 from .load_requests import LoadRequestClient
 from .loop_lag import LoopLag
 from .order_lease_task import OrderLeaseTask
@@ -59,6 +58,7 @@
     MetadataStore,
 )
 from .shared_settings import TimingSettings
+from .statements.parts import StatementParts
 from .store_task import StoreTask, head_start_s
 from .stream_record_client import StreamRecordClient
 from .stream_versions import StreamVersions
@@ -207,7 +207,7 @@
             self.peers,
             clock,
         )
-        self.limits = LimitParts(
+        self.limits = StatementParts(
             profile.host_id,
             self.state,
             self.fleet,
--- a/packages/daemon/src/sardinequay_daemon/serving_messages.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_messages.py
@@ -14,9 +14,9 @@
 from sardinequay_core.shared_outcomes import Outcomes
 from sardinequay_core.usage_view import Usage
 
-from .limit_messages import LimitNews
 from .quarantine.messages import ContentNews
 from .serving_ports import StoreItem
+from .statements.limit_messages import LimitNews
 from .wire import register_messages
 
 
--- a/packages/daemon/src/sardinequay_daemon/limit_messages.py
+++ b/packages/daemon/src/sardinequay_daemon/statements/limit_messages.py
@@ -7,7 +7,7 @@
 
 from sardinequay_core.names import HostId, TargetId
 
-from .wire import register_messages
+from ..wire import register_messages
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/sardinequay_daemon/limit_recorder.py
+++ b/packages/daemon/src/sardinequay_daemon/statements/limit_recorder.py
@@ -11,11 +11,11 @@
 from sardinequay_core.catalogue import PublishedTarget
 from sardinequay_core.clock import ZERO, Clock, Instant, seconds
 from sardinequay_core.names import HostId, TargetId
-from sardinequay_core.target_limits import LimitChange, LimitStatement, TargetLimits
+from sardinequay_core.statements.limits import LimitChange, LimitStatement, TargetLimits
 
+from ..serving_metrics import ServingMetrics
+from ..serving_ports import AnswerFacts, InvalidValue
 from .limit_messages import LimitNews
-from .serving_metrics import ServingMetrics
-from .serving_ports import AnswerFacts, InvalidValue
 
 INVALID_LOG_INTERVAL = seconds(10)
 """Interval between two log lines about invalid limits of one target."""
--- a/packages/daemon/src/sardinequay_daemon/limit_parts.py
+++ b/packages/daemon/src/sardinequay_daemon/statements/parts.py
@@ -10,22 +10,22 @@
 from sardinequay_core.clock import Clock, Instant
 from sardinequay_core.names import HostId
 
-from .fleet_task import FleetTask, ReceivedDigest
+from ..fleet_task import FleetTask, ReceivedDigest
+from ..peers import PeerClient, PeerServer
+from ..relay_state import RelayState
+from ..serving_metrics import ServingMetrics
+from ..serving_ports import AnswerFacts
 from .limit_messages import AskToSend
 from .limit_recorder import REJECTION_LIMITS, LimitRecorder
-from .peers import PeerClient, PeerServer
 from .permit_issuer import PermitIssuer
-from .relay_state import RelayState
+from .recorder import StatementRecorder
 from .room_client import RoomClient, RoomPermit
 from .room_issuer import RoomIssuer
 from .room_messages import AskRoom, RoomBack
-from .serving_metrics import ServingMetrics
-from .serving_ports import AnswerFacts
-from .statements.recorder import StatementRecorder
 from .target_limiter import TargetLimiter
 
 
-class LimitParts:
+class StatementParts:
     """Creates and connects the parts.
 
     Parameters
--- a/packages/daemon/src/sardinequay_daemon/permit_issuer.py
+++ b/packages/daemon/src/sardinequay_daemon/statements/permit_issuer.py
@@ -4,7 +4,11 @@
 
 from sardinequay_core.clock import Clock, Instant, seconds
 from sardinequay_core.names import TargetId
-from sardinequay_core.send_schedule import Granted, SendSchedule, new_schedule
+from sardinequay_core.statements.send_schedule import (
+    Granted,
+    SendSchedule,
+    new_schedule,
+)
 
 from .limit_messages import AskToSend, SendReply
 from .limit_recorder import LimitRecorder
--- a/packages/daemon/src/sardinequay_daemon/room_client.py
+++ b/packages/daemon/src/sardinequay_daemon/statements/room_client.py
@@ -15,14 +15,14 @@
 from sardinequay_core.clock import ZERO, Clock, seconds
 from sardinequay_core.names import Address, HostId, TargetId
 from sardinequay_core.rendezvous import first_member
-from sardinequay_core.target_limits import PermitOutlook
-from sardinequay_core.target_room import RoomReport
+from sardinequay_core.statements.limits import PermitOutlook
+from sardinequay_core.statements.room import RoomReport
 
+from ..peers import PeerClient
+from ..serving_metrics import ServingMetrics
 from .limit_recorder import LimitRecorder
-from .peers import PeerClient
 from .room_issuer import RoomIssuer
 from .room_messages import AskRoom, RoomBack, RoomReply
-from .serving_metrics import ServingMetrics
 
 REPLY_SLACK_S = 0.1
 """Time that a reply may take beyond the wait for room, in seconds."""
--- a/packages/daemon/src/sardinequay_daemon/room_issuer.py
+++ b/packages/daemon/src/sardinequay_daemon/statements/room_issuer.py
@@ -4,11 +4,11 @@
 
 from sardinequay_core.clock import Clock, Instant, seconds
 from sardinequay_core.names import TargetId
-from sardinequay_core.target_room import TargetRoom
+from sardinequay_core.statements.room import TargetRoom
 
+from ..serving_messages import Noted
 from .limit_recorder import LimitRecorder
 from .room_messages import AskRoom, RoomBack, RoomReply
-from .serving_messages import Noted
 
 ROOM_RETENTION = seconds(60)
 """How long the room at a target is kept that no host asks for."""
--- a/packages/daemon/src/sardinequay_daemon/room_messages.py
+++ b/packages/daemon/src/sardinequay_daemon/statements/room_messages.py
@@ -3,10 +3,10 @@
 from dataclasses import dataclass
 
 from sardinequay_core.names import HostId, TargetId
-from sardinequay_core.target_room import RoomReport
+from sardinequay_core.statements.room import RoomReport
 
+from ..wire import register_messages
 from .limit_messages import LimitNews
-from .wire import register_messages
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/sardinequay_daemon/target_limiter.py
+++ b/packages/daemon/src/sardinequay_daemon/statements/target_limiter.py
@@ -14,13 +14,13 @@
 from sardinequay_core.clock import Clock, seconds
 from sardinequay_core.names import Address, HostId, TargetId
 from sardinequay_core.rendezvous import first_member
-from sardinequay_core.target_limits import PermitOutlook
+from sardinequay_core.statements.limits import PermitOutlook
 
+from ..peers import PeerClient
+from ..serving_metrics import ServingMetrics
 from .limit_messages import AskToSend, SendReply
 from .limit_recorder import LimitRecorder
-from .peers import PeerClient
 from .permit_issuer import PermitIssuer
-from .serving_metrics import ServingMetrics
 
 ASK_TIMEOUT_S = 0.1
 """Timeout of a call to the issuer, in seconds; hosts of a region reply within a few
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -8,12 +8,12 @@
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
 from sardinequay_core.clock import Instant
-from sardinequay_core.target_limits import TargetLimits
-from sardinequay_daemon.limit_recorder import LimitRecorder
+from sardinequay_core.statements.limits import TargetLimits
 from sardinequay_daemon.metrics import Metrics
-from sardinequay_daemon.permit_issuer import PermitIssuer
 from sardinequay_daemon.serving_metrics import ServingMetrics
 from sardinequay_daemon.shared_settings import TimingSettings
+from sardinequay_daemon.statements.limit_recorder import LimitRecorder
+from sardinequay_daemon.statements.permit_issuer import PermitIssuer
 
 PUBLIC_KEYS = [
     Ed25519PrivateKey.from_private_bytes(bytes([n]) * 32)
--- a/packages/daemon/tests/large_fleet.py
+++ b/packages/daemon/tests/large_fleet.py
@@ -12,11 +12,11 @@
 from sardinequay_core.target_paths import TargetPaths
 from sardinequay_daemon.digest_writer import DigestWriter
 from sardinequay_daemon.fleet_task import SEED_PERIOD_S, FleetTask, ReceivedDigest
-from sardinequay_daemon.limit_recorder import REJECTION_LIMITS, LimitRecorder
 from sardinequay_daemon.quarantine.updates import apply_content_update
 from sardinequay_daemon.relay_state import RelayState
 from sardinequay_daemon.serving_messages import Contact, Digest, EngineHoldings
 from sardinequay_daemon.serving_metrics import ServingMetrics
+from sardinequay_daemon.statements.limit_recorder import REJECTION_LIMITS, LimitRecorder
 from sardinequay_daemon.store_task import StoreStatus
 
 from .conftest import ManualClock
--- a/packages/daemon/tests/limit_helpers.py
+++ b/packages/daemon/tests/limit_helpers.py
@@ -5,9 +5,9 @@
 from sardinequay_core.catalogue import PublishedTarget
 from sardinequay_core.names import Address, DataCentre, PoolName, TargetId
 from sardinequay_core.roster import Target, TargetKind
-from sardinequay_daemon.limit_messages import LimitNews
-from sardinequay_daemon.limit_recorder import LimitRecorder
 from sardinequay_daemon.serving_ports import AnswerFacts
+from sardinequay_daemon.statements.limit_messages import LimitNews
+from sardinequay_daemon.statements.limit_recorder import LimitRecorder
 
 TARGET_ID = TargetId("t")
 TARGET = PublishedTarget(
--- a/packages/daemon/tests/test_large_fleet_targets.py
+++ b/packages/daemon/tests/test_large_fleet_targets.py
@@ -4,7 +4,7 @@
 
 from sardinequay_core.names import Address, HostId, TargetId
 from sardinequay_core.rendezvous import rank_members
-from sardinequay_daemon.limit_messages import LimitNews
+from sardinequay_daemon.statements.limit_messages import LimitNews
 
 from .conftest import ManualClock
 from .large_fleet import DATA_CENTRES, Host, World, settled_world
--- a/packages/daemon/tests/test_permit_issuer.py
+++ b/packages/daemon/tests/test_statements_permit_issuer.py
@@ -1,7 +1,7 @@
 """Permits that one host issues for all."""
 
 from sardinequay_core.names import HostId
-from sardinequay_daemon.limit_messages import AskToSend
+from sardinequay_daemon.statements.limit_messages import AskToSend
 
 from .limit_helpers import hear, news, rate
 
--- a/packages/daemon/tests/test_room_client.py
+++ b/packages/daemon/tests/test_statements_room_client.py
@@ -8,13 +8,13 @@
 
 from sardinequay_core.clock import seconds
 from sardinequay_core.names import Address, HostId
-from sardinequay_core.target_limits import LimitStatement, TargetLimits
-from sardinequay_core.target_room import RoomReport
-from sardinequay_daemon.limit_recorder import REJECTION_LIMITS, LimitRecorder
-from sardinequay_daemon.room_client import RoomClient
-from sardinequay_daemon.room_issuer import RoomIssuer
-from sardinequay_daemon.room_messages import AskRoom, RoomBack
+from sardinequay_core.statements.limits import LimitStatement, TargetLimits
+from sardinequay_core.statements.room import RoomReport
 from sardinequay_daemon.serving_metrics import ServingMetrics
+from sardinequay_daemon.statements.limit_recorder import REJECTION_LIMITS, LimitRecorder
+from sardinequay_daemon.statements.room_client import RoomClient
+from sardinequay_daemon.statements.room_issuer import RoomIssuer
+from sardinequay_daemon.statements.room_messages import AskRoom, RoomBack
 from sardinequay_daemon.system_clock import SystemClock
 
 from .limit_helpers import TARGET, TARGET_ID
--- a/packages/daemon/tests/test_target_limiter.py
+++ b/packages/daemon/tests/test_statements_target_limiter.py
@@ -8,10 +8,10 @@
 from sardinequay_core.clock import seconds
 from sardinequay_core.names import Address, HostId
 from sardinequay_daemon.errors import PeerError
-from sardinequay_daemon.limit_messages import AskToSend, SendReply
-from sardinequay_daemon.limit_recorder import LimitRecorder
-from sardinequay_daemon.permit_issuer import PermitIssuer
-from sardinequay_daemon.target_limiter import NO_ISSUER_PAUSE, TargetLimiter
+from sardinequay_daemon.statements.limit_messages import AskToSend, SendReply
+from sardinequay_daemon.statements.limit_recorder import LimitRecorder
+from sardinequay_daemon.statements.permit_issuer import PermitIssuer
+from sardinequay_daemon.statements.target_limiter import NO_ISSUER_PAUSE, TargetLimiter
 
 from .conftest import ManualClock
 from .limit_helpers import TARGET, TARGET_ID, hear, news, rate
--- a/packages/daemon/tests/test_target_picker.py
+++ b/packages/daemon/tests/test_target_picker.py
@@ -43,7 +43,7 @@
     TargetPool,
     make_serving_config,
 )
-from sardinequay_core.target_limits import LimitStatement, PermitOutlook
+from sardinequay_core.statements.limits import LimitStatement, PermitOutlook
 from sardinequay_daemon.attempt import RelayDependencies
 from sardinequay_daemon.engine_picker import MAX_FAILED_LOAD_REQUESTS
 from sardinequay_daemon.exchange import RelayExchange
--- a/packages/lab/src/sardinequay_lab/limit_policies.py
+++ b/packages/lab/src/sardinequay_lab/limit_policies.py
@@ -6,7 +6,11 @@
 from sardinequay_core.names import HostId
 from sardinequay_core.quota_ledger import QuotaPolicy
 from sardinequay_core.rendezvous import rank_members
-from sardinequay_core.send_schedule import Granted, SendSchedule, new_schedule
+from sardinequay_core.statements.send_schedule import (
+    Granted,
+    SendSchedule,
+    new_schedule,
+)
 
 from .quota_policies import (
     ASK_BYTES,
