Let one type hold all that targets have stated

RelayState pruned and forgot each kind of statement by hand, as TargetStatements does now for all of them when a catalogue comes. Behaviour stays.

--- a/packages/core/src/sardinequay_core/statements/limits.py
+++ b/packages/core/src/sardinequay_core/statements/limits.py
@@ -11,6 +11,7 @@
 
 from dataclasses import dataclass, field
 
+from ..catalogue import Catalogue
 from ..clock import Instant, seconds
 from ..names import TargetId
 
@@ -226,8 +227,9 @@
         self.told_at.pop(target, None)
         self.outlooks.pop(target, None)
 
-    def prune_unlisted(self, listed: frozenset[TargetId]) -> None:
-        """Drop the statements of targets that are no longer listed."""
-        for target in tuple(self.statements):
-            if target not in listed:
+    def apply_catalogue(self, catalogue: Catalogue) -> None:
+        """Drop the statements of targets that have left or started again."""
+        for target, stated in tuple(self.statements.items()):
+            listed = catalogue.targets.get(target)
+            if listed is None or stated.incarnation < listed.incarnation:
                 self.forget_target(target)
--- a/packages/core/src/sardinequay_core/statements/target_statements.py
+++ b/packages/core/src/sardinequay_core/statements/target_statements.py
@@ -4,21 +4,67 @@
 
 from ..catalogue import Catalogue
 from ..clock import Instant
+from ..names import TargetId
 from .backoff import TargetBackoffs
+from .brittle_pools import BrittlePools
 from .leaving import LeavingTargets
+from .limits import TargetLimits
 
 
 @dataclass(slots=True)
 class TargetStatements:
-    """What targets have stated of themselves."""
+    """What targets have stated of themselves.
+
+    Parameters
+    ----------
+    limits : TargetLimits
+        Requests a second that targets take from all hosts together.
+    rejection_limits : TargetLimits
+        Requests that brittle targets can turn away in a second.
+    brittle_pools : BrittlePools
+        What is assumed of the latter for targets that have stated nothing yet.
+    """
 
     leaving: LeavingTargets = field(default_factory=LeavingTargets)
     backoffs: TargetBackoffs = field(default_factory=TargetBackoffs)
+    limits: TargetLimits = field(default_factory=TargetLimits)
+    rejection_limits: TargetLimits = field(default_factory=TargetLimits)
+    brittle_pools: BrittlePools = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Create the part that depends on another one."""
+        self.brittle_pools = BrittlePools(self.rejection_limits)
 
-    def apply_catalogue(self, catalogue: Catalogue, now: Instant) -> None:
+    def apply_catalogue(
+        self, before: Catalogue, catalogue: Catalogue, now: Instant
+    ) -> None:
         """Drop what processes have stated that have ended."""
+        self.brittle_pools.note_statements(before, now)
         self.leaving.apply_catalogue(catalogue, now)
         self.backoffs.apply_catalogue(catalogue)
+        self.limits.apply_catalogue(catalogue)
+        self.rejection_limits.apply_catalogue(catalogue)
+        self.brittle_pools.assume_of_new_targets(before, catalogue)
+
+    def needs_permit(self, target_id: TargetId, now: Instant) -> bool:
+        """Return whether requests to a target need a permit, by a rate or for room."""
+        return any(
+            limits.rate_of(target_id, now) is not None
+            for limits in (self.limits, self.rejection_limits)
+        )
+
+    def permit_wait_s(self, target_id: TargetId, can_wait: bool, now: Instant) -> float:
+        """Return the expected wait for the permits to send to a target, in seconds.
+
+        Parameters
+        ----------
+        can_wait : bool
+            Whether the request waits for this target, as no other can serve it.
+        """
+        return max(
+            limits.permit_wait_s(target_id, can_wait, now)
+            for limits in (self.limits, self.rejection_limits)
+        )
 
     def expire(self, now: Instant) -> None:
         """Drop the statements whose time is over."""
--- a/packages/core/tests/test_statements_limits.py
+++ b/packages/core/tests/test_statements_limits.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from sardinequay_core.catalogue import Catalogue
 from sardinequay_core.clock import Instant, seconds
 from sardinequay_core.names import TargetId
 from sardinequay_core.statements.limits import (
@@ -122,6 +123,6 @@
 
 
 def test_targets_that_left_are_forgotten(limits) -> None:
-    limits.prune_unlisted(frozenset())
+    limits.apply_catalogue(Catalogue())
     assert limits.rate_of(TARGET, after(0)) is None
     assert limits.changed_since(0) == []
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -26,8 +26,6 @@
 from sardinequay_core.repeat_budget import RepeatBudget, RepeatPolicy
 from sardinequay_core.residency import AdapterUses, HeldAdapters, Residency
 from sardinequay_core.software_history import SoftwareHistory
-from sardinequay_core.statements.brittle_pools import BrittlePools
-from sardinequay_core.statements.limits import TargetLimits
 from sardinequay_core.statements.target_statements import TargetStatements
 from sardinequay_core.target_health import TargetHealth
 
@@ -94,67 +92,37 @@
     demand: AdapterDemand = field(default_factory=AdapterDemand)
     quarantine: Quarantine = field(default_factory=Quarantine)
     statements: TargetStatements = field(default_factory=TargetStatements)
-    limits: TargetLimits = field(default_factory=TargetLimits)
-    rejection_limits: TargetLimits = field(default_factory=TargetLimits)
     software: SoftwareHistory = field(default_factory=SoftwareHistory)
     orders: OrderTask | None = None
     fleet_view_hub: HostId | None = None
     fleet_view_at: Instant = ZERO
     repeat_slack_from: Instant = ZERO
-    brittle_pools: BrittlePools = field(init=False)
     fleet_size: FleetSize = field(init=False)
     quotas: FleetQuotas = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the parts that depend on the fleet and the clock."""
-        self.brittle_pools = BrittlePools(self.rejection_limits)
         self.fleet_size = FleetSize(self.fleet, self.clock)
         self.quotas = FleetQuotas(self.fleet_size, self.clock, self.random.random)
 
     def apply_catalogue(self, catalogue: Catalogue) -> None:
         """Replace the catalogue; drop the state of targets that left or restarted."""
         before, self.catalogue = self.catalogue, catalogue
-        self.brittle_pools.note_statements(before, self.clock.monotonic())
         for target_id, published in catalogue.targets.items():
             previous = before.targets.get(target_id)
             if previous is not None and previous.incarnation < published.incarnation:
                 self.forget_incarnation(target_id)
-        self.statements.apply_catalogue(catalogue, self.clock.monotonic())
+        self.statements.apply_catalogue(before, catalogue, self.clock.monotonic())
         self.quotas.apply_catalogue(before, catalogue)
         known = frozenset(catalogue.targets)
         self.health.prune_unlisted(known)
         self.residency.prune_unlisted(known)
-        self.limits.prune_unlisted(known)
-        self.rejection_limits.prune_unlisted(known)
-        self.brittle_pools.assume_of_new_targets(before, catalogue)
 
     def forget_incarnation(self, target_id: TargetId) -> None:
         """Drop the state of an earlier incarnation of a target."""
         self.health.forget_target(target_id)
         self.loads.forget_target(target_id)
         self.uses.forget_target(target_id)
-        self.limits.forget_target(target_id)
-        self.rejection_limits.forget_target(target_id)
-
-    def is_limited(self, target_id: TargetId, now: Instant) -> bool:
-        """Return whether requests to a target need a permit, by a rate or for room."""
-        return any(
-            limits.rate_of(target_id, now) is not None
-            for limits in (self.limits, self.rejection_limits)
-        )
-
-    def permit_wait_s(self, target_id: TargetId, can_wait: bool, now: Instant) -> float:
-        """Return the expected wait for the permits to send to a target, in seconds.
-
-        Parameters
-        ----------
-        can_wait : bool
-            Whether the request waits for this target, as no other can serve it.
-        """
-        return max(
-            limits.permit_wait_s(target_id, can_wait, now)
-            for limits in (self.limits, self.rejection_limits)
-        )
 
     def forget_own_failures(self, targets: Iterable[TargetId]) -> None:
         """Drop what this host's failed attempts have shown of targets."""
--- a/packages/daemon/src/sardinequay_daemon/service_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/service_picker.py
@@ -78,7 +78,8 @@
         text = "all targets of the pool state a limit, and it is used"
         now = self.clock.monotonic()
         after_s = min(
-            self.state.permit_wait_s(o.target, can_wait=False, now=now) for o in options
+            self.state.statements.permit_wait_s(o.target, can_wait=False, now=now)
+            for o in options
         )
         wait = jittered_retry_after(self.state.random, seconds(after_s))
         return not_run_refusal(Reason.TARGET_LIMITED, text, wait)
--- a/packages/daemon/src/sardinequay_daemon/statements/parts.py
+++ b/packages/daemon/src/sardinequay_daemon/statements/parts.py
@@ -47,9 +47,15 @@
         def announce_change() -> None:
             fleet.request_update(far=True)
 
-        self.recorder = LimitRecorder(state.limits, clock, metrics, announce_change)
+        self.recorder = LimitRecorder(
+            state.statements.limits, clock, metrics, announce_change
+        )
         self.rejection_recorder = LimitRecorder(
-            state.rejection_limits, clock, metrics, announce_change, REJECTION_LIMITS
+            state.statements.rejection_limits,
+            clock,
+            metrics,
+            announce_change,
+            REJECTION_LIMITS,
         )
         self.statement_recorder = StatementRecorder(state.statements, clock, metrics)
         self.permit_issuer = PermitIssuer(
--- a/packages/daemon/src/sardinequay_daemon/target_options.py
+++ b/packages/daemon/src/sardinequay_daemon/target_options.py
@@ -81,9 +81,10 @@
         take its place. A load on a limited engine would take permits from the adapters
         that it has, so it costs one permit's time at least.
         """
-        limits, state = self.state.limits, self.state
-        stating = limits.statements.keys() | state.rejection_limits.statements.keys()
-        limited = {target for target in stating if state.is_limited(target, now)}
+        stated = self.state.statements
+        limits = stated.limits
+        stating = limits.statements.keys() | stated.rejection_limits.statements.keys()
+        limited = {target for target in stating if stated.needs_permit(target, now)}
         if not limited:
             return options
         options = [
@@ -96,8 +97,8 @@
 
         def permit_wait_s(option: EngineOption) -> float:
             if has_adapter(option):
-                return state.permit_wait_s(option.target, not has_copy, now)
-            wait_s = state.permit_wait_s(option.target, not has_unlimited, now)
+                return stated.permit_wait_s(option.target, not has_copy, now)
+            wait_s = stated.permit_wait_s(option.target, not has_unlimited, now)
             rate_per_s = limits.rate_of(option.target, now)
             if rate_per_s is None or not has_unlimited:
                 return wait_s
@@ -208,7 +209,7 @@
         limited = {
             t.target.target_id
             for t in usable
-            if self.state.is_limited(t.target.target_id, now)
+            if self.state.statements.needs_permit(t.target.target_id, now)
         }
         can_wait = all(t.target.target_id in limited | tried for t in usable)
         options = []
@@ -224,7 +225,9 @@
                     was_tried=target_id in tried,
                     tie_breaker=self.state.random.random(),
                     is_limited=target_id in limited,
-                    permit_wait_s=self.state.permit_wait_s(target_id, can_wait, now),
+                    permit_wait_s=self.state.statements.permit_wait_s(
+                        target_id, can_wait, now
+                    ),
                 )
             )
         return options
--- a/packages/daemon/tests/large_fleet.py
+++ b/packages/daemon/tests/large_fleet.py
@@ -91,7 +91,7 @@
         self.orders = Orders(self.me.host_id)
         self.state.orders = self.orders
         self.limits = LimitRecorder(
-            self.state.limits,
+            self.state.statements.limits,
             clock,
             ServingMetrics(self.me.host_id, data_centre),
             lambda: self.fleet.request_update(far=True),
@@ -104,7 +104,7 @@
             self.orders,
             self.limits,
             LimitRecorder(
-                self.state.rejection_limits,
+                self.state.statements.rejection_limits,
                 clock,
                 ServingMetrics(self.me.host_id, data_centre),
                 lambda: self.fleet.request_update(far=True),
--- a/packages/daemon/tests/test_large_fleet_targets.py
+++ b/packages/daemon/tests/test_large_fleet_targets.py
@@ -58,7 +58,9 @@
     world.live_hosts("zd")[2].limits.apply_report(stated, HostId(""))
     world.advance(1)
     now = world.hosts[0].fleet.clock.monotonic()
-    assert all(h.state.limits.rate_of(TargetId("e1"), now) for h in world.hosts)
+    assert all(
+        h.state.statements.limits.rate_of(TargetId("e1"), now) for h in world.hosts
+    )
 
 
 def test_permits_are_issued_by_one_of_few_hosts(world: World) -> None:
--- a/packages/daemon/tests/test_statements_limit_recorder.py
+++ b/packages/daemon/tests/test_statements_limit_recorder.py
@@ -4,6 +4,7 @@
 
 from returns.result import Failure
 
+from sardinequay_core.catalogue import Catalogue
 from sardinequay_daemon.serving_ports import InvalidValue
 
 from .limit_helpers import TARGET, facts, hear, news, rate
@@ -51,7 +52,7 @@
     hear(recorder, 2.0)
     recorder.expire()
     assert list(gauge.values.values()) == [2.0]
-    recorder.limits.prune_unlisted(frozenset())
+    recorder.limits.apply_catalogue(Catalogue())
     recorder.expire()
     assert len(gauge.values) == 0
 
--- a/packages/daemon/tests/test_target_picker.py
+++ b/packages/daemon/tests/test_target_picker.py
@@ -321,8 +321,10 @@
 def state_limit(state: RelayState, target: str, free_s: float, ask_s: float) -> None:
     """Let a target state a limit, and its issuer say when there is a permit."""
     now = state.clock.monotonic()
-    state.limits.record_answer(TargetId(target), LimitStatement(1.0, 1, now), now)
-    state.limits.outlooks[TargetId(target)] = PermitOutlook(
+    state.statements.limits.record_answer(
+        TargetId(target), LimitStatement(1.0, 1, now), now
+    )
+    state.statements.limits.outlooks[TargetId(target)] = PermitOutlook(
         now + seconds(free_s), now + seconds(ask_s)
     )
 
