Send no request to a target once it has said in an answer that it leaves

What callers saw: engines and services that were leaving went on to get requests while the store was away, for eleven seconds in the record, and their keeper loaded adapters there.

Cause: what a host believed of a target's leaving came from its entry in the store alone. The header that each answer of a leaving target has was read by nobody.

Evidence: 'target leaving' is 2 to 4 s before the requests that came too late; each of them was chosen with five options and an entry of 3 to 11 s of age that said live.

The mend: a statement is kept for the incarnation that made it, through lapsed entries, reloads and entries that say ready again, for two hours without an entry. It is for all hosts, so digests carry it once to each peer (about 60 bytes). A leaving target is no option; where nothing else serves a request it is the last choice, for requests that came to the host within the drain time of the statement: these were sent before its end. What a request may be sent to is asked once more when its connection is there, right before its bytes leave; a 'no' leads back to the choice and uses up neither an attempt nor a repeat. The keeper orders such an engine no more, and the end of a leaving target blames nobody.

--- a/packages/core/src/sardinequay_core/retry_decision.py
+++ b/packages/core/src/sardinequay_core/retry_decision.py
@@ -14,9 +14,13 @@
 
 
 class AttemptEnd(Enum):
-    """How an attempt ended, as far as execution of the request is concerned."""
+    """How an attempt ended, as far as execution of the request is concerned.
+
+    WITHHELD is no attempt: the request was kept from a target that takes none now.
+    """
 
     NOT_SENT = "not_sent"
+    WITHHELD = "withheld"
     REJECTED = "rejected"
     MISDIRECTED = "misdirected"
     MAY_HAVE_RUN = "may_have_run"
--- a/packages/core/src/sardinequay_core/statements/leaving.py
+++ b/packages/core/src/sardinequay_core/statements/leaving.py
@@ -9,6 +9,7 @@
 from ..catalogue import Catalogue
 from ..clock import Instant, seconds
 from ..names import TargetId
+from .change_log import ChangeLog
 
 UNLISTED_RETENTION = seconds(2 * 3600)
 """How long a statement is kept of a target without an entry: longer than an outage in
@@ -39,10 +40,13 @@
     ----------
     unlisted_since : dict
         When the entry of a target went that has made a statement.
+    changes : ChangeLog
+        Statements that peers should hear of.
     """
 
     statements: dict[TargetId, LeavingStatement] = field(default_factory=dict)
     unlisted_since: dict[TargetId, Instant] = field(default_factory=dict)
+    changes: ChangeLog = field(default_factory=ChangeLog)
 
     def record(self, target: TargetId, stated: LeavingStatement) -> bool:
         """Record a statement; return whether it is the first of its incarnation."""
@@ -50,6 +54,7 @@
         if known is not None and known.incarnation >= stated.incarnation:
             return False
         self.statements[target] = stated
+        self.changes.record(target)
         return True
 
     def find(self, target: TargetId, incarnation: int) -> LeavingStatement | None:
@@ -70,5 +75,10 @@
                 self.unlisted_since.pop(target_id, None)
                 has_ended = stated.incarnation < listed.incarnation
             if has_ended:
-                del self.statements[target_id]
-                self.unlisted_since.pop(target_id, None)
+                self.forget_target(target_id)
+
+    def forget_target(self, target: TargetId) -> None:
+        """Drop what is known of a target whose process has ended."""
+        self.statements.pop(target, None)
+        self.unlisted_since.pop(target, None)
+        self.changes.forget(target)
--- a/packages/core/src/sardinequay_core/statements/limits.py
+++ b/packages/core/src/sardinequay_core/statements/limits.py
@@ -14,6 +14,7 @@
 from ..catalogue import Catalogue
 from ..clock import Instant, seconds
 from ..names import TargetId
+from .change_log import ChangeLog
 
 MIN_RATE_PER_S = 0.2
 """Lowest limit that is applied, in requests a second. A target that states 0 still gets
@@ -96,8 +97,8 @@
 
     Parameters
     ----------
-    change_numbers : dict
-        Number of the last change to tell peers, by target. Numbers only grow.
+    changes : ChangeLog
+        Changes that peers should hear of.
     told_at : dict
         When the statement to tell was heard, by target.
     outlooks : dict
@@ -105,10 +106,9 @@
     """
 
     statements: dict[TargetId, LimitStatement] = field(default_factory=dict)
-    change_numbers: dict[TargetId, int] = field(default_factory=dict)
+    changes: ChangeLog = field(default_factory=ChangeLog)
     told_at: dict[TargetId, Instant] = field(default_factory=dict)
     outlooks: dict[TargetId, PermitOutlook] = field(default_factory=dict)
-    last_number: int = 0
 
     def rate_of(self, target: TargetId, now: Instant) -> float | None:
         """Return the rate at which all hosts together may send to a target.
@@ -190,8 +190,7 @@
         if has_changed:
             self.outlooks.pop(target, None)
         if has_changed or self.is_restatement_due(target, stated):
-            self.last_number += 1
-            self.change_numbers[target] = self.last_number
+            self.changes.record(target)
             self.told_at[target] = stated.heard_at
         if not has_changed:
             return None
@@ -204,11 +203,6 @@
         told_at = self.told_at.get(target)
         return told_at is None or stated.heard_at - told_at >= RESTATE_INTERVAL
 
-    def changed_since(self, number: int) -> list[TargetId]:
-        """Return the targets whose statement peers should hear, oldest change first."""
-        changed = [t for t, n in self.change_numbers.items() if n > number]
-        return sorted(changed, key=lambda target: self.change_numbers[target])
-
     def expire(self, now: Instant) -> list[LimitChange]:
         """Drop statements of targets that are silent; return the limits that ended."""
         expired = [t for t, s in self.statements.items() if s.has_expired(now)]
@@ -223,7 +217,7 @@
     def forget_target(self, target: TargetId) -> None:
         """Drop what is known of a target that left or started again."""
         self.statements.pop(target, None)
-        self.change_numbers.pop(target, None)
+        self.changes.forget(target)
         self.told_at.pop(target, None)
         self.outlooks.pop(target, None)
 
--- a/packages/core/src/sardinequay_core/statements/target_statements.py
+++ b/packages/core/src/sardinequay_core/statements/target_statements.py
@@ -1,14 +1,16 @@
 """All statements of targets that one host knows."""
 
 from dataclasses import dataclass, field
+from datetime import timedelta
 
-from ..catalogue import Catalogue
+from ..catalogue import Catalogue, PublishedTarget
 from ..clock import Instant
 from ..names import TargetId
 from .backoff import TargetBackoffs
 from .brittle_pools import BrittlePools
 from .leaving import LeavingTargets
 from .limits import TargetLimits
+from .obstacle import Obstacle, ObstacleKind
 
 
 @dataclass(slots=True)
@@ -23,6 +25,8 @@
         Requests that brittle targets can turn away in a second.
     brittle_pools : BrittlePools
         What is assumed of the latter for targets that have stated nothing yet.
+    drain : timedelta
+        How long a leaving target still takes new requests after it has stated that.
     """
 
     leaving: LeavingTargets = field(default_factory=LeavingTargets)
@@ -30,6 +34,7 @@
     limits: TargetLimits = field(default_factory=TargetLimits)
     rejection_limits: TargetLimits = field(default_factory=TargetLimits)
     brittle_pools: BrittlePools = field(init=False)
+    drain: timedelta = timedelta(seconds=2)
 
     def __post_init__(self) -> None:
         """Create the part that depends on another one."""
@@ -46,6 +51,31 @@
         self.rejection_limits.apply_catalogue(catalogue)
         self.brittle_pools.assume_of_new_targets(before, catalogue)
 
+    def is_leaving(self, published: PublishedTarget) -> bool:
+        """Return whether a listed target has stated that it leaves."""
+        target = published.target.target_id
+        return self.leaving.find(target, published.incarnation) is not None
+
+    def is_draining(self, published: PublishedTarget, arrived: Instant) -> bool:
+        """Return whether a leaving target still takes a request.
+
+        Parameters
+        ----------
+        arrived : timedelta
+            When the request came to this host.
+        """
+        target = published.target.target_id
+        stated = self.leaving.find(target, published.incarnation)
+        return stated is not None and arrived <= stated.heard_at + self.drain
+
+    def obstacle(self, published: PublishedTarget, arrived: Instant) -> Obstacle | None:
+        """Return the statement that keeps a request from a target, if any."""
+        target = published.target.target_id
+        stated = self.leaving.find(target, published.incarnation)
+        if stated is not None and not self.is_draining(published, arrived):
+            return Obstacle(ObstacleKind.LEAVING, stated.heard_at)
+        return None
+
     def needs_permit(self, target_id: TargetId, now: Instant) -> bool:
         """Return whether requests to a target need a permit, by a rate or for room."""
         return any(
--- a/packages/core/tests/test_statements_limits.py
+++ b/packages/core/tests/test_statements_limits.py
@@ -95,19 +95,19 @@
 
 
 def test_peers_hear_of_changes_and_once_a_second_that_a_limit_holds(limits) -> None:
-    told = limits.last_number
-    assert limits.changed_since(0) == [TARGET]
+    told = limits.changes.last_number
+    assert limits.changes.since(0) == [TARGET]
     limits.record_answer(TARGET, stated(2.0, 0.5), after(0.4))
-    assert limits.changed_since(told) == []
+    assert limits.changes.since(told) == []
     limits.record_answer(TARGET, stated(2.0, 1.5), after(1.4))
-    assert limits.changed_since(told) == [TARGET]
+    assert limits.changes.since(told) == [TARGET]
 
 
 def test_reports_that_pass_between_peers_do_not_go_on_for_good(limits) -> None:
-    told = limits.last_number
+    told = limits.changes.last_number
     for hop in range(1, 50):
         limits.apply_report(TARGET, stated(2.0, hop * 0.002))
-    assert limits.changed_since(told) == []
+    assert limits.changes.since(told) == []
 
 
 def test_denial_that_outlasts_its_limit_keeps_nobody_from_the_target(limits) -> None:
@@ -125,4 +125,4 @@
 def test_targets_that_left_are_forgotten(limits) -> None:
     limits.apply_catalogue(Catalogue())
     assert limits.rate_of(TARGET, after(0)) is None
-    assert limits.changed_since(0) == []
+    assert limits.changes.since(0) == []
--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -10,6 +10,7 @@
 from sardinequay_core.clock import seconds
 from sardinequay_core.names import AdapterRef
 from sardinequay_core.retry_decision import AttemptEnd
+from sardinequay_core.statements.obstacle import Obstacle
 from sardinequay_core.statements.room import RoomReport
 from sardinequay_core.target_health import AttemptResult
 
@@ -18,6 +19,7 @@
 from .exchange import AnswerSink, RelayExchange
 from .load_requests import LoadRequestClient
 from .path_monitor import PathMonitor
+from .pending_send import PendingSend
 from .quarantine.guard import FeatureGuard
 from .relay_state import RelayState
 from .serving_metrics import ServingMetrics
@@ -25,7 +27,6 @@
 from .statements.parts import StatementParts
 from .stream_versions import StreamVersions
 from .tracing import Tracing
-from .tunnel_client import current_request
 from .upstream import Upstream, UpstreamRequest
 
 HEAD_TIMEOUT_GOALS = 2.0
@@ -225,23 +226,20 @@
     async def execute(self, sink: AnswerSink) -> AttemptEnd | None:
         """Send the request and pass the answer on; return how that failed, or None."""
         upstream = self.dependencies.upstream
-        current_request.set(self.exchange.terms.request_id)
         request = self.build_request()
-        address = self.target.address
+        pending = PendingSend(
+            self.exchange.terms.request_id, self.target_id, self.confirm_send
+        )
         async with upstream.send(
-            address, request, self.head_timeout_s(), self.count_send
+            self.target.address, request, self.head_timeout_s(), pending
         ) as answer:
             self.exchange.end_repeat(self.clock.monotonic())
             facts = self.dependencies.dialect.read_facts(answer.status, answer.headers)
             if facts.request_id != self.exchange.terms.request_id:
                 detail = f"an answer to {facts.request_id!r}"
                 raise TargetError(TargetFault.BROKEN, detail)
-            self.dependencies.limits.record_answer(
-                self.published,
-                facts,
-                answer.status,
-                self.sent_at,
-                self.exchange.terms.request_id,
+            self.dependencies.limits.recorders.record_answer(
+                self.published, facts, answer.status, self.sent_at
             )
             if facts.not_run:
                 self.room_report = RoomReport(is_rejected=not facts.is_misdirected)
@@ -250,10 +248,36 @@
             self.room_report = RoomReport(waiting=facts.waiting)
             return end
 
-    def count_send(self) -> None:
-        """Count the request as sent to the target."""
+    def confirm_send(self) -> None:
+        """Count the request as sent, unless the target takes no requests any more.
+
+        Raises
+        ------
+        TargetError
+            If the target has stated that meanwhile.
+        """
+        obstacle = self.state.obstacle(self.published, self.exchange.arrived)
+        if obstacle is not None:
+            self.log_withheld(obstacle)
+            raise TargetError(TargetFault.WITHHELD, obstacle.kind.value)
         self.dependencies.metrics.sends.inc({"pool": self.exchange.pool})
 
+    def log_withheld(self, obstacle: Obstacle) -> None:
+        """Log that the request is kept from the target, and by what statement."""
+        kind, now = obstacle.kind.value, self.clock.monotonic()
+        until = obstacle.until
+        self.dependencies.metrics.sends_withheld.inc({"statement": kind})
+        log.info(
+            "send withheld",
+            extra={
+                "request": self.exchange.terms.request_id,
+                "target": self.target_id,
+                "statement": kind,
+                "age_s": round((now - obstacle.heard_at).total_seconds(), 3),
+                "left_s": until and round((until - now).total_seconds(), 3),
+            },
+        )
+
     def handle_rejection(self, status: int, facts: AnswerFacts) -> AttemptEnd:
         """Handle an answer which states that the target has not run the request."""
         exchange = self.exchange
@@ -284,6 +308,8 @@
     def handle_failure(self, error: TargetError) -> AttemptEnd:
         """Handle an error before the end of the answer."""
         exchange = self.exchange
+        if error.fault is TargetFault.WITHHELD:
+            return AttemptEnd.WITHHELD
         end = AttemptEnd.MAY_HAVE_RUN
         if exchange.answer_started:
             end = AttemptEnd.BROKEN_OFF
--- a/packages/daemon/src/sardinequay_daemon/digest_writer.py
+++ b/packages/daemon/src/sardinequay_daemon/digest_writer.py
@@ -20,6 +20,8 @@
 from .serving_messages import Contact, Digest, EngineHoldings, HubNotes, Member
 from .statements.limit_messages import LimitNews
 from .statements.limit_recorder import LimitRecorder
+from .statements.messages import LeavingNews
+from .statements.recorders import StatementRecorders
 from .store_task import StoreTask
 
 RESEND_HOLDINGS_AFTER = seconds(1)
@@ -30,6 +32,9 @@
 MAX_CONTENTS_PER_DIGEST = 64
 """Maximum number of contents in one digest; further ones follow in the next."""
 
+MAX_LEAVING_PER_DIGEST = 32
+"""Maximum number of leaving targets in one digest; further ones follow in the next."""
+
 HoldingsState = tuple[int, int, int, bool | None]
 MemberState = frozenset[tuple[Contact, bool, bool, int]]
 
@@ -44,8 +49,7 @@
         state: RelayState,
         store: StoreTask,
         orders: OrderTask,
-        limits: LimitRecorder,
-        rejection_limits: LimitRecorder,
+        recorders: StatementRecorders,
         paths: TargetPaths,
         clock: Clock,
     ) -> None:
@@ -54,8 +58,7 @@
         self.state = state
         self.store = store
         self.orders = orders
-        self.limits = limits
-        self.rejection_limits = rejection_limits
+        self.recorders = recorders
         self.paths = paths
         self.clock = clock
         self.sent_holdings: dict[HostId, dict[str, tuple[HoldingsState, Instant]]] = {}
@@ -64,6 +67,7 @@
         self.sent_content_numbers: dict[HostId, int] = {}
         self.sent_limit_numbers: dict[HostId, int] = {}
         self.sent_rejection_limit_numbers: dict[HostId, int] = {}
+        self.sent_leaving_numbers: dict[HostId, int] = {}
         self.sent_usage_scopes: dict[HostId, DigestScope] = {}
         self.restarted_peers: set[HostId] = set()
 
@@ -87,10 +91,15 @@
             store_age_s=store_status.age_s,
             has_missed=host_id in self.fleet.failed_exchanges,
             contents=self.unsent_contents(host_id),
-            limits=self.unsent_limits(host_id, self.limits, self.sent_limit_numbers),
+            limits=self.unsent_limits(
+                host_id, self.recorders.limits, self.sent_limit_numbers
+            ),
             rejection_limits=self.unsent_limits(
-                host_id, self.rejection_limits, self.sent_rejection_limit_numbers
+                host_id,
+                self.recorders.rejection_limits,
+                self.sent_rejection_limit_numbers,
             ),
+            leaving=self.unsent_leaving(host_id),
             is_cut_off=self.paths.is_cut_off,
         )
         if self.fleet.is_mesh:
@@ -203,6 +212,7 @@
         self.sent_content_numbers.pop(host_id, None)
         self.sent_limit_numbers.pop(host_id, None)
         self.sent_rejection_limit_numbers.pop(host_id, None)
+        self.sent_leaving_numbers.pop(host_id, None)
         self.sent_usage_scopes.pop(host_id, None)
         self.sent_holdings.pop(host_id, None)
 
@@ -241,9 +251,18 @@
         This includes what other hosts heard, as each host hears only some answers.
         """
         last_sent = sent_numbers.get(host_id, 0)
-        sent_numbers[host_id] = recorder.limits.last_number
+        sent_numbers[host_id] = recorder.limits.changes.last_number
         return recorder.changed_since(last_sent)
 
+    def unsent_leaving(self, host_id: HostId) -> tuple[LeavingNews, ...]:
+        """Return the leaving targets that a peer was not told of yet."""
+        last_sent = self.sent_leaving_numbers.get(host_id, 0)
+        news = self.recorders.leaving.changed_since(last_sent, MAX_LEAVING_PER_DIGEST)
+        if news:
+            numbers = self.state.statements.leaving.changes.numbers
+            self.sent_leaving_numbers[host_id] = numbers[news[-1].target]
+        return news
+
     def unsent_usage(self, host_id: HostId, scope: DigestScope) -> UsageCounts:
         """Return the usage that changed recently, by organisation; all at first."""
         ledger, now = self.state.quotas.ledger, self.clock.monotonic()
--- a/packages/daemon/src/sardinequay_daemon/engine_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/engine_picker.py
@@ -2,12 +2,15 @@
 
 import logging
 from collections.abc import Mapping
+from dataclasses import replace
 
 from sardinequay_core.clock import Instant, seconds
 from sardinequay_core.names import AdapterRef, TargetId
 from sardinequay_core.outcome import Reason, Refusal, not_run_refusal
 from sardinequay_core.target_choice import (
     MAX_WAIT_SHARE,
+    EngineChoice,
+    EngineOption,
     EnginesTooBusy,
     LoadOnEngine,
     NoEngine,
@@ -72,30 +75,13 @@
             self.state.demand.record_request(terms.adapter, self.clock.monotonic())
         while True:
             now = self.clock.monotonic()
-            options = self.options.engine_options(
-                exchange.pool,
-                exchange.terms,
-                exchange.tried,
-                seconds_until(expected_ready_at, now),
-            )
-            options = options_by_software(self.state, exchange, options)
-            options = with_last_of_version(self.state, exchange, options)
             time_left_s = exchange.first_event_left_s(now)
-            desired_copies = self.options.copies_due(terms, len(options))
-            max_wait_s = max_permit_wait_s(exchange, now)
-            choice = select_engine(options, time_left_s, desired_copies, max_wait_s)
+            choice = self.select(exchange, seconds_until(expected_ready_at, now), now)
             if isinstance(choice, SendToEngine):
-                log_choice(
-                    self.state,
-                    exchange,
-                    choice.target,
-                    "resident",
-                    len(options),
-                    choice.expected_s,
-                )
+                wait_s = max_permit_wait_s(exchange, now) if choice.can_wait else None
                 return ChosenTarget(
                     self.state.catalogue.targets[choice.target],
-                    seconds(max_wait_s) if choice.can_wait else None,
+                    None if wait_s is None else seconds(wait_s),
                 )
             if not isinstance(choice, LoadOnEngine):
                 raise RequestRefusedError(
@@ -120,6 +106,59 @@
                     self.no_engine_refusal(exchange, busy, time_left_s)
                 )
 
+    def select(
+        self,
+        exchange: RelayExchange,
+        expected_load_s: Mapping[TargetId, float],
+        now: Instant,
+    ) -> EngineChoice:
+        """Choose among the usable engines, then among leaving ones as they are.
+
+        Parameters
+        ----------
+        expected_load_s : mapping
+            Time until the adapter would be loaded on an engine, in seconds, by the
+            keepers' replies to earlier load requests.
+        """
+        pool, terms = exchange.pool, exchange.terms
+        usable = self.options.usable_targets(pool, now)
+        options = self.options.engine_options(
+            usable, terms, exchange.tried, expected_load_s
+        )
+        choice = self.select_among(exchange, options, now)
+        if isinstance(choice, SendToEngine | LoadOnEngine):
+            return choice
+        draining = self.options.draining_targets(pool, exchange.arrived, now)
+        if not draining:
+            return choice
+        options = self.options.engine_options(draining, terms, exchange.tried, {})
+        options = [replace(option, may_load=False) for option in options]
+        last_choice = self.select_among(exchange, options, now)
+        return last_choice if isinstance(last_choice, SendToEngine) else choice
+
+    def select_among(
+        self, exchange: RelayExchange, options: list[EngineOption], now: Instant
+    ) -> EngineChoice:
+        """Choose among some candidates, and log the choice of one to send to."""
+        options = options_by_software(self.state, exchange, options)
+        options = with_last_of_version(self.state, exchange, options)
+        choice = select_engine(
+            options,
+            exchange.first_event_left_s(now),
+            self.options.copies_due(exchange.terms, len(options)),
+            max_permit_wait_s(exchange, now),
+        )
+        if isinstance(choice, SendToEngine):
+            log_choice(
+                self.state,
+                exchange,
+                choice.target,
+                "resident",
+                len(options),
+                choice.expected_s,
+            )
+        return choice
+
     def no_engine_refusal(
         self,
         exchange: RelayExchange,
--- a/packages/daemon/src/sardinequay_daemon/errors.py
+++ b/packages/daemon/src/sardinequay_daemon/errors.py
@@ -63,9 +63,13 @@
 
 
 class TargetFault(Enum):
-    """How a call to a target failed; determines whether the request may have run."""
+    """How a call to a target failed; determines whether the request may have run.
+
+    WITHHELD means that the target stated in time that it takes no request now.
+    """
 
     NOT_SENT = "not_sent"
+    WITHHELD = "withheld"
     NOT_LOADED = "not_loaded"
     REFUSED = "refused"
     STALE_TOKEN = "stale_token"
--- a/packages/daemon/src/sardinequay_daemon/order_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -80,6 +80,8 @@
         Which adapters running requests use on each engine.
     on_holdings_changed : callable
         Called after an order or a report changed what an engine holds.
+    is_leaving : callable
+        Returns whether a listed engine has stated in its answers that it leaves.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         metrics: ServingMetrics,
         uses: AdapterUses,
         on_holdings_changed: Callable[[], None],
+        is_leaving: Callable[[PublishedTarget], bool] = lambda _: False,
     ) -> None:
         self.me = me
         self.data_centre = data_centre
@@ -101,6 +104,7 @@
         self.metrics = metrics
         self.uses = uses
         self.on_holdings_changed = on_holdings_changed
+        self.is_leaving = is_leaving
         self.candidate = lease.candidate
         self.catalogue = Catalogue()
         self.managed_engines: dict[TargetId, ManagedEngine] = {}
@@ -212,6 +216,7 @@
             if p.target.pool in pools
             and p.target.data_centre == self.data_centre
             and p.target.presence is Presence.LIVE
+            and not self.is_leaving(p)
         }
 
     def apply_catalogue(self, catalogue: Catalogue) -> None:
@@ -220,8 +225,16 @@
         self.lease.apply_catalogue(catalogue)
         for target_id in self.peer_holdings.keys() - catalogue.targets.keys():
             del self.peer_holdings[target_id]
-        if not self.is_ordering:
-            return
+        if self.is_ordering:
+            self.match_engines()
+
+    def handle_leaving(self) -> None:
+        """Order an engine no more that has stated that it leaves."""
+        if self.is_ordering:
+            self.match_engines()
+
+    def match_engines(self) -> None:
+        """Order the live engines of this data centre, and no others."""
         local_engines = self.local_engines()
         for target_id in tuple(self.managed_engines):
             if target_id not in local_engines:
--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -73,16 +73,17 @@
                 end = await self.resend(attempt, sink)
             if end is None:
                 return
+            if end is AttemptEnd.WITHHELD:
+                continue
             self.record_end(exchange, target.target.target_id, end)
             await self.allow_retry_or_raise(exchange, end)
 
     async def may_send(self, exchange: RelayExchange, chosen: ChosenTarget) -> bool:
         """Return whether a target's limits permit the next attempt, and take its room.
 
-        During a wait for a permit the target may leave, and the request's time may end.
+        During a wait for a permit the request's time may end.
         """
         max_wait = chosen.max_permit_wait
-        target_id = chosen.published.target.target_id
         permit = await self.dependencies.limits.permit_send(
             exchange.terms.request_id,
             chosen.published,
@@ -94,10 +95,6 @@
         if exchange.time_left(self.clock.monotonic()) <= ZERO:
             self.dependencies.limits.rooms.release(permit, UNUSED)
             raise RequestRefusedError(self.time_over_refusal(exchange))
-        may_have_left = max_wait is not None
-        if may_have_left and not self.state.catalogue.is_live(target_id):
-            self.dependencies.limits.rooms.release(permit, UNUSED)
-            return False
         exchange.room_permit = permit
         return True
 
@@ -154,6 +151,7 @@
             is_resend=True,
         )
         end = await self.run_attempt(second_attempt, sink)
+        exchange.end_repeat(self.clock.monotonic())
         return AttemptEnd.MAY_HAVE_RUN if end is not None else None
 
     async def wait_for_end_check(self, exchange: RelayExchange) -> None:
@@ -253,6 +251,7 @@
     ) -> AttemptEnd | None:
         """Make one attempt; return how it failed, or None once it was answered."""
         exchange, published = attempt.exchange, attempt.published
+        end = None
         attempt.begin_accounting()
         try:
             with self.dependencies.tracing.child_span("target", exchange.span) as span:
@@ -275,7 +274,8 @@
                 )
         finally:
             attempt.end_accounting()
-            exchange.end_repeat(self.clock.monotonic())
+            if end is not AttemptEnd.WITHHELD:
+                exchange.end_repeat(self.clock.monotonic())
             self.give_room_back(attempt)
         if attempt.was_served:
             self.guard.record_answer(exchange.guarded_request)
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -10,7 +10,7 @@
 from random import Random
 
 from sardinequay_core.adapter_demand import AdapterDemand
-from sardinequay_core.catalogue import Catalogue
+from sardinequay_core.catalogue import Catalogue, PublishedTarget
 from sardinequay_core.clock import ZERO, Clock, Instant, seconds
 from sardinequay_core.fleet_topology import DigestScope
 from sardinequay_core.load_view import PEER_SHARE_EXPIRY, LoadView
@@ -25,7 +25,9 @@
 from sardinequay_core.quarantine import Quarantine
 from sardinequay_core.repeat_budget import RepeatBudget, RepeatPolicy
 from sardinequay_core.residency import AdapterUses, HeldAdapters, Residency
+from sardinequay_core.roster import Presence
 from sardinequay_core.software_history import SoftwareHistory
+from sardinequay_core.statements.obstacle import Obstacle, ObstacleKind
 from sardinequay_core.statements.target_statements import TargetStatements
 from sardinequay_core.target_health import TargetHealth
 
@@ -124,6 +126,41 @@
         self.loads.forget_target(target_id)
         self.uses.forget_target(target_id)
 
+    def is_live(self, target_id: TargetId) -> bool:
+        """Return whether a target is listed and leaves by neither entry nor answer."""
+        listed = self.catalogue.targets.get(target_id)
+        return (
+            listed is not None
+            and listed.target.presence is Presence.LIVE
+            and not self.statements.is_leaving(listed)
+        )
+
+    def live_targets(self, pool: PoolName) -> list[PublishedTarget]:
+        """Return the targets of a pool that take new requests."""
+        listed = self.catalogue.live_targets(pool)
+        return [t for t in listed if not self.statements.is_leaving(t)]
+
+    def draining_targets(
+        self, pool: PoolName, arrived: Instant
+    ) -> list[PublishedTarget]:
+        """Return the leaving targets of a pool that still take a request.
+
+        Parameters
+        ----------
+        arrived : timedelta
+            When the request came to this host.
+        """
+        listed = self.catalogue.live_targets(pool)
+        return [t for t in listed if self.statements.is_draining(t, arrived)]
+
+    def obstacle(self, published: PublishedTarget, arrived: Instant) -> Obstacle | None:
+        """Return what keeps a request from a target that was chosen for it, if any."""
+        target_id = published.target.target_id
+        listed = self.catalogue.targets.get(target_id)
+        if listed is None or listed.target.presence is not Presence.LIVE:
+            return Obstacle(ObstacleKind.LEAVING, self.clock.monotonic())
+        return self.statements.obstacle(listed, arrived)
+
     def forget_own_failures(self, targets: Iterable[TargetId]) -> None:
         """Drop what this host's failed attempts have shown of targets."""
         for target_id in targets:
--- a/packages/daemon/src/sardinequay_daemon/service_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/service_picker.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 
+from sardinequay_core.catalogue import PublishedTarget
 from sardinequay_core.clock import seconds
 from sardinequay_core.outcome import Reason, Refusal, not_run_refusal
 from sardinequay_core.service_choice import (
@@ -44,22 +45,40 @@
         self.clock = state.clock
 
     def choose(self, exchange: RelayExchange) -> ChosenTarget:
-        """Return the least loaded target of a plain service."""
-        options = options_by_software(
-            self.state,
-            exchange,
-            self.options.service_options(exchange.pool, exchange.tried),
+        """Return the least loaded target of a plain service, a leaving one last."""
+        now, pool = self.clock.monotonic(), exchange.pool
+        usable = self.options.usable_targets(pool, now)
+        options = self.options_among(exchange, usable)
+        chosen = self.choose_among(exchange, options)
+        if chosen is not None:
+            return chosen
+        draining = self.options.draining_targets(pool, exchange.arrived, now)
+        chosen = self.choose_among(exchange, self.options_among(exchange, draining))
+        if chosen is not None:
+            return chosen
+        raise RequestRefusedError(
+            self.limited_refusal(exchange, options)
+            if options
+            else self.no_target_refusal(exchange)
         )
+
+    def options_among(
+        self, exchange: RelayExchange, services: Sequence[PublishedTarget]
+    ) -> list[ServiceOption]:
+        """Return the candidates for a request among some targets."""
+        options = self.options.service_options(services, exchange.tried)
+        return options_by_software(self.state, exchange, options)
+
+    def choose_among(
+        self, exchange: RelayExchange, options: Sequence[ServiceOption]
+    ) -> ChosenTarget | None:
+        """Return the least loaded candidate; None if the request fits at none."""
         max_wait_s = None
         if may_wait_for_permit(options):
             max_wait_s = max_permit_wait_s(exchange, self.clock.monotonic())
         found = select_target(options, max_wait_s or 0.0)
         if found is None:
-            raise RequestRefusedError(
-                self.limited_refusal(exchange, options)
-                if options
-                else self.no_target_refusal(exchange)
-            )
+            return None
         log_choice(self.state, exchange, found.target, "least filled", len(options))
         return ChosenTarget(
             self.state.catalogue.targets[found.target],
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -160,6 +160,7 @@
             software=SoftwareHistory(profile.is_first_start),
         )
         self.state.quotas.apply_policy(bounds.quotas)
+        self.state.statements.drain = bounds.drain
         self.state.health.trial_turn = trial_turn_of(profile.host_id)
         self.lease = OrderLeaseTask(
             profile.host_id,
@@ -181,6 +182,7 @@
             self.metrics,
             self.state.uses,
             self.announce_holdings,
+            self.state.statements.is_leaving,
         )
         self.state.orders = self.orders
         self.paths = PathParts(
@@ -200,7 +202,7 @@
             self.state.quarantine,
             TargetEndDetector(
                 self.paths.witness.is_alive,
-                lambda target: self.state.catalogue.is_live(target),
+                self.state.is_live,
                 lambda pool: self.metrics.target_ends.inc({"pool": pool}),
             ),
             self.fleet,
@@ -257,8 +259,7 @@
             self.state,
             self.store,
             self.orders,
-            self.limits.recorder,
-            self.limits.rejection_recorder,
+            self.limits.recorders,
             self.paths.monitor.paths,
             clock,
         )
@@ -301,6 +302,7 @@
         self.fleet.set_seeds(profile.seeds)
         self.state.apply_repeat_policy(profile.bounds.repeats)
         self.state.quotas.apply_policy(profile.bounds.quotas)
+        self.state.statements.drain = profile.bounds.drain
         self.lease.apply_policy(OrderPolicy(quiet_period=profile.bounds.order_quiet))
         log.info("settings reloaded", extra={"seeds": [str(s) for s in profile.seeds]})
 
--- a/packages/daemon/src/sardinequay_daemon/serving_messages.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_messages.py
@@ -17,6 +17,7 @@
 from .quarantine.messages import ContentNews
 from .serving_ports import StoreItem
 from .statements.limit_messages import LimitNews
+from .statements.messages import LeavingNews
 from .wire import register_messages
 
 
@@ -163,6 +164,8 @@
         Whether the sender appears to reach no target.
     rejection_limits : tuple of LimitNews
         Like `limits`, how many requests brittle targets can turn away in a second.
+    leaving : tuple of LeavingNews
+        Targets that have stated that they leave, since the last digest to the receiver.
     """
 
     host: Contact
@@ -189,6 +192,7 @@
     limits: tuple[LimitNews, ...] = ()
     is_cut_off: bool = False
     rejection_limits: tuple[LimitNews, ...] = ()
+    leaving: tuple[LeavingNews, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/sardinequay_daemon/serving_metrics.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_metrics.py
@@ -61,6 +61,10 @@
         self.target_backoffs = self.gauge(
             "target_backoffs", "Targets that have asked this host for a backoff"
         )
+        self.sends_withheld = self.counter(
+            "sends_withheld_total",
+            "Requests kept from chosen targets, by their statement",
+        )
         self.room_permits = self.counter(
             "room_permits_total", "Requests for room at brittle targets, by result"
         )
--- a/packages/daemon/src/sardinequay_daemon/serving_ports.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_ports.py
@@ -282,6 +282,8 @@
         Time from the stop signal to the kill.
     entry_return : timedelta
         Time within which live targets have their entries back after a store outage.
+    drain : timedelta
+        How long a target that leaves still takes new requests after it has said so.
     repeat_ratio, repeat_slack, repeat_window
         Limits of a pool's retry budget, see `RepeatPolicy`.
     quotas : QuotaPolicy
@@ -291,6 +293,7 @@
     order_quiet: timedelta = timedelta(seconds=3.3)
     grace: timedelta = timedelta(seconds=8)
     entry_return: timedelta = timedelta(seconds=2.2)
+    drain: timedelta = timedelta(seconds=2)
     repeat_ratio: float = 0.2
     repeat_slack: float = 50.0
     repeat_window: timedelta = timedelta(seconds=10)
--- a/packages/daemon/src/sardinequay_daemon/single_send.py
+++ b/packages/daemon/src/sardinequay_daemon/single_send.py
@@ -5,7 +5,6 @@
 a request does not run twice.
 """
 
-from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
 
@@ -50,13 +49,8 @@
     )
 
 
-class CountedSend:
-    """Middleware of one request that reports when it is sent and on which connection.
-
-    Parameters
-    ----------
-    on_send : callable
-        Called when the request is sent.
+class SingleSend:
+    """Middleware of one request that sends it once, and knows on which connection.
 
     Attributes
     ----------
@@ -64,21 +58,19 @@
         Whether the request was sent over a connection that had been used before.
     """
 
-    def __init__(self, on_send: Callable[[], None]) -> None:
-        self.on_send = on_send
+    def __init__(self) -> None:
         self.is_on_reused_connection = False
 
     async def __call__(
         self, request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
     ) -> aiohttp.ClientResponse:
-        """Report that the request is sent, and send it once.
+        """Send the request once.
 
         Raises
         ------
         TargetError
             If a connection that had been used before broke before the answer's head.
         """
-        self.on_send()
         try:
             return await send_once(request, handler)
         except ConnectionLostError as error:
@@ -92,7 +84,7 @@
 def connection_reuse_trace() -> aiohttp.TraceConfig:
     """Return the trace configuration that marks requests on reused connections.
 
-    Each call of the session passes its `CountedSend` as ``trace_request_ctx``.
+    Each call of the session passes its `SingleSend` as ``trace_request_ctx``.
     """
     trace = aiohttp.TraceConfig()
     trace.on_connection_reuseconn.append(mark_connection_reused)
@@ -105,5 +97,5 @@
     __: aiohttp.TraceConnectionReuseconnParams,
 ) -> None:
     """Mark a request as sent over a connection that had been used before."""
-    send: CountedSend = context.trace_request_ctx
+    send: SingleSend = context.trace_request_ctx
     send.is_on_reused_connection = True
--- a/packages/daemon/src/sardinequay_daemon/software_choice.py
+++ b/packages/daemon/src/sardinequay_daemon/software_choice.py
@@ -60,7 +60,7 @@
     """
     if exchange.route.repetition is not Repetition.RESUMABLE_STREAM:
         return options
-    live = state.catalogue.live_targets(exchange.pool)
+    live = state.live_targets(exchange.pool)
     counts = Counter(published.software_version for published in live)
     if len(counts) <= 1:
         return options
--- a/packages/daemon/src/sardinequay_daemon/statements/limit_recorder.py
+++ b/packages/daemon/src/sardinequay_daemon/statements/limit_recorder.py
@@ -15,11 +15,9 @@
 
 from ..serving_metrics import ServingMetrics
 from ..serving_ports import AnswerFacts, InvalidValue
+from .invalid_log import InvalidStatementLog
 from .limit_messages import LimitNews
 
-INVALID_LOG_INTERVAL = seconds(10)
-"""Interval between two log lines about invalid limits of one target."""
-
 log = logging.getLogger(__name__)
 
 
@@ -90,7 +88,7 @@
         self.clock = clock
         self.metrics = metrics
         self.announce_change = announce_change
-        self.invalid_logged_at: dict[TargetId, Instant] = {}
+        self.invalid = InvalidStatementLog(f"{kind.event} invalid", clock)
         self.shown_targets: set[TargetId] = set()
 
     def record_answer(
@@ -112,7 +110,7 @@
             return
         stated_limit = self.kind.read(facts)
         if not isinstance(stated_limit, Success):
-            self.log_invalid(target, stated_limit.failure().text)
+            self.invalid.record(target, stated_limit.failure())
             return
         rate_per_s = stated_limit.unwrap()
         if rate_per_s is None and facts.not_run:
@@ -146,7 +144,7 @@
         """Return what peers should hear that changed after a change number."""
         return tuple(
             news
-            for target in self.limits.changed_since(number)
+            for target in self.limits.changes.since(number)
             if (news := self.news_of(target)) is not None
         )
 
@@ -163,9 +161,7 @@
         now = self.clock.monotonic()
         for change in self.limits.expire(now):
             self.log_change(change, LimitSource(), ZERO)
-        for target, at in tuple(self.invalid_logged_at.items()):
-            if now - at >= INVALID_LOG_INTERVAL:
-                del self.invalid_logged_at[target]
+        self.invalid.expire()
         self.show_limits()
 
     def show_limits(self) -> None:
@@ -182,14 +178,6 @@
             gauge.values.pop({"target": str(target)}, None)
         self.shown_targets = set(limited)
 
-    def log_invalid(self, target: TargetId, text: str) -> None:
-        """Log that a target states a limit which cannot be parsed."""
-        if target in self.invalid_logged_at:
-            return
-        self.invalid_logged_at[target] = self.clock.monotonic()
-        extra = {"target": target, "stated": text}
-        log.warning(f"{self.kind.event} invalid", extra=extra)
-
     def log_change(
         self, change: LimitChange, source: LimitSource, age: timedelta
     ) -> None:
--- a/packages/daemon/src/sardinequay_daemon/statements/parts.py
+++ b/packages/daemon/src/sardinequay_daemon/statements/parts.py
@@ -7,18 +7,16 @@
 from datetime import timedelta
 
 from sardinequay_core.catalogue import PublishedTarget
-from sardinequay_core.clock import Clock, Instant
+from sardinequay_core.clock import Clock
 from sardinequay_core.names import HostId
 
-from ..fleet_task import FleetTask, ReceivedDigest
+from ..fleet_task import FleetTask
 from ..peers import PeerClient, PeerServer
 from ..relay_state import RelayState
 from ..serving_metrics import ServingMetrics
-from ..serving_ports import AnswerFacts
 from .limit_messages import AskToSend
-from .limit_recorder import REJECTION_LIMITS, LimitRecorder
 from .permit_issuer import PermitIssuer
-from .recorder import StatementRecorder
+from .recorders import StatementRecorders
 from .room_client import RoomClient, RoomPermit
 from .room_issuer import RoomIssuer
 from .room_messages import AskRoom, RoomBack
@@ -47,55 +45,34 @@
         def announce_change() -> None:
             fleet.request_update(far=True)
 
-        self.recorder = LimitRecorder(
-            state.statements.limits, clock, metrics, announce_change
-        )
-        self.rejection_recorder = LimitRecorder(
-            state.statements.rejection_limits,
-            clock,
-            metrics,
-            announce_change,
-            REJECTION_LIMITS,
+        def handle_leaving() -> None:
+            announce_change()
+            if state.orders is not None:
+                state.orders.handle_leaving()
+
+        self.recorders = StatementRecorders(
+            state.statements, clock, metrics, announce_change, handle_leaving
         )
-        self.statement_recorder = StatementRecorder(state.statements, clock, metrics)
+        limits = self.recorders.limits
+        rejection_limits = self.recorders.rejection_limits
         self.permit_issuer = PermitIssuer(
-            self.recorder, clock, state.fleet_size.live_fraction, draw
+            limits, clock, state.fleet_size.live_fraction, draw
         )
-        self.room_issuer = RoomIssuer(self.rejection_recorder, clock)
+        self.room_issuer = RoomIssuer(rejection_limits, clock)
         self.limiter = TargetLimiter(
-            me, self.recorder, self.permit_issuer, fleet, peers, clock, metrics
+            me, limits, self.permit_issuer, fleet, peers, clock, metrics
         )
         self.rooms = RoomClient(
-            me, self.rejection_recorder, self.room_issuer, fleet, peers, clock, metrics
+            me, rejection_limits, self.room_issuer, fleet, peers, clock, metrics
         )
 
     def subscribe(self, fleet: FleetTask, server: PeerServer) -> None:
-        """Hear what peers know of targets' limits, and answer those that ask."""
-        fleet.digests.subscribe(self.apply_digest)
+        """Hear what peers know of targets' statements, and answer those that ask."""
+        fleet.digests.subscribe(self.recorders.apply_digest)
         server.register(AskToSend, self.permit_issuer.handle_ask)
         server.register(AskRoom, self.room_issuer.handle_ask)
         server.register(RoomBack, self.room_issuer.handle_back)
 
-    def apply_digest(self, received: ReceivedDigest) -> None:
-        """Apply the limits of targets in a peer's digest."""
-        digest = received.digest
-        peer = digest.host.host_id
-        self.recorder.apply_reports(digest.limits, peer)
-        self.rejection_recorder.apply_reports(digest.rejection_limits, peer)
-
-    def record_answer(
-        self,
-        published: PublishedTarget,
-        facts: AnswerFacts,
-        status: int,
-        sent_at: Instant,
-        request_id: str,
-    ) -> None:
-        """Apply what the head of a target's answer states."""
-        for recorder in (self.recorder, self.rejection_recorder):
-            recorder.record_answer(published, facts, status, sent_at)
-        self.statement_recorder.record_answer(published, facts, status, request_id)
-
     async def permit_send(
         self,
         request_id: str,
@@ -123,8 +100,6 @@
 
     def expire(self) -> None:
         """Drop what nobody needs any more."""
-        self.recorder.expire()
-        self.rejection_recorder.expire()
-        self.statement_recorder.expire()
+        self.recorders.expire()
         self.permit_issuer.expire()
         self.room_issuer.expire()
--- a/packages/daemon/src/sardinequay_daemon/target_connector.py
+++ b/packages/daemon/src/sardinequay_daemon/target_connector.py
@@ -9,11 +9,13 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 
 from sardinequay_core.names import Address
 
-from .errors import PeerError
+from .errors import PeerError, TargetError
 from .path_monitor import PathMonitor
+from .pending_send import pending_send
 from .strict_connector import StrictConnector
 
 if TYPE_CHECKING:
@@ -31,6 +33,33 @@
         super().__init__(source_ip, **options)
         self.monitor = monitor
 
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list["Trace"],
+        timeout: aiohttp.ClientTimeout,
+    ) -> Connection:
+        """Return a connection for a request, which its target may still get.
+
+        The request's bytes leave with no wait after this. A wait for the connection
+        comes before: what the target states meanwhile binds the request, too.
+
+        Raises
+        ------
+        TargetError
+            If the target must not get the request any more.
+        """
+        connection = await super().connect(req, traces, timeout)
+        pending = pending_send.get()
+        if pending is None:
+            return connection
+        try:
+            pending.confirm()
+        except TargetError:
+            connection.release()
+            raise
+        return connection
+
     async def _create_connection(
         self,
         req: aiohttp.ClientRequest,
--- a/packages/daemon/src/sardinequay_daemon/target_options.py
+++ b/packages/daemon/src/sardinequay_daemon/target_options.py
@@ -1,6 +1,6 @@
 """Candidate targets of one request, with the properties that the choice compares."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import replace
 
 from sardinequay_core.catalogue import PublishedTarget
@@ -28,7 +28,26 @@
 
     def usable_targets(self, pool: PoolName, now: Instant) -> list[PublishedTarget]:
         """Return the live targets of a pool whose health permits requests."""
-        live = self.state.catalogue.live_targets(pool)
+        return self.healthy(self.state.live_targets(pool), now)
+
+    def draining_targets(
+        self, pool: PoolName, arrived: Instant, now: Instant
+    ) -> list[PublishedTarget]:
+        """Return the leaving targets of a pool that may still get a request.
+
+        They are the last choice, where no other target can serve it.
+
+        Parameters
+        ----------
+        arrived : timedelta
+            When the request came to this host.
+        """
+        return self.healthy(self.state.draining_targets(pool, arrived), now)
+
+    def healthy(
+        self, live: list[PublishedTarget], now: Instant
+    ) -> list[PublishedTarget]:
+        """Return the targets among some whose health permits requests."""
         self.state.health.host_count = self.state.fleet.live_hosts
         usable = self.state.health.usable_targets(
             (t.target.target_id for t in live), now
@@ -37,12 +56,12 @@
 
     def engine_options(
         self,
-        pool: PoolName,
+        engines: Sequence[PublishedTarget],
         terms: RequestTerms,
         excluded: frozenset[TargetId],
         expected_load_s: Mapping[TargetId, float],
     ) -> list[EngineOption]:
-        """Return the usable engines of a pool as candidates for a model request.
+        """Return engines as candidates for a model request.
 
         Parameters
         ----------
@@ -53,10 +72,9 @@
             keepers' replies to earlier load requests.
         """
         now = self.state.clock.monotonic()
-        usable = self.usable_targets(pool, now)
-        ranking = rank_members(terms.adapter, [t.target.target_id for t in usable])
+        ranking = rank_members(terms.adapter, [t.target.target_id for t in engines])
         home_ranks = {target: position for position, target in enumerate(ranking)}
-        data_centres = {t.target.data_centre for t in usable}
+        data_centres = {t.target.data_centre for t in engines}
         keepers = self.state.keepers(data_centres)
         options = [
             self.engine_option(
@@ -68,7 +86,7 @@
                 has_failed_request=t.target.target_id in excluded,
                 keeper_estimate_s=expected_load_s.get(t.target.target_id),
             )
-            for t in usable
+            for t in engines
         ]
         return self.with_permit_waits(options, now)
 
@@ -201,19 +219,18 @@
         )
 
     def service_options(
-        self, pool: PoolName, tried: frozenset[TargetId]
+        self, services: Sequence[PublishedTarget], tried: frozenset[TargetId]
     ) -> list[ServiceOption]:
-        """Return the usable targets of a plain service as candidates."""
+        """Return targets of a plain service as candidates."""
         now = self.state.clock.monotonic()
-        usable = self.usable_targets(pool, now)
         limited = {
             t.target.target_id
-            for t in usable
+            for t in services
             if self.state.statements.needs_permit(t.target.target_id, now)
         }
-        can_wait = all(t.target.target_id in limited | tried for t in usable)
+        can_wait = all(t.target.target_id in limited | tried for t in services)
         options = []
-        for published in usable:
+        for published in services:
             target_id = published.target.target_id
             options.append(
                 ServiceOption(
--- a/packages/daemon/src/sardinequay_daemon/tunnel_client.py
+++ b/packages/daemon/src/sardinequay_daemon/tunnel_client.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 from collections.abc import Callable, Iterable
-from contextvars import ContextVar
 from random import Random
 from typing import Protocol
 
@@ -13,6 +12,7 @@
 from .errors import PeerError
 from .path_messages import OpenTunnel
 from .peer_table import Peer
+from .pending_send import PendingSend, pending_send
 from .serving_messages import Contact
 from .serving_metrics import ServingMetrics
 from .tunnel_transport import TunnelProtocol, TunnelTransport
@@ -31,9 +31,6 @@
 REFUSED_PAUSE = seconds(1)
 """How long a peer is not asked again that could not open a tunnel to an address."""
 
-current_request: ContextVar[str] = ContextVar("current_request", default="")
-"""Id of the request that a connection is opened for, for the log."""
-
 log = logging.getLogger(__name__)
 
 
@@ -107,7 +104,7 @@
             log.info(
                 "connected through peer",
                 extra={
-                    "request": current_request.get(),
+                    "request": request_id_of(pending_send.get()),
                     "peer": peer.contact.host_id,
                     "address": str(address),
                     "peers_asked": len(details) + 1,
@@ -150,7 +147,9 @@
         PeerError
             If the peer does not answer in time, or did not open one.
         """
-        message = OpenTunnel(self.fleet.me.host_id, str(address), current_request.get())
+        message = OpenTunnel(
+            self.fleet.me.host_id, str(address), request_id_of(pending_send.get())
+        )
         carrier: asyncio.BaseTransport | None = None
         peer_address = parse_address(peer.address).unwrap()
         try:
@@ -173,3 +172,8 @@
             raise
         assert protocol.transport is not None
         return protocol.transport
+
+
+def request_id_of(pending: PendingSend | None) -> str:
+    """Return the id of the request that a connection is for; empty without one."""
+    return pending.request_id if pending is not None else ""
--- a/packages/daemon/src/sardinequay_daemon/upstream.py
+++ b/packages/daemon/src/sardinequay_daemon/upstream.py
@@ -1,7 +1,7 @@
 """HTTP client for targets, whose errors state whether a request may have run."""
 
 import asyncio
-from collections.abc import AsyncGenerator, Callable
+from collections.abc import AsyncGenerator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
@@ -14,7 +14,8 @@
 from .connection_probe import CONNECT_S
 from .errors import TargetError, TargetFault
 from .path_monitor import PathMonitor
-from .single_send import CountedSend, client_session, connection_reuse_trace
+from .pending_send import PendingSend, pending_send
+from .single_send import SingleSend, client_session, connection_reuse_trace
 from .target_connector import TargetConnector
 from .target_errors import TargetErrorTranslator
 
@@ -64,25 +65,20 @@
         address: Address,
         request: UpstreamRequest,
         head_timeout_s: float,
-        on_send: Callable[[], None],
+        pending: PendingSend,
     ) -> AsyncGenerator[aiohttp.ClientResponse, None]:
         """Send a request and yield the answer once its head has arrived.
 
         Leaving the context before the answer's end closes the connection, which cancels
         the request at the target.
 
-        Parameters
-        ----------
-        on_send : callable
-            Called when the request is sent.
-
         Raises
         ------
         TargetError
             If no head arrived; the fault states whether the target may have run the
             request.
         """
-        answer = await self.wait_for_head(address, request, head_timeout_s, on_send)
+        answer = await self.wait_for_head(address, request, head_timeout_s, pending)
         try:
             yield answer
         finally:
@@ -93,14 +89,15 @@
         address: Address,
         request: UpstreamRequest,
         timeout_s: float,
-        on_send: Callable[[], None],
+        pending: PendingSend,
     ) -> aiohttp.ClientResponse:
         """Send a request and wait for the head of its answer."""
         session = (
             self.pooled_session if request.may_reuse_connection else self.fresh_session
         )
         url = URL(f"http://{address}{request.path}", encoded=True)
-        send = CountedSend(on_send)
+        send = SingleSend()
+        pending_send.set(pending)
         timer = asyncio.timeout(timeout_s)
         try:
             async with timer:
--- a/packages/daemon/tests/large_fleet.py
+++ b/packages/daemon/tests/large_fleet.py
@@ -16,7 +16,7 @@
 from sardinequay_daemon.relay_state import RelayState
 from sardinequay_daemon.serving_messages import Contact, Digest, EngineHoldings
 from sardinequay_daemon.serving_metrics import ServingMetrics
-from sardinequay_daemon.statements.limit_recorder import REJECTION_LIMITS, LimitRecorder
+from sardinequay_daemon.statements.recorders import StatementRecorders
 from sardinequay_daemon.store_task import StoreStatus
 
 from .conftest import ManualClock
@@ -90,11 +90,12 @@
         )
         self.orders = Orders(self.me.host_id)
         self.state.orders = self.orders
-        self.limits = LimitRecorder(
-            self.state.statements.limits,
+        self.recorders = StatementRecorders(
+            self.state.statements,
             clock,
             ServingMetrics(self.me.host_id, data_centre),
             lambda: self.fleet.request_update(far=True),
+            lambda: self.fleet.request_update(far=True),
         )
         self.writer = DigestWriter(
             self.me,
@@ -102,21 +103,14 @@
             self.state,
             Store(),
             self.orders,
-            self.limits,
-            LimitRecorder(
-                self.state.statements.rejection_limits,
-                clock,
-                ServingMetrics(self.me.host_id, data_centre),
-                lambda: self.fleet.request_update(far=True),
-                REJECTION_LIMITS,
-            ),
+            self.recorders,
             TargetPaths(),
             clock,
         )
         self.fleet.holds_lease = lambda: self.orders.lease.is_holder
         self.fleet.digests.subscribe(self.state.apply_digest)
         self.fleet.digests.subscribe(self.record_contents)
-        self.fleet.digests.subscribe(self.record_limits)
+        self.fleet.digests.subscribe(self.recorders.apply_digest)
         self.contents_received = 0
         self.fleet.digests.subscribe(self.writer.handle_digest)
         self.fleet.lost_peers.subscribe(self.state.forget_peer)
@@ -129,10 +123,6 @@
             self.contents_received += 1
             apply_content_update(self.state.quarantine, news, received.received_at)
 
-    def record_limits(self, received: ReceivedDigest) -> None:
-        digest = received.digest
-        self.limits.apply_reports(digest.limits, digest.host.host_id)
-
     def record_target_end(self, target: str) -> None:
         """Record that a target ended while it ran a request with the fatal content."""
         now = self.fleet.clock.monotonic()
--- a/packages/daemon/tests/test_large_fleet_targets.py
+++ b/packages/daemon/tests/test_large_fleet_targets.py
@@ -55,7 +55,7 @@
 def test_limit_that_one_host_hears_binds_all_within_a_second(world: World) -> None:
     """A target answers a host of a large fleet once in half a minute."""
     stated = LimitNews(TargetId("e1"), 2.0, 1, 0.0)
-    world.live_hosts("zd")[2].limits.apply_report(stated, HostId(""))
+    world.live_hosts("zd")[2].recorders.limits.apply_report(stated, HostId(""))
     world.advance(1)
     now = world.hosts[0].fleet.clock.monotonic()
     assert all(
