Send no request to a target in the backoff that it asked this host for

What callers saw: an engine that shed load answered each request with 503 and Retry-After: 3 in a millisecond. Hosts sent on, the same request up to four times in a tenth of a second, and refused callers who could have been served elsewhere: 20 requests from one host in one backoff, where two are allowed.

Cause: a rejection counted as 'full' for 0.1 s, whatever the target had said. Nobody read the Retry-After of a target.

The mend: the latest end that a target has asked this host for is kept for its incarnation, through lapsed entries and reloads. It is a wait until the target takes requests, as that for a permit is: others are chosen; where nothing else can serve a request it waits for a short one while its answer can be on time, else it is refused at once, and its caller comes back no sooner than the first backoff ends. It binds the host that was answered alone; no health record and no peer hears of it. What is asked right before bytes leave knows it, too.

--- a/packages/core/src/sardinequay_core/service_choice.py
+++ b/packages/core/src/sardinequay_core/service_choice.py
@@ -36,9 +36,9 @@
     tie_breaker : float
         A random number below 1 that decides between equal targets.
     is_limited : bool
-        Whether the target states a rate limit.
-    permit_wait_s : float
-        Expected wait for a permit to send to it, in seconds.
+        Whether the target takes not all requests of this host now.
+    send_wait_s : float
+        Expected wait until it takes the request, in seconds.
     """
 
     target: TargetId
@@ -49,7 +49,7 @@
     was_tried: bool
     tie_breaker: float
     is_limited: bool = False
-    permit_wait_s: float = 0.0
+    send_wait_s: float = 0.0
 
 
 def option_cost(option: ServiceOption) -> float:
@@ -58,7 +58,7 @@
     fill += 0.0 if option.is_local else LOCAL_PREFERENCE
     fill += FULL_PENALTY if option.is_full else 0.0
     fill += 2 * FULL_PENALTY if option.was_tried else 0.0
-    fill += PERMIT_WAIT_PENALTY + option.permit_wait_s if option.permit_wait_s else 0.0
+    fill += PERMIT_WAIT_PENALTY + option.send_wait_s if option.send_wait_s else 0.0
     return fill + option.tie_breaker * LOCAL_PREFERENCE / 4
 
 
@@ -77,5 +77,5 @@
     max_permit_wait_s : float
         How long the request can wait for a permit to send, in seconds.
     """
-    in_time = [o for o in options if o.permit_wait_s <= max_permit_wait_s]
+    in_time = [o for o in options if o.send_wait_s <= max_permit_wait_s]
     return min(in_time, key=option_cost, default=None)
--- a/packages/core/src/sardinequay_core/statements/target_statements.py
+++ b/packages/core/src/sardinequay_core/statements/target_statements.py
@@ -27,6 +27,8 @@
         What is assumed of the latter for targets that have stated nothing yet.
     drain : timedelta
         How long a leaving target still takes new requests after it has stated that.
+    incarnations : dict
+        The listed incarnation of each target.
     """
 
     leaving: LeavingTargets = field(default_factory=LeavingTargets)
@@ -35,6 +37,7 @@
     rejection_limits: TargetLimits = field(default_factory=TargetLimits)
     brittle_pools: BrittlePools = field(init=False)
     drain: timedelta = timedelta(seconds=2)
+    incarnations: dict[TargetId, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Create the part that depends on another one."""
@@ -44,6 +47,7 @@
         self, before: Catalogue, catalogue: Catalogue, now: Instant
     ) -> None:
         """Drop what processes have stated that have ended."""
+        self.incarnations = {t: p.incarnation for t, p in catalogue.targets.items()}
         self.brittle_pools.note_statements(before, now)
         self.leaving.apply_catalogue(catalogue, now)
         self.backoffs.apply_catalogue(catalogue)
@@ -68,23 +72,39 @@
         stated = self.leaving.find(target, published.incarnation)
         return stated is not None and arrived <= stated.heard_at + self.drain
 
-    def obstacle(self, published: PublishedTarget, arrived: Instant) -> Obstacle | None:
+    def obstacle(
+        self, published: PublishedTarget, arrived: Instant, now: Instant
+    ) -> Obstacle | None:
         """Return the statement that keeps a request from a target, if any."""
         target = published.target.target_id
         stated = self.leaving.find(target, published.incarnation)
         if stated is not None and not self.is_draining(published, arrived):
             return Obstacle(ObstacleKind.LEAVING, stated.heard_at)
+        backoff = self.backoffs.find(target, published.incarnation)
+        wait = self.backoffs.wait(target, published.incarnation, now)
+        if backoff is not None and wait:
+            return Obstacle(ObstacleKind.BACKOFF, backoff.heard_at, now + wait)
         return None
 
-    def needs_permit(self, target_id: TargetId, now: Instant) -> bool:
-        """Return whether requests to a target need a permit, by a rate or for room."""
-        return any(
+    def backoff_wait(self, target_id: TargetId, now: Instant) -> timedelta:
+        """Return the time until a listed target takes requests, after a backoff."""
+        incarnation = self.incarnations.get(target_id, 0)
+        return self.backoffs.wait(target_id, incarnation, now)
+
+    def is_limited(self, target_id: TargetId, now: Instant) -> bool:
+        """Return whether a target takes not all requests of this host now.
+
+        It has a rate or little room, which need permits, or has asked for a backoff.
+        """
+        return bool(self.backoff_wait(target_id, now)) or any(
             limits.rate_of(target_id, now) is not None
             for limits in (self.limits, self.rejection_limits)
         )
 
-    def permit_wait_s(self, target_id: TargetId, can_wait: bool, now: Instant) -> float:
-        """Return the expected wait for the permits to send to a target, in seconds.
+    def send_wait_s(self, target_id: TargetId, can_wait: bool, now: Instant) -> float:
+        """Return the expected wait until a target takes a request, in seconds.
+
+        That is for the permits to send, or for the end of a backoff.
 
         Parameters
         ----------
@@ -92,8 +112,9 @@
             Whether the request waits for this target, as no other can serve it.
         """
         return max(
-            limits.permit_wait_s(target_id, can_wait, now)
-            for limits in (self.limits, self.rejection_limits)
+            self.backoff_wait(target_id, now).total_seconds(),
+            self.limits.permit_wait_s(target_id, can_wait, now),
+            self.rejection_limits.permit_wait_s(target_id, can_wait, now),
         )
 
     def expire(self, now: Instant) -> None:
--- a/packages/core/src/sardinequay_core/target_choice.py
+++ b/packages/core/src/sardinequay_core/target_choice.py
@@ -109,9 +109,12 @@
     keeper_estimate_s : float or None
         The keeper's own estimate of the time until the adapter is loaded, in seconds.
     is_limited : bool
-        Whether the engine states a rate limit.
-    permit_wait_s : float
-        Expected wait for a permit to send to it, in seconds.
+        Whether the engine takes not all requests of this host now.
+    send_wait_s : float
+        Expected wait until it takes the request, in seconds.
+    backoff_s : float
+        The part of that wait that no request may shorten: the engine has asked this
+        host for a backoff.
     is_last_of_version : bool
         Whether no other engine could resume a stream that breaks off there.
     """
@@ -132,7 +135,8 @@
     turnover_s: float = 0.0
     keeper_estimate_s: float | None = None
     is_limited: bool = False
-    permit_wait_s: float = 0.0
+    send_wait_s: float = 0.0
+    backoff_s: float = 0.0
     is_last_of_version: bool = False
 
 
@@ -211,7 +215,7 @@
     A copy on an engine that takes no request now, because of its rate limit, makes none
     of the others superfluous.
     """
-    states = [o.adapter_state for o in options if not o.permit_wait_s]
+    states = [o.adapter_state for o in options if not o.send_wait_s]
     available = states.count(AdapterState.RESIDENT) + states.count(AdapterState.COMING)
     return AdapterCopies(
         available > 0, AdapterState.RECENT in states, 0 < available < desired
@@ -237,7 +241,7 @@
 def expected_first_event_s(option: EngineOption) -> float:
     """Return the expected time to a request's first event, in seconds."""
     crossing_s = 0.0 if option.is_local else CROSS_DATA_CENTRE_S
-    ready_s = max(option.permit_wait_s, expected_load_s(option))
+    ready_s = max(option.send_wait_s, expected_load_s(option))
     return option.first_event_s + crossing_s + ready_s
 
 
@@ -307,14 +311,18 @@
         o
         for o in eligible
         if expected_first_event_s(o) <= max_wait_s
-        and o.permit_wait_s <= max_permit_wait_s
+        and o.send_wait_s <= max_permit_wait_s
     ]
     if not in_time:
         soonest = min(eligible, key=expected_first_event_s)
         soonest_s = expected_first_event_s(soonest)
         return EnginesTooBusy(
-            max(soonest_s - max_wait_s, soonest_s * RETRY_AFTER_SHARE),
-            soonest.permit_wait_s > 0,
+            max(
+                soonest_s - max_wait_s,
+                soonest_s * RETRY_AFTER_SHARE,
+                soonest.backoff_s,
+            ),
+            soonest.send_wait_s > 0,
         )
     copies = count_copies(options, desired_copies)
     best = min(in_time, key=lambda o: (total_cost_s(o, copies), o.target))
--- a/packages/core/tests/test_relay_decisions.py
+++ b/packages/core/tests/test_relay_decisions.py
@@ -143,14 +143,14 @@
 def test_limited_target_that_looks_idle_is_left_out_until_a_permit_is_expected() -> (
     None
 ):
-    limited = service("a", 0, is_limited=True, permit_wait_s=0.4)
+    limited = service("a", 0, is_limited=True, send_wait_s=0.4)
     assert chosen_service(limited, service("b", 5)) == "b"
-    assert chosen_service(replace(limited, permit_wait_s=0.0), service("b", 5)) == "a"
+    assert chosen_service(replace(limited, send_wait_s=0.0), service("b", 5)) == "a"
 
 
 def test_of_targets_that_are_all_limited_the_first_to_have_a_permit_is_chosen() -> None:
-    later = service("a", 0, is_limited=True, permit_wait_s=0.4)
-    sooner = service("b", 0, is_limited=True, permit_wait_s=0.1)
+    later = service("a", 0, is_limited=True, send_wait_s=0.4)
+    sooner = service("b", 0, is_limited=True, send_wait_s=0.1)
     assert may_wait_for_permit([later, sooner])
     assert select_target([later, sooner], 0.5) == sooner
     assert select_target([later, sooner], 0.05) is None
@@ -160,7 +160,7 @@
     None
 ):
     failed = service("a", was_tried=True)
-    limited = service("b", is_limited=True, permit_wait_s=0.1)
+    limited = service("b", is_limited=True, send_wait_s=0.1)
     assert may_wait_for_permit([failed, limited])
     assert select_target([failed, limited], 0.5) == limited
     assert select_target([failed, limited], 0.05) == failed
--- a/packages/core/tests/test_target_choice.py
+++ b/packages/core/tests/test_target_choice.py
@@ -98,7 +98,7 @@
 def limited(name: str, wait_s: float, **more) -> EngineOption:
     """Return an engine that has the adapter and states a rate limit."""
     return option(
-        name, AdapterState.RESIDENT, is_limited=True, permit_wait_s=wait_s, **more
+        name, AdapterState.RESIDENT, is_limited=True, send_wait_s=wait_s, **more
     )
 
 
@@ -131,3 +131,9 @@
 def test_request_is_refused_at_once_when_all_permits_come_too_late() -> None:
     refused = select_engine([limited("a", 0.9)], 3.0, max_permit_wait_s=0.4)
     assert refused == EnginesTooBusy(pytest.approx(0.6), is_limited=True)
+
+
+def test_refused_caller_does_not_come_back_before_the_end_of_a_backoff() -> None:
+    resting = limited("a", 2.8, backoff_s=2.8)
+    refused = select_engine([resting], 3.0, max_permit_wait_s=0.4)
+    assert refused == EnginesTooBusy(pytest.approx(2.8), is_limited=True)
--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -12,7 +12,7 @@
 from sardinequay_core.target_health import AttemptResult
 
 from .attempt import Attempt, RelayDependencies
-from .chosen_target import NO_TARGET_RETRY, ChosenTarget, jittered_retry_after
+from .chosen_target import ChosenTarget, jittered_retry_after
 from .errors import TargetError, TargetFault
 from .exchange import AnswerCutOffError, AnswerSink, RelayExchange
 from .progress import RequestRefusedError, answer_lost_refusal
@@ -194,7 +194,9 @@
             return
         if exchange.answer_started:
             raise AnswerCutOffError
-        raise RequestRefusedError(self.final_refusal(decision, is_within_budget))
+        raise RequestRefusedError(
+            self.final_refusal(exchange, decision, is_within_budget)
+        )
 
     def repeat_usage(self, exchange: RelayExchange, now: Instant) -> RepeatUsage:
         """Return how much of this host's share of a pool's retry budget is used."""
@@ -230,14 +232,21 @@
             },
         )
 
-    def final_refusal(self, decision: RetryDecision, is_within_budget: bool) -> Refusal:
+    def final_refusal(
+        self,
+        exchange: RelayExchange,
+        decision: RetryDecision,
+        is_within_budget: bool,
+    ) -> Refusal:
         """Return the refusal of a request that no target answered."""
         if decision is RetryDecision.GIVE_UP_MAY_HAVE_RUN:
             return answer_lost_refusal()
         text = "no target took the request"
         if not is_within_budget:
             text += ", and the budget for further attempts is spent"
-        wait = jittered_retry_after(self.state.random, NO_TARGET_RETRY)
+        wait = jittered_retry_after(
+            self.state.random, self.target_picker.retry_after(exchange)
+        )
         return not_run_refusal(Reason.TARGET_REFUSED, text, wait)
 
     def give_room_back(self, attempt: Attempt) -> None:
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -159,7 +159,7 @@
         listed = self.catalogue.targets.get(target_id)
         if listed is None or listed.target.presence is not Presence.LIVE:
             return Obstacle(ObstacleKind.LEAVING, self.clock.monotonic())
-        return self.statements.obstacle(listed, arrived)
+        return self.statements.obstacle(listed, arrived, self.clock.monotonic())
 
     def forget_own_failures(self, targets: Iterable[TargetId]) -> None:
         """Drop what this host's failed attempts have shown of targets."""
--- a/packages/daemon/src/sardinequay_daemon/service_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/service_picker.py
@@ -88,19 +88,16 @@
     def limited_refusal(
         self, exchange: RelayExchange, options: Sequence[ServiceOption]
     ) -> Refusal:
-        """Return the refusal of a request whose targets all have a rate limit.
+        """Return the refusal of a request that no target takes now.
 
-        The caller may retry when this host's turn for a permit of any of them comes.
+        Each has a limit that is used, or has asked this host for a backoff. The caller
+        may retry when the first of them takes requests of this host again.
         """
         if exchange.attempts_so_far.runs:
             return answer_lost_refusal()
-        text = "all targets of the pool state a limit, and it is used"
-        now = self.clock.monotonic()
-        after_s = min(
-            self.state.statements.permit_wait_s(o.target, can_wait=False, now=now)
-            for o in options
-        )
-        wait = jittered_retry_after(self.state.random, seconds(after_s))
+        text = "all targets of the pool state a limit that is used, or a backoff"
+        after = self.options.soonest_send([option.target for option in options])
+        wait = jittered_retry_after(self.state.random, after)
         return not_run_refusal(Reason.TARGET_LIMITED, text, wait)
 
     def retry_pause_s(self, exchange: RelayExchange) -> float:
@@ -112,8 +109,16 @@
             If each usable target of the pool has rejected the request
             `MAX_REJECTIONS_PER_TARGET` times.
         """
-        usable = self.options.usable_targets(exchange.pool, self.clock.monotonic())
-        rejection_counts = [exchange.rejections[t.target.target_id] for t in usable]
+        now = self.clock.monotonic()
+        usable = self.options.usable_targets(exchange.pool, now)
+        targets = [t.target.target_id for t in usable]
+        in_backoff = [t for t in targets if self.state.statements.backoff_wait(t, now)]
+        if targets and len(in_backoff) == len(targets):
+            # The choice waits for the first one, or refuses the request.
+            return 0.0
+        rejection_counts = [
+            exchange.rejections[t] for t in targets if t not in in_backoff
+        ]
         if 0 in rejection_counts:
             return NEXT_TARGET_PAUSE_S
         if (
--- a/packages/daemon/src/sardinequay_daemon/statements/backoff_recorder.py
+++ b/packages/daemon/src/sardinequay_daemon/statements/backoff_recorder.py
@@ -51,6 +51,7 @@
 
     def expire(self) -> None:
         """Drop backoffs that are over, and update the gauge."""
-        self.backoffs.expire(self.clock.monotonic())
-        self.metrics.target_backoffs.set({}, len(self.backoffs.statements))
+        now = self.clock.monotonic()
+        self.backoffs.expire(now)
+        self.metrics.target_backoffs.set({}, self.backoffs.count_running(now))
         self.invalid.expire()
--- a/packages/daemon/src/sardinequay_daemon/statements/parts.py
+++ b/packages/daemon/src/sardinequay_daemon/statements/parts.py
@@ -3,6 +3,7 @@
 A target may state how many requests a second it takes, and how many it can turn away.
 """
 
+import asyncio
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -50,6 +51,8 @@
             if state.orders is not None:
                 state.orders.handle_leaving()
 
+        self.clock = clock
+        self.statements = state.statements
         self.recorders = StatementRecorders(
             state.statements, clock, metrics, announce_change, handle_leaving
         )
@@ -80,7 +83,7 @@
         max_wait: timedelta | None,
         lasts: timedelta,
     ) -> RoomPermit | None:
-        """Wait for the permits to send a request to a target.
+        """Wait for the end of a target's backoff, and for the permits to send to it.
 
         Parameters
         ----------
@@ -94,6 +97,14 @@
         RoomPermit or None
             To be released at the request's end; None if it may not be sent there.
         """
+        wait = self.statements.backoff_wait(
+            published.target.target_id, self.clock.monotonic()
+        )
+        if wait:
+            if max_wait is None or wait > max_wait:
+                return None
+            await asyncio.sleep(wait.total_seconds())
+            max_wait -= wait
         if not await self.limiter.may_send(request_id, published, max_wait):
             return None
         return await self.rooms.acquire(request_id, published, max_wait, lasts)
--- a/packages/daemon/src/sardinequay_daemon/target_options.py
+++ b/packages/daemon/src/sardinequay_daemon/target_options.py
@@ -1,10 +1,11 @@
 """Candidate targets of one request, with the properties that the choice compares."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import replace
+from datetime import timedelta
 
 from sardinequay_core.catalogue import PublishedTarget
-from sardinequay_core.clock import Instant
+from sardinequay_core.clock import Instant, seconds
 from sardinequay_core.names import PoolName, TargetId
 from sardinequay_core.rendezvous import rank_members
 from sardinequay_core.residency import HeldAdapters
@@ -44,6 +45,15 @@
         """
         return self.healthy(self.state.draining_targets(pool, arrived), now)
 
+    def soonest_send(self, targets: Iterable[TargetId]) -> timedelta:
+        """Return the time until the first of some targets takes a request."""
+        now = self.state.clock.monotonic()
+        waits_s = (
+            self.state.statements.send_wait_s(target, can_wait=False, now=now)
+            for target in targets
+        )
+        return seconds(min(waits_s, default=0.0))
+
     def healthy(
         self, live: list[PublishedTarget], now: Instant
     ) -> list[PublishedTarget]:
@@ -88,21 +98,19 @@
             )
             for t in engines
         ]
-        return self.with_permit_waits(options, now)
+        return self.with_send_waits(options, now)
 
-    def with_permit_waits(
+    def with_send_waits(
         self, options: list[EngineOption], now: Instant
     ) -> list[EngineOption]:
-        """Return options with the waits for permits of engines with a rate limit.
+        """Return options with the waits at engines that do not take all requests now.
 
-        A request waits for the next permit only where no engine without a limit can
-        take its place. A load on a limited engine would take permits from the adapters
-        that it has, so it costs one permit's time at least.
+        A request waits for such an engine only where no other can take its place. A
+        load on an engine with a rate limit would take permits from the adapters that it
+        has, so it costs one permit's time at least.
         """
         stated = self.state.statements
-        limits = stated.limits
-        stating = limits.statements.keys() | stated.rejection_limits.statements.keys()
-        limited = {target for target in stating if stated.needs_permit(target, now)}
+        limited = {o.target for o in options if stated.is_limited(o.target, now)}
         if not limited:
             return options
         options = [
@@ -113,19 +121,20 @@
             not o.is_limited and not o.has_failed_request for o in options
         )
 
-        def permit_wait_s(option: EngineOption) -> float:
+        def send_wait_s(option: EngineOption) -> float:
             if has_adapter(option):
-                return stated.permit_wait_s(option.target, not has_copy, now)
-            wait_s = stated.permit_wait_s(option.target, not has_unlimited, now)
-            rate_per_s = limits.rate_of(option.target, now)
+                return stated.send_wait_s(option.target, not has_copy, now)
+            wait_s = stated.send_wait_s(option.target, not has_unlimited, now)
+            rate_per_s = stated.limits.rate_of(option.target, now)
             if rate_per_s is None or not has_unlimited:
                 return wait_s
             return max(wait_s, 1 / rate_per_s)
 
-        return [
-            replace(o, permit_wait_s=permit_wait_s(o)) if o.is_limited else o
-            for o in options
-        ]
+        def with_waits(option: EngineOption) -> EngineOption:
+            backoff_s = stated.backoff_wait(option.target, now).total_seconds()
+            return replace(option, send_wait_s=send_wait_s(option), backoff_s=backoff_s)
+
+        return [with_waits(o) if o.is_limited else o for o in options]
 
     def engine_option(
         self,
@@ -226,7 +235,7 @@
         limited = {
             t.target.target_id
             for t in services
-            if self.state.statements.needs_permit(t.target.target_id, now)
+            if self.state.statements.is_limited(t.target.target_id, now)
         }
         can_wait = all(t.target.target_id in limited | tried for t in services)
         options = []
@@ -242,7 +251,7 @@
                     was_tried=target_id in tried,
                     tie_breaker=self.state.random.random(),
                     is_limited=target_id in limited,
-                    permit_wait_s=self.state.statements.permit_wait_s(
+                    send_wait_s=self.state.statements.send_wait_s(
                         target_id, can_wait, now
                     ),
                 )
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -2,18 +2,26 @@
 
 from dataclasses import dataclass
 from datetime import UTC, datetime, timedelta
+from random import Random
 from typing import Any
 
 import pytest
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
 from sardinequay_core.clock import Instant
+from sardinequay_core.names import HostId
+from sardinequay_core.repeat_budget import RepeatPolicy
 from sardinequay_core.statements.limits import TargetLimits
+from sardinequay_daemon.attempt import RelayDependencies
 from sardinequay_daemon.metrics import Metrics
+from sardinequay_daemon.relay_state import EngineKeeper, RelayState
 from sardinequay_daemon.serving_metrics import ServingMetrics
 from sardinequay_daemon.shared_settings import TimingSettings
 from sardinequay_daemon.statements.limit_recorder import LimitRecorder
 from sardinequay_daemon.statements.permit_issuer import PermitIssuer
+from sardinequay_daemon.target_picker import TargetPicker
+
+from .picker_world import FakeLoadRequestClient, Fleet, catalogue_of, engine
 
 PUBLIC_KEYS = [
     Ed25519PrivateKey.from_private_bytes(bytes([n]) * 32)
@@ -102,3 +110,29 @@
 @pytest.fixture
 def issuer(recorder: LimitRecorder, clock: ManualClock) -> PermitIssuer:
     return PermitIssuer(recorder, clock, lambda: 1.0, lambda: 0.5)
+
+
+@pytest.fixture
+def load_client() -> FakeLoadRequestClient:
+    return FakeLoadRequestClient()
+
+
+@pytest.fixture
+def state(clock: ManualClock, monkeypatch: pytest.MonkeyPatch) -> RelayState:
+    made = RelayState("za", clock, Random(1), RepeatPolicy(), Fleet())
+    keeper = EngineKeeper(HostId("h1"), 0.0, is_self=True)
+    monkeypatch.setattr(
+        RelayState, "keepers", lambda self, places: dict.fromkeys(places, keeper)
+    )
+    made.apply_catalogue(catalogue_of(engine("e1", "a1"), engine("e2"), engine("e3")))
+    return made
+
+
+@pytest.fixture
+def picker(state: RelayState, load_client: FakeLoadRequestClient) -> TargetPicker:
+    metrics = ServingMetrics("h1", "za")
+    return TargetPicker(
+        RelayDependencies(
+            state, None, None, load_client, None, metrics, None, None, None
+        )
+    )
--- a/packages/daemon/tests/test_statements_recorder.py
+++ b/packages/daemon/tests/test_statements_recorder.py
@@ -47,7 +47,7 @@
 
 def backoff_left(recorders: StatementRecorders) -> timedelta:
     now = recorders.backoffs.clock.monotonic()
-    return recorders.backoffs.backoffs.left(TARGET_ID, 1, now)
+    return recorders.backoffs.backoffs.wait(TARGET_ID, 1, now)
 
 
 def is_leaving(recorders: StatementRecorders) -> bool:
