Read at the end of a tunnel what a target states to the host that it sees

What callers saw: five hosts that reach two targets through the sixth only sent on to them through it in its backoffs: three to four requests in one, where two are allowed.

Cause: a target sees the host that opens the tunnel, and asks it for a backoff. That host passed bytes on and learned nothing; each further peer, and its own next request, asked once more.

The mend: the helping host reads the head of the answer that it passes on, and records what the target states there as if it had asked itself. It opens no tunnel for a request to a target that wants none of it, and closes a tunnel whose first bytes do not come in 0.25 s: in the half second after such an answer a request may still arrive. Nothing is told between the two: a tunnel that ends just then loses nothing.

--- a/packages/daemon/src/sardinequay_daemon/path_messages.py
+++ b/packages/daemon/src/sardinequay_daemon/path_messages.py
@@ -7,6 +7,8 @@
 
 from .wire import register_messages
 
+NO_TARGET = TargetId("")
+
 
 @dataclass(frozen=True, slots=True)
 class OpenTunnel:
@@ -20,11 +22,14 @@
         Where the target listens.
     request_id : str
         The request that is to be sent, for the log.
+    target : TargetId
+        The target that is to get the request; empty if none is to be sent.
     """
 
     host_id: HostId
     address: str
     request_id: str = ""
+    target: TargetId = NO_TARGET
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/sardinequay_daemon/path_monitor.py
+++ b/packages/daemon/src/sardinequay_daemon/path_monitor.py
@@ -16,6 +16,7 @@
 from sardinequay_core.target_paths import TargetPaths
 
 from .errors import PeerError
+from .path_messages import NO_TARGET
 from .serving_metrics import ServingMetrics
 from .tunnel_transport import TunnelTransport
 
@@ -28,7 +29,9 @@
 class Tunnels(Protocol):
     """Opens connections to targets through peers."""
 
-    async def open(self, address: Address) -> TunnelTransport:
+    async def open(
+        self, address: Address, target: TargetId = NO_TARGET
+    ) -> TunnelTransport:
         """Open a connection to a target through a peer, or raise `PeerError`."""
 
 
--- a/packages/daemon/src/sardinequay_daemon/path_parts.py
+++ b/packages/daemon/src/sardinequay_daemon/path_parts.py
@@ -11,6 +11,7 @@
 from .peers import PeerClient, PeerServer
 from .relay_state import RelayState
 from .serving_metrics import ServingMetrics
+from .statements.tunnel_gate import TunnelGate
 from .store_task import StoreTask
 from .target_probe import StatusProbe, TargetProbe
 from .target_witness import TargetWitness
@@ -37,6 +38,7 @@
         clock: Clock,
         random: Random,
         metrics: ServingMetrics,
+        gate: TunnelGate,
     ) -> None:
         accepts = ConnectionProbe(source_ip).accepts
         tunnels = TunnelClient(
@@ -45,7 +47,9 @@
         self.monitor = PathMonitor(
             accepts, tunnels, clock, metrics, state.forget_own_failures
         )
-        self.tunnel_server = TunnelServer(source_ip, self.monitor.is_target, metrics)
+        self.tunnel_server = TunnelServer(
+            source_ip, self.monitor.is_target, metrics, gate
+        )
         self.witness = TargetWitness(
             TargetProbe(accepts, engines, state.is_busy, state.health_path),
             accepts,
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -59,6 +59,7 @@
 )
 from .shared_settings import TimingSettings
 from .statements.parts import StatementParts
+from .statements.tunnel_gate import TunnelGate
 from .store_task import StoreTask, head_start_s
 from .stream_record_client import StreamRecordClient
 from .stream_versions import StreamVersions
@@ -185,6 +186,15 @@
             self.state.statements.is_leaving,
         )
         self.state.orders = self.orders
+        self.limits = StatementParts(
+            profile.host_id,
+            self.state,
+            self.fleet,
+            self.peers,
+            clock,
+            random.random,
+            self.metrics,
+        )
         self.paths = PathParts(
             profile.callers.ip,
             self.state,
@@ -194,6 +204,7 @@
             clock,
             random,
             self.metrics,
+            TunnelGate(self.state, self.limits.recorders, deployment.dialect, clock),
         )
         self.orders.paths = self.paths.monitor
         self.upstream = Upstream(profile.callers.ip, self.paths.monitor)
@@ -209,15 +220,6 @@
             self.peers,
             clock,
         )
-        self.limits = StatementParts(
-            profile.host_id,
-            self.state,
-            self.fleet,
-            self.peers,
-            clock,
-            random.random,
-            self.metrics,
-        )
         self.streams = StreamVersions(
             StreamRecordClient(
                 profile.host_id, self.fleet, self.peers, clock, random, self.metrics
--- a/packages/daemon/src/sardinequay_daemon/target_connector.py
+++ b/packages/daemon/src/sardinequay_daemon/target_connector.py
@@ -14,6 +14,7 @@
 from sardinequay_core.names import Address
 
 from .errors import PeerError, TargetError
+from .path_messages import NO_TARGET
 from .path_monitor import PathMonitor
 from .pending_send import pending_send
 from .strict_connector import StrictConnector
@@ -106,7 +107,9 @@
         PeerError
             If no peer opened one.
         """
-        transport = await self.monitor.tunnels.open(address)
+        pending = pending_send.get()
+        target = pending.target if pending is not None else NO_TARGET
+        transport = await self.monitor.tunnels.open(address, target)
         protocol = self._factory()
         transport.set_protocol(protocol)
         protocol.connection_made(transport)
--- a/packages/daemon/src/sardinequay_daemon/tunnel_client.py
+++ b/packages/daemon/src/sardinequay_daemon/tunnel_client.py
@@ -7,10 +7,10 @@
 from typing import Protocol
 
 from sardinequay_core.clock import Clock, Instant, seconds
-from sardinequay_core.names import Address, HostId, parse_address
+from sardinequay_core.names import Address, HostId, TargetId, parse_address
 
 from .errors import PeerError
-from .path_messages import OpenTunnel
+from .path_messages import NO_TARGET, OpenTunnel
 from .peer_table import Peer
 from .pending_send import PendingSend, pending_send
 from .serving_messages import Contact
@@ -69,11 +69,18 @@
         self.metrics = metrics
         self.not_before: dict[tuple[HostId, Address], Instant] = {}
 
-    async def open(self, address: Address) -> TunnelTransport:
+    async def open(
+        self, address: Address, target: TargetId = NO_TARGET
+    ) -> TunnelTransport:
         """Open a connection to a target through the first peer that reaches it.
 
         Nothing is sent to the target by that.
 
+        Parameters
+        ----------
+        target : TargetId
+            The target that is to get a request; empty if none is to be sent.
+
         Raises
         ------
         PeerError
@@ -82,18 +89,18 @@
         details: list[str] = []
         try:
             async with asyncio.timeout(TOTAL_TIMEOUT_S):
-                return await self.open_through_any(address, details)
+                return await self.open_through_any(address, target, details)
         except TimeoutError:
             details.append(f"none in {TOTAL_TIMEOUT_S} s")
         raise PeerError("", "; ".join(details) or "no peer to ask")
 
     async def open_through_any(
-        self, address: Address, details: list[str]
+        self, address: Address, target: TargetId, details: list[str]
     ) -> TunnelTransport:
         """Ask one peer after another; add to `details` why each did not open one."""
         for peer in self.choose_peers(address):
             try:
-                opened = await self.open_through(peer.contact, address)
+                opened = await self.open_through(peer.contact, address, target)
             except PeerError as error:
                 self.metrics.tunnels.inc({"result": "refused"})
                 details.append(f"{peer.contact.host_id}: {error.detail}")
@@ -139,7 +146,9 @@
             preferred.setdefault(peer.contact.host_id, peer)
         return list(preferred.values())[:MAX_PEERS_TO_ASK]
 
-    async def open_through(self, peer: Contact, address: Address) -> TunnelTransport:
+    async def open_through(
+        self, peer: Contact, address: Address, target: TargetId
+    ) -> TunnelTransport:
         """Open a connection to a target through one peer.
 
         Raises
@@ -148,7 +157,10 @@
             If the peer does not answer in time, or did not open one.
         """
         message = OpenTunnel(
-            self.fleet.me.host_id, str(address), request_id_of(pending_send.get())
+            self.fleet.me.host_id,
+            str(address),
+            request_id_of(pending_send.get()),
+            target,
         )
         carrier: asyncio.BaseTransport | None = None
         peer_address = parse_address(peer.address).unwrap()
--- a/packages/daemon/src/sardinequay_daemon/tunnel_server.py
+++ b/packages/daemon/src/sardinequay_daemon/tunnel_server.py
@@ -1,7 +1,8 @@
 """Connections to targets that this host opens for peers without a path of their own.
 
-This host only passes bytes on. The peer chooses the target, and counts the request and
-judges the answer as if it had connected by itself.
+This host passes bytes on. The peer chooses the target, and counts the request and
+judges the answer as if it had connected by itself. Only what the target states to the
+host that it sees, which is this one, is read here, too.
 """
 
 import asyncio
@@ -10,12 +11,14 @@
 
 from returns.result import Success
 
-from sardinequay_core.names import Address, parse_address
+from sardinequay_core.names import Address, TargetId, parse_address
 
+from .answer_head import HeadReader
 from .connection_reset import reset
 from .path_messages import OpenTunnel, TunnelReply
 from .peers import PeerStream
 from .serving_metrics import ServingMetrics
+from .statements.tunnel_gate import TunnelGate
 from .wire import Frame, FrameKind
 
 CONNECT_S = 0.15
@@ -29,6 +32,10 @@
 """Time without a byte in either direction after which a tunnel is closed, in seconds,
 for peers that vanish without a word."""
 
+FIRST_BYTES_TIMEOUT_S = 0.25
+"""Time within which a peer has to send its request, in seconds: what the target states
+later would not have been asked for."""
+
 READ_BYTES = 65_536
 log = logging.getLogger(__name__)
 
@@ -42,6 +49,8 @@
         Source address of the connections to targets.
     is_target : callable
         Returns whether a target is listed at an address: no other one is connected to.
+    gate : TunnelGate
+        Knows what targets have stated to this host.
     """
 
     def __init__(
@@ -49,8 +58,10 @@
         source_ip: str,
         is_target: Callable[[Address], bool],
         metrics: ServingMetrics,
+        gate: TunnelGate,
     ) -> None:
         self.source = (source_ip, 0)
+        self.gate = gate
         self.is_target = is_target
         self.metrics = metrics
         self.is_closing = False
@@ -76,6 +87,11 @@
                 message, stream, TunnelReply(False, "no target is listed there")
             )
             return
+        obstacle = self.gate.find_obstacle(message.target)
+        if obstacle is not None:
+            detail = f"the target wants no request of this host: {obstacle.kind.value}"
+            self.refuse(message, stream, TunnelReply(False, detail))
+            return
         try:
             reader, writer = await self.connect(address.unwrap())
         except OSError as error:
@@ -84,9 +100,11 @@
             return
         self.record("opened", message, "")
         stream.reply(TunnelReply(True))
+        answer = PassedAnswer(self.gate, message.target)
         try:
-            await self.pass_on(stream, reader, writer)
+            await self.pass_on(stream, reader, writer, answer)
         finally:
+            answer.end()
             writer.transport.abort()
 
     async def connect(
@@ -124,12 +142,13 @@
         stream: PeerStream,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        answer: "PassedAnswer",
     ) -> None:
         """Pass bytes on in both directions until either end closes the connection."""
         last_byte = LastByte()
         tasks = {
             asyncio.create_task(pass_requests_on(stream, writer, last_byte)),
-            asyncio.create_task(pass_answers_on(stream, reader, last_byte)),
+            asyncio.create_task(pass_answers_on(stream, reader, last_byte, answer)),
             asyncio.create_task(last_byte.wait_until_idle()),
         }
         try:
@@ -140,6 +159,29 @@
             await asyncio.gather(*tasks, return_exceptions=True)
 
 
+class PassedAnswer:
+    """The answer to a peer's request, of which this host reads the head."""
+
+    def __init__(self, gate: TunnelGate, target: TargetId) -> None:
+        self.gate = gate
+        self.target = target
+        self.reader = HeadReader()
+        self.is_trial = gate.begin_send(target)
+
+    def feed(self, data: bytes) -> None:
+        """Read bytes of the answer."""
+        head = self.reader.feed(data)
+        if head is not None:
+            self.gate.record_head(self.target, head)
+            self.end(is_answered=True)
+
+    def end(self, is_answered: bool = False) -> None:
+        """Record the end of a trial."""
+        if self.is_trial:
+            self.is_trial = False
+            self.gate.end_trial(self.target, is_answered)
+
+
 class LastByte:
     """When a tunnel last passed a byte on."""
 
@@ -165,7 +207,15 @@
     A peer that resets the tunnel has given its request up: so is the connection reset.
     """
     try:
-        async for frame in stream.read_frames():
+        frames = stream.read_frames()
+        async with asyncio.timeout(FIRST_BYTES_TIMEOUT_S):
+            first = await anext(frames, None)
+        if first is None:
+            return
+        last_byte.record()
+        writer.write(first.body)
+        await writer.drain()
+        async for frame in frames:
             last_byte.record()
             writer.write(frame.body)
             await writer.drain()
@@ -174,12 +224,16 @@
 
 
 async def pass_answers_on(
-    stream: PeerStream, reader: asyncio.StreamReader, last_byte: LastByte
+    stream: PeerStream,
+    reader: asyncio.StreamReader,
+    last_byte: LastByte,
+    answer: PassedAnswer,
 ) -> None:
     """Pass on to a peer what a target sends, and the end, unless it was a reset."""
     try:
         while data := await reader.read(READ_BYTES):
             last_byte.record()
+            answer.feed(data)
             stream.send(Frame(FrameKind.DATA, 0, "", data))
             await stream.drain()
     except OSError:
--- a/packages/daemon/tests/test_tunnels.py
+++ b/packages/daemon/tests/test_tunnels.py
@@ -9,18 +9,21 @@
 import pytest
 
 from sardinequay_core.clock import seconds
-from sardinequay_core.names import Address, HostId
+from sardinequay_core.names import Address, HostId, TargetId
+from sardinequay_core.statements.obstacle import Obstacle, ObstacleKind
+from sardinequay_daemon.answer_head import HttpHead
 from sardinequay_daemon.connection_reset import reset
 from sardinequay_daemon.path_messages import OpenTunnel
 from sardinequay_daemon.path_monitor import PathMonitor
 from sardinequay_daemon.peer_table import Peer
 from sardinequay_daemon.peers import PeerServer
+from sardinequay_daemon.pending_send import PendingSend, pending_send
 from sardinequay_daemon.serving_messages import Contact
 from sardinequay_daemon.serving_metrics import ServingMetrics
 from sardinequay_daemon.system_clock import SystemClock
 from sardinequay_daemon.target_connector import TargetConnector
 from sardinequay_daemon.tunnel_client import TunnelClient
-from sardinequay_daemon.tunnel_server import TunnelServer
+from sardinequay_daemon.tunnel_server import FIRST_BYTES_TIMEOUT_S, TunnelServer
 
 IP = "127.0.0.1"
 LATER = seconds(1e6)
@@ -78,12 +81,38 @@
     peer_server: PeerServer
     tunnel_server: TunnelServer
     listed: set[Address]
+    gate: "Gate"
 
     async def get(self, target: RawTarget) -> bytes:
+        pending_send.set(PendingSend("r1", TargetId("t"), lambda: None))
         async with self.session.get(f"http://{target.address}/x") as answer:
             return await answer.read()
 
 
+@dataclass
+class Gate:
+    """What targets have stated to the host that opens tunnels."""
+
+    obstacle: Obstacle | None = None
+    is_trial: bool = False
+    heads: list[HttpHead] = field(default_factory=list)
+    targets: list[TargetId] = field(default_factory=list)
+    trials_answered: list[bool] = field(default_factory=list)
+
+    def find_obstacle(self, _: TargetId) -> Obstacle | None:
+        return self.obstacle
+
+    def begin_send(self, _: TargetId) -> bool:
+        return self.is_trial
+
+    def end_trial(self, _: TargetId, is_answered: bool) -> None:
+        self.trials_answered.append(is_answered)
+
+    def record_head(self, target: TargetId, head: HttpHead) -> None:
+        self.heads.append(head)
+        self.targets.append(target)
+
+
 class RefusedConnector(TargetConnector):
     """Connector whose direct connections are refused."""
 
@@ -102,7 +131,8 @@
     metrics, clock = ServingMetrics("h1", "za"), SystemClock()
     listed: set[Address] = set()
     peer_server = PeerServer(metrics)
-    tunnel_server = TunnelServer(IP, listed.__contains__, metrics)
+    gate = Gate()
+    tunnel_server = TunnelServer(IP, listed.__contains__, metrics, gate)
     peer_server.register_stream(OpenTunnel, tunnel_server.serve)
     listener = await peer_server.start(Address(IP, 0))
     peer = live_peer(Address(IP, listener.sockets[0].getsockname()[1]))
@@ -115,7 +145,7 @@
     monitor = PathMonitor(accepts, tunnels, clock, metrics, lambda _: None)
     monitor.targets_at = {}
     async with aiohttp.ClientSession(connector=RefusedConnector(IP, monitor)) as made:
-        yield Paths(made, monitor, fleet, peer_server, tunnel_server, listed)
+        yield Paths(made, monitor, fleet, peer_server, tunnel_server, listed, gate)
     listener.close()
     peer_server.close()
 
@@ -278,3 +308,51 @@
     async with asyncio.timeout(2):
         await target.closed.wait()
     assert not target.was_reset
+
+
+async def test_peer_reads_what_the_target_states_to_it_through_a_tunnel(
+    paths: Paths, serve
+) -> None:
+    head = b"HTTP/1.1 503 Busy\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n"
+    target = await serve(RawTarget(head, "stay"))
+    paths.gate.is_trial = True
+    assert await paths.get(target) == b""
+    (read,) = paths.gate.heads
+    assert (read.status, read.headers["Retry-After"]) == (503, "3")
+    assert paths.gate.targets == ["t"]
+    assert paths.gate.trials_answered == [True]
+
+
+async def test_trial_through_a_tunnel_that_is_not_answered_ends_with_it(
+    paths: Paths, serve
+) -> None:
+    target = await serve(RawTarget(b"", "close"))
+    paths.gate.is_trial = True
+    with pytest.raises(aiohttp.ClientError):
+        await paths.get(target)
+    async with asyncio.timeout(2):
+        while paths.tunnel_server.open_tunnels:
+            await asyncio.sleep(0.01)
+    assert set(paths.gate.trials_answered) == {False}
+
+
+@pytest.mark.parametrize("kind", list(ObstacleKind))
+async def test_peer_opens_no_tunnel_to_a_target_that_wants_no_request_of_it(
+    paths: Paths, serve, kind: ObstacleKind
+) -> None:
+    target = await serve(RawTarget(UNFRAMED + b"whole"))
+    paths.gate.obstacle = Obstacle(kind, seconds(1))
+    with pytest.raises(aiohttp.ClientConnectorError):
+        await paths.get(target)
+    assert not target.received
+
+
+async def test_tunnel_without_a_request_is_closed(paths: Paths, serve) -> None:
+    """A request that came late would not know what the target has stated meanwhile."""
+    target = await serve(RawTarget(UNFRAMED, "stay"))
+    opened = await paths.monitor.tunnels.open(target.address, TargetId("t"))
+    assert paths.tunnel_server.open_tunnels == 1
+    async with asyncio.timeout(FIRST_BYTES_TIMEOUT_S * 8):
+        while paths.tunnel_server.open_tunnels:
+            await asyncio.sleep(0.01)
+    opened.abort()
