Keep targets' limits through entries that lapse and come back

Entries lapse while the store fails, though the targets live; when they were back, hosts sent a limited target, or a brittle one, as much as they liked until its next answer had come.

--- a/packages/core/src/sardinequay_core/statements/limits.py
+++ b/packages/core/src/sardinequay_core/statements/limits.py
@@ -222,8 +222,11 @@
         self.outlooks.pop(target, None)
 
     def apply_catalogue(self, catalogue: Catalogue) -> None:
-        """Drop the statements of targets that have left or started again."""
+        """Drop the statements of processes that have ended.
+
+        Those of targets without an entry expire by silence.
+        """
         for target, stated in tuple(self.statements.items()):
             listed = catalogue.targets.get(target)
-            if listed is None or stated.incarnation < listed.incarnation:
+            if listed is not None and stated.incarnation < listed.incarnation:
                 self.forget_target(target)
