Send a service no health check in its backoff

Found by going through all ways to a target: a health check takes a slot as any request does, and was sent to a service that had just asked this host for a backoff when one of its connections broke. Its rejection looked like the end of the service.

A service that answered so lately is alive if it accepts a connection.

--- a/packages/daemon/src/sardinequay_daemon/path_parts.py
+++ b/packages/daemon/src/sardinequay_daemon/path_parts.py
@@ -51,7 +51,9 @@
             source_ip, self.monitor.is_target, metrics, gate
         )
         self.witness = TargetWitness(
-            TargetProbe(accepts, engines, state.is_busy, state.health_path),
+            TargetProbe(
+                accepts, engines, state.is_busy, state.health_path, state.wants_backoff
+            ),
             accepts,
             lambda: state.catalogue,
             fleet,
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -350,6 +350,11 @@
         listed = config.pools.get(pool) if config is not None else None
         return listed.health_path if listed is not None else ""
 
+    def wants_backoff(self, target_id: TargetId) -> bool:
+        """Return whether a target has asked this host for a backoff."""
+        now = self.clock.monotonic()
+        return bool(self.statements.backoff_wait(target_id, now))
+
     def is_busy(self, target_id: TargetId) -> bool:
         """Return whether all slots of a target are taken, as far as is known."""
         now = self.clock.monotonic()
--- a/packages/daemon/src/sardinequay_daemon/target_probe.py
+++ b/packages/daemon/src/sardinequay_daemon/target_probe.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from sardinequay_core.names import Address, PoolName, TargetId
-from sardinequay_core.roster import Target
+from sardinequay_core.roster import Target, TargetKind
 
 
 class ProbeResult(Enum):
@@ -51,6 +51,9 @@
         delays status queries, too.
     health_path : callable
         Returns the path of the health endpoint of a pool's services.
+    wants_backoff : callable
+        Returns whether a target has asked this host for a backoff, in which it is not
+        to get health checks either, which take a slot.
     """
 
     def __init__(
@@ -59,16 +62,21 @@
         status_probe: StatusProbe,
         is_busy: Callable[[TargetId], bool],
         health_path: Callable[[PoolName], str],
+        wants_backoff: Callable[[TargetId], bool] = lambda _: False,
     ) -> None:
         self.accepts = accepts
         self.status_probe = status_probe
         self.is_busy = is_busy
         self.health_path = health_path
+        self.wants_backoff = wants_backoff
 
     async def is_alive(self, target: Target, incarnation: int) -> bool:
         """Return whether the incarnation of a target that had a request still runs."""
         if not await self.accepts(target.address):
             return False
+        is_service = target.kind is TargetKind.SERVICE
+        if is_service and self.wants_backoff(target.target_id):
+            return True
         path = self.health_path(target.pool)
         result = await self.status_probe.probe_status(target, incarnation, path)
         if result in (ProbeResult.REFUSED, ProbeResult.NO_ANSWER):
--- a/packages/daemon/tests/test_quarantine_end_detector.py
+++ b/packages/daemon/tests/test_quarantine_end_detector.py
@@ -152,6 +152,16 @@
     assert await probe.is_alive(broken("c").target, 7) is lives
 
 
+async def test_service_in_a_backoff_gets_no_health_check() -> None:
+    """The check would take a slot, and its rejection look like an end."""
+    status = FakeStatusProbe(ProbeResult.REFUSED)
+    probe = TargetProbe(
+        accepts, status, lambda _: False, lambda _: "/health", lambda _: True
+    )
+    service = replace(broken("c").target, kind=TargetKind.SERVICE)
+    assert await probe.is_alive(service, 7)
+
+
 def listed(name: str, incarnation: int) -> Catalogue:
     target = replace(broken("c").target, target_id=TargetId(name))
     published = PublishedTarget(target, 8, 1, incarnation=incarnation)
