Hear of a leaving engine by orders and reports, and end waits for it at once

An engine says that it leaves in all its answers, also in those to the host that orders it, which read none of their headers: it loaded adapters there until a caller's request had been answered somewhere. The heads of these answers are read now, for leaving and backoffs alone: a report without a limit ends no limit.

A request that waited for a permit, for room or for the end of a backoff waited on when its target began to leave, and was then withheld. It goes back to the choice at once.

--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -279,7 +279,7 @@
         self.store.catalogues.subscribe(self.feature_guard.apply_catalogue)
         self.fleet.digests.subscribe(self.state.apply_digest)
         self.fleet.digests.subscribe(self.handle_peer_contents)
-        self.limits.subscribe(self.fleet, self.peer_server)
+        self.limits.subscribe(self.fleet, self.peer_server, self.deployment.engines)
         self.fleet.digests.subscribe(self.digest_writer.handle_digest)
         self.fleet.digests.subscribe(self.handle_digest)
         self.fleet.lost_peers.subscribe(self.state.forget_peer)
--- a/packages/daemon/src/sardinequay_daemon/serving_ports.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_ports.py
@@ -9,11 +9,12 @@
 from typing import Protocol
 
 from multidict import CIMultiDict, CIMultiDictProxy
+from reactivex.subject import Subject
 from returns.result import Result, Success
 
 from sardinequay_core.catalogue import Change
 from sardinequay_core.engine_orders import EngineOrder, EngineStatus
-from sardinequay_core.names import Address, DataCentre, HostId
+from sardinequay_core.names import Address, DataCentre, HostId, TargetId
 from sardinequay_core.organisations import KeyDigest
 from sardinequay_core.outcome import Refusal
 from sardinequay_core.quota_ledger import QuotaPolicy
@@ -253,8 +254,25 @@
     is_stale_token: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class ControlAnswer:
+    """The head of a target's answer to a status query or an order of this host."""
+
+    target: TargetId
+    status: int
+    facts: AnswerFacts
+
+
 class EngineOrders(Protocol):
-    """Status reports of engines and orders to them."""
+    """Status reports of engines and orders to them.
+
+    Attributes
+    ----------
+    answers : Subject of ControlAnswer
+        The heads of all answers.
+    """
+
+    answers: Subject[ControlAnswer]
 
     async def report(self, target: Target) -> Result[EngineStatus, PlatformError]:
         """Request an engine's status report."""
--- a/packages/daemon/src/sardinequay_daemon/statements/leaving_recorder.py
+++ b/packages/daemon/src/sardinequay_daemon/statements/leaving_recorder.py
@@ -1,7 +1,9 @@
 """Records targets that leave, by their answers and by what peers tell."""
 
+import asyncio
 import logging
 from collections.abc import Callable, Iterable
+from weakref import WeakValueDictionary
 
 from returns.result import Success
 
@@ -39,6 +41,8 @@
         self.metrics = metrics
         self.on_leaving = on_leaving
         self.invalid = InvalidStatementLog("target leaving invalid", clock)
+        self.waiting: WeakValueDictionary[TargetId, asyncio.Event]
+        self.waiting = WeakValueDictionary()
 
     def record_answer(
         self, published: PublishedTarget, facts: AnswerFacts, status: int
@@ -79,8 +83,16 @@
             "age_s": round(age_s, 3),
         }
         log.info("target leaving", extra=extra)
+        event = self.waiting.pop(target, None)
+        if event is not None:
+            event.set()
         self.on_leaving()
 
+    async def wait_for(self, target: TargetId) -> None:
+        """Wait until a target begins to leave, for as long as that takes."""
+        event = self.waiting.setdefault(target, asyncio.Event())
+        await event.wait()
+
     def changed_since(self, number: int, limit: int) -> tuple[LeavingNews, ...]:
         """Return what peers should hear that changed after a change number."""
         changed = self.leaving.changes.since(number)[:limit]
--- a/packages/daemon/src/sardinequay_daemon/statements/parts.py
+++ b/packages/daemon/src/sardinequay_daemon/statements/parts.py
@@ -15,6 +15,7 @@
 from ..peers import PeerClient, PeerServer
 from ..relay_state import RelayState
 from ..serving_metrics import ServingMetrics
+from ..serving_ports import ControlAnswer, EngineOrders
 from .limit_messages import AskToSend
 from .permit_issuer import PermitIssuer
 from .recorders import StatementRecorders
@@ -52,7 +53,7 @@
                 state.orders.handle_leaving()
 
         self.clock = clock
-        self.statements = state.statements
+        self.state = state
         self.recorders = StatementRecorders(
             state.statements, clock, metrics, announce_change, handle_leaving
         )
@@ -69,13 +70,22 @@
             me, rejection_limits, self.room_issuer, fleet, peers, clock, metrics
         )
 
-    def subscribe(self, fleet: FleetTask, server: PeerServer) -> None:
-        """Hear what peers know of targets' statements, and answer those that ask."""
+    def subscribe(
+        self, fleet: FleetTask, server: PeerServer, engines: EngineOrders
+    ) -> None:
+        """Hear of targets' statements, and answer peers that ask."""
+        engines.answers.subscribe(self.record_control_answer)
         fleet.digests.subscribe(self.recorders.apply_digest)
         server.register(AskToSend, self.permit_issuer.handle_ask)
         server.register(AskRoom, self.room_issuer.handle_ask)
         server.register(RoomBack, self.room_issuer.handle_back)
 
+    def record_control_answer(self, answer: ControlAnswer) -> None:
+        """Apply what the answer to a status query or an order states."""
+        published = self.state.catalogue.targets.get(answer.target)
+        if published is not None:
+            self.recorders.record_refusals(published, answer.facts, answer.status)
+
     async def permit_send(
         self,
         request_id: str,
@@ -95,9 +105,33 @@
         Returns
         -------
         RoomPermit or None
-            To be released at the request's end; None if it may not be sent there.
+            To be released at the request's end; None if it may not be sent there, or
+            if the target begins to leave.
         """
-        wait = self.statements.backoff_wait(
+        permit = self.wait_for_permits(request_id, published, max_wait, lasts)
+        if max_wait is None:
+            return await permit
+        waiting = asyncio.create_task(permit)
+        begins_to_leave = asyncio.create_task(
+            self.recorders.leaving.wait_for(published.target.target_id)
+        )
+        tasks = (waiting, begins_to_leave)
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            return waiting.result() if waiting.done() else None
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    async def wait_for_permits(
+        self,
+        request_id: str,
+        published: PublishedTarget,
+        max_wait: timedelta | None,
+        lasts: timedelta,
+    ) -> RoomPermit | None:
+        """Wait for the end of a backoff, then for a permit, then for room."""
+        wait = self.state.statements.backoff_wait(
             published.target.target_id, self.clock.monotonic()
         )
         if wait:
