--- a/packages/core/src/sardinequay_core/statements/backoff.py
+++ b/packages/core/src/sardinequay_core/statements/backoff.py
@@ -2,27 +2,15 @@
 
 A target that turns a request away may state for how long it wants no further one from
 the host that sent it. That binds this host alone: the target may have room for others.
-
-The end of a backoff is no proof of room. The first request after it is a trial; until
-the target has answered it, the others go elsewhere.
 """
 
 from dataclasses import dataclass, field
 from datetime import timedelta
 
 from ..catalogue import Catalogue
-from ..clock import ZERO, Instant, seconds
+from ..clock import ZERO, Instant
 from ..names import TargetId
 
-TRIAL_WAIT = seconds(0.1)
-"""Expected wait while a trial runs, after which to look again."""
-
-MAX_TRIAL = seconds(1)
-"""A trial that takes longer keeps no other request from the target."""
-
-TRIAL_RETENTION = seconds(10)
-"""How long after a backoff its first request is a trial."""
-
 
 @dataclass(frozen=True, slots=True)
 class BackoffStatement:
@@ -45,16 +33,9 @@
 
 @dataclass(slots=True)
 class TargetBackoffs:
-    """The latest end of the backoffs that each target has asked this host for.
-
-    Parameters
-    ----------
-    trials : dict
-        When the trial at a target began that is running there.
-    """
+    """The latest end of the backoffs that each target has asked this host for."""
 
     statements: dict[TargetId, BackoffStatement] = field(default_factory=dict)
-    trials: dict[TargetId, Instant] = field(default_factory=dict)
 
     def record(self, target: TargetId, stated: BackoffStatement) -> bool:
         """Record a statement; return whether this host has to wait longer for it."""
@@ -65,7 +46,6 @@
             if known.incarnation == stated.incarnation and known.until >= stated.until:
                 return False
         self.statements[target] = stated
-        self.trials.pop(target, None)
         return True
 
     def find(self, target: TargetId, incarnation: int) -> BackoffStatement | None:
@@ -80,45 +60,21 @@
         known = self.find(target, incarnation)
         if known is None:
             return ZERO
-        if now < known.until:
-            return known.until - now
-        trial_at = self.trials.get(target)
-        if trial_at is None or now - trial_at > MAX_TRIAL:
-            return ZERO
-        return TRIAL_WAIT
+        return max(ZERO, known.until - now)
 
     def count_running(self, now: Instant) -> int:
         """Return how many targets want no request of this host now."""
         return sum(stated.until > now for stated in self.statements.values())
 
-    def begin_send(self, target: TargetId, now: Instant) -> bool:
-        """Record that a request is sent to a target; return whether it is a trial."""
-        if target not in self.statements:
-            return False
-        self.trials[target] = now
-        return True
-
-    def end_trial(self, target: TargetId, is_answered: bool, now: Instant) -> None:
-        """Record how a trial ended: by an answer, or without one."""
-        self.trials.pop(target, None)
-        stated = self.statements.get(target)
-        if is_answered and stated is not None and stated.until <= now:
-            del self.statements[target]
-
     def apply_catalogue(self, catalogue: Catalogue) -> None:
         """Drop the statements of processes that have ended."""
         for target_id, stated in tuple(self.statements.items()):
             listed = catalogue.targets.get(target_id)
             if listed is not None and stated.incarnation < listed.incarnation:
-                self.forget_target(target_id)
+                del self.statements[target_id]
 
     def expire(self, now: Instant) -> None:
-        """Drop the statements that need no trial any more."""
+        """Drop the statements whose time is over."""
         for target_id, stated in tuple(self.statements.items()):
-            if stated.until + TRIAL_RETENTION <= now:
-                self.forget_target(target_id)
-
-    def forget_target(self, target: TargetId) -> None:
-        """Drop what is known of a target."""
-        self.statements.pop(target, None)
-        self.trials.pop(target, None)
+            if stated.until <= now:
+                del self.statements[target_id]
--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -90,7 +90,6 @@
         self.was_served = False
         self.trace_headers: dict[str, str] = {}
         self.room_report = RoomReport(is_abandoned=True)
-        self.is_trial = False
 
     def find_adapter(self) -> AdapterRef | None:
         """Return the request's adapter in the version that the target holds."""
@@ -122,7 +121,6 @@
         """Remove the attempt from the target's load, adapter uses and health counts."""
         self.state.loads.record_end(self.target_id, self.tokens, self.has_first_event)
         self.state.health.record_request_end(self.target_id)
-        self.end_trial(is_answered=False)
         if self.adapter is not None and self.is_same_incarnation():
             count = self.state.uses.adjust_own_count(self.target_id, self.adapter, -1)
             if not count:
@@ -243,7 +241,6 @@
             self.dependencies.limits.recorders.record_answer(
                 self.published, facts, answer.status, self.sent_at
             )
-            self.end_trial(is_answered=True)
             if facts.not_run:
                 self.room_report = RoomReport(is_rejected=not facts.is_misdirected)
                 return self.handle_rejection(answer.status, facts)
@@ -263,18 +260,8 @@
         if obstacle is not None:
             self.log_withheld(obstacle)
             raise TargetError(TargetFault.WITHHELD, obstacle.kind.value)
-        backoffs, now = self.state.statements.backoffs, self.clock.monotonic()
-        self.is_trial = backoffs.begin_send(self.target_id, now)
         self.dependencies.metrics.sends.inc({"pool": self.exchange.pool})
 
-    def end_trial(self, is_answered: bool) -> None:
-        """Record how the request ended, if it was the first after a backoff."""
-        if self.is_trial:
-            self.is_trial = False
-            now = self.clock.monotonic()
-            backoffs = self.state.statements.backoffs
-            backoffs.end_trial(self.target_id, is_answered, now)
-
     def log_withheld(self, obstacle: Obstacle) -> None:
         """Log that the request is kept from the target, and by what statement."""
         kind, now = obstacle.kind.value, self.clock.monotonic()
--- a/packages/daemon/src/sardinequay_daemon/statements/tunnel_gate.py
+++ b/packages/daemon/src/sardinequay_daemon/statements/tunnel_gate.py
@@ -36,16 +36,6 @@
             return None
         return self.state.obstacle(published, self.clock.monotonic())
 
-    def begin_send(self, target: TargetId) -> bool:
-        """Record that a request is passed on; return whether it is a trial."""
-        now = self.clock.monotonic()
-        return self.state.statements.backoffs.begin_send(target, now)
-
-    def end_trial(self, target: TargetId, is_answered: bool) -> None:
-        """Record how a trial ended."""
-        now = self.clock.monotonic()
-        self.state.statements.backoffs.end_trial(target, is_answered, now)
-
     def record_head(self, target: TargetId, head: HttpHead) -> None:
         """Apply what the head of an answer to a peer's request states."""
         published = self.state.catalogue.targets.get(target)
--- a/packages/daemon/src/sardinequay_daemon/tunnel_server.py
+++ b/packages/daemon/src/sardinequay_daemon/tunnel_server.py
@@ -8,12 +8,13 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from functools import partial
 
 from returns.result import Success
 
 from sardinequay_core.names import Address, TargetId, parse_address
 
-from .answer_head import HeadReader
+from .answer_head import HeadReader, HttpHead
 from .connection_reset import reset
 from .path_messages import OpenTunnel, TunnelReply
 from .peers import PeerStream
@@ -100,11 +101,9 @@
             return
         self.record("opened", message, "")
         stream.reply(TunnelReply(True))
-        answer = PassedAnswer(self.gate, message.target)
         try:
-            await self.pass_on(stream, reader, writer, answer)
+            await self.pass_on(stream, reader, writer, message.target)
         finally:
-            answer.end()
             writer.transport.abort()
 
     async def connect(
@@ -142,13 +141,16 @@
         stream: PeerStream,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        answer: "PassedAnswer",
+        target: TargetId,
     ) -> None:
         """Pass bytes on in both directions until either end closes the connection."""
         last_byte = LastByte()
+        record_head = partial(self.gate.record_head, target)
         tasks = {
             asyncio.create_task(pass_requests_on(stream, writer, last_byte)),
-            asyncio.create_task(pass_answers_on(stream, reader, last_byte, answer)),
+            asyncio.create_task(
+                pass_answers_on(stream, reader, last_byte, record_head)
+            ),
             asyncio.create_task(last_byte.wait_until_idle()),
         }
         try:
@@ -159,29 +161,6 @@
             await asyncio.gather(*tasks, return_exceptions=True)
 
 
-class PassedAnswer:
-    """The answer to a peer's request, of which this host reads the head."""
-
-    def __init__(self, gate: TunnelGate, target: TargetId) -> None:
-        self.gate = gate
-        self.target = target
-        self.reader = HeadReader()
-        self.is_trial = gate.begin_send(target)
-
-    def feed(self, data: bytes) -> None:
-        """Read bytes of the answer."""
-        head = self.reader.feed(data)
-        if head is not None:
-            self.gate.record_head(self.target, head)
-            self.end(is_answered=True)
-
-    def end(self, is_answered: bool = False) -> None:
-        """Record the end of a trial."""
-        if self.is_trial:
-            self.is_trial = False
-            self.gate.end_trial(self.target, is_answered)
-
-
 class LastByte:
     """When a tunnel last passed a byte on."""
 
@@ -227,13 +206,16 @@
     stream: PeerStream,
     reader: asyncio.StreamReader,
     last_byte: LastByte,
-    answer: PassedAnswer,
+    record_head: Callable[[HttpHead], None],
 ) -> None:
     """Pass on to a peer what a target sends, and the end, unless it was a reset."""
+    head_reader = HeadReader()
     try:
         while data := await reader.read(READ_BYTES):
             last_byte.record()
-            answer.feed(data)
+            head = head_reader.feed(data)
+            if head is not None:
+                record_head(head)
             stream.send(Frame(FrameKind.DATA, 0, "", data))
             await stream.drain()
     except OSError:
