--- a/packages/daemon/src/sardinequay_daemon/order_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -1,8 +1,7 @@
-"""Sends orders to the engines of this data centre while this host has the order lease.
+"""Orders the engines of this data centre while this host has the order lease.
 
 Orders load and unload adapters and base models. Each engine has one asyncio task, which
-sends the orders of the engine's scheduler one at a time. The lease is checked right
-before the bytes of an order are written, with no await in between.
+runs its scheduler (`engine_runner`).
 """
 
 import asyncio
@@ -10,25 +9,17 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from returns.result import Success
-
 from sardinequay_core.catalogue import Catalogue, PublishedTarget
 from sardinequay_core.clock import ZERO, Clock, Instant, seconds
-from sardinequay_core.engine_orders import (
-    AskReport,
-    EngineOrder,
-    Rest,
-)
 from sardinequay_core.engine_scheduler import EngineScheduler
 from sardinequay_core.names import HostId, TargetId, parse_adapter_ref
 from sardinequay_core.residency import AdapterUses
-from sardinequay_core.roster import Presence, Target
-from sardinequay_core.serving import EnginePool, TargetPool
+from sardinequay_core.roster import Presence
 
+from .engine_runner import EngineRunner
 from .load_request_handler import LoadRequestHandler
-from .managed_engine import ManagedEngine, order_subject
+from .managed_engine import ManagedEngine
 from .order_lease_task import OrderLeaseTask
-from .path_monitor import PathMonitor
 from .serving_messages import (
     AdapterMissing,
     EngineHoldings,
@@ -36,13 +27,7 @@
     UseChanged,
 )
 from .serving_metrics import ServingMetrics
-from .serving_ports import EngineOrders, OrderAccepted, OrderTerms
-
-LEASE_POLL_S = 0.08
-"""Interval between checks of the order lease while an order waits for it."""
-
-REPORT_RETRY_PAUSE_S = 0.3
-"""Pause before the next report request after an engine returned no report."""
+from .serving_ports import EngineOrders
 
 HOLDINGS_MAX_AGE = seconds(0.05)
 """Maximum age of the cached holdings in digests. A hub sends digests to dozens of hosts
@@ -69,7 +54,7 @@
 
 
 class OrderTask:
-    """Owns the schedulers of the engines and the tasks that send their orders.
+    """Owns the schedulers of the engines and the tasks that run them.
 
     Parameters
     ----------
@@ -98,12 +83,9 @@
     ) -> None:
         self.me = me
         self.data_centre = data_centre
-        self.engines = engines
         self.lease = lease
         self.clock = clock
-        self.metrics = metrics
         self.uses = uses
-        self.on_holdings_changed = on_holdings_changed
         self.is_leaving = is_leaving
         self.candidate = lease.candidate
         self.catalogue = Catalogue()
@@ -112,8 +94,15 @@
         self.is_ordering = False
         self.last_holdings: tuple[EngineHoldings, ...] = ()
         self.last_holdings_at = ZERO
-        self.paths: PathMonitor | None = None
-        self.is_unreached = False
+        self.runner = EngineRunner(
+            me,
+            engines,
+            lease.candidate,
+            clock,
+            metrics,
+            uses,
+            on_holdings_changed,
+        )
         lease.should_stand_back = self.should_stand_back
         self.load_requests = LoadRequestHandler(
             self.managed_engines, lambda: self.orders_in_s, clock
@@ -132,13 +121,13 @@
 
         Calls over connections that were open before still reach engines.
         """
-        return self.is_unreached and self.has_lost_all_paths()
+        return self.runner.is_unreached and self.has_lost_all_paths()
 
     def has_lost_all_paths(self) -> bool:
         """Return whether peers reach this data centre's engines and this host none."""
-        if self.paths is None or not self.paths.paths.lost:
+        if self.runner.paths is None or not self.runner.paths.paths.lost:
             return False
-        lost = self.paths.paths
+        lost = self.runner.paths.paths
         engines = self.local_engines().values()
         return bool(engines) and all(lost.is_lost(e.target.address) for e in engines)
 
@@ -149,12 +138,6 @@
             fleet.is_near(p) and not p.is_cut_off for p in fleet.live_peers()
         )
 
-    def record_call(self, target: Target, is_answered: bool) -> None:
-        """Record whether an engine answered a call, and check the path if not."""
-        self.is_unreached = not is_answered
-        if not is_answered and self.paths is not None:
-            self.paths.check(target.address)
-
     async def run(self) -> None:
         """Acquire and renew the order lease, and start or stop ordering with it."""
         while True:
@@ -221,7 +204,7 @@
 
     def apply_catalogue(self, catalogue: Catalogue) -> None:
         """Add, remove and reset engines to match a new catalogue."""
-        self.catalogue = catalogue
+        self.catalogue = self.runner.catalogue = catalogue
         self.lease.apply_catalogue(catalogue)
         for target_id in self.peer_holdings.keys() - catalogue.targets.keys():
             del self.peer_holdings[target_id]
@@ -244,39 +227,11 @@
             if engine is None:
                 self.add_engine(published)
             elif engine.scheduler.incarnation < published.incarnation:
-                self.reset_scheduler(engine, published)
+                self.runner.reset_scheduler(engine, published)
             else:
                 engine.published = published
                 engine.wake.set()
 
-    def reset_scheduler(
-        self, engine: ManagedEngine, published: PublishedTarget
-    ) -> None:
-        """Replace the scheduler of an engine that restarted under the same id.
-
-        No state of the previous incarnation applies. An order meant for it may have
-        reached the new one, and reports lag: the new scheduler starts in doubt, so that
-        it ignores reports that may be older than such an order.
-        """
-        previous = engine.scheduler
-        log.info(
-            "engine started again",
-            extra={
-                "target": previous.target,
-                "before": previous.incarnation,
-                "after": published.incarnation,
-            },
-        )
-        engine.published = published
-        engine.scheduler = EngineScheduler(
-            previous.target,
-            previous.max_adapters,
-            published.incarnation,
-            previous.change_number + 1,
-        )
-        engine.scheduler.mark_in_doubt(self.clock.monotonic())
-        engine.wake.set()
-
     def add_engine(self, published: PublishedTarget) -> None:
         """Create the scheduler of an engine and start the task that runs it.
 
@@ -298,7 +253,7 @@
                 parse_adapter_ref(t).unwrap() for t in inherited.recent
             )
         engine = self.managed_engines[target_id] = ManagedEngine(published, scheduler)
-        engine.task = asyncio.create_task(self.run_scheduler(engine))
+        engine.task = asyncio.create_task(self.runner.run(engine))
 
     def remove_engine(self, target_id: TargetId) -> None:
         """Cancel the task of an engine and the load requests that wait for it."""
@@ -309,149 +264,6 @@
             for future in waiting:
                 future.cancel()
 
-    async def run_scheduler(self, engine: ManagedEngine) -> None:
-        """Perform the steps of an engine's scheduler until the task is cancelled."""
-        while True:
-            scheduler = engine.scheduler
-            now = self.clock.monotonic()
-            engine.wake.clear()
-            self.refresh_scheduler_inputs(engine)
-            step = scheduler.next_step(self.uses.counts_on(scheduler.target), now)
-            engine.resolve_load_waiters()
-            if isinstance(step, Rest):
-                await self.wait_for_wake(engine, step.for_s)
-            elif isinstance(step, AskReport):
-                await self.request_report(engine)
-            elif self.candidate.can_order(now):
-                await self.send_order(engine, step)
-            else:
-                await self.wait_for_wake(engine, LEASE_POLL_S)
-
-    async def wait_for_wake(self, engine: ManagedEngine, timeout_s: float) -> None:
-        """Wait until the engine's wake event is set, for at most `timeout_s`."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                await engine.wake.wait()
-        except TimeoutError:
-            return
-
-    def refresh_scheduler_inputs(self, engine: ManagedEngine) -> None:
-        """Set the scheduler's adapter slots, and its base model if none is loaded."""
-        config = self.catalogue.config
-        pool = config.pools.get(engine.published.target.pool) if config else None
-        if pool is None or pool.engines is None:
-            return
-        engine.scheduler.max_adapters = pool.engines.adapter_capacity(
-            engine.scheduler.models
-        )
-        engine.scheduler.requested_model = None
-        if not engine.scheduler.models and engine.scheduler.accepted_orders is not None:
-            engine.scheduler.requested_model = self.least_replicated_model(
-                pool, pool.engines
-            )
-
-    def least_replicated_model(
-        self, pool: TargetPool, engines: EnginePool
-    ) -> str | None:
-        """Return the base model that the fewest live engines of a pool have loaded."""
-        engine_counts = dict.fromkeys(engines.loadable_models(), 0)
-        for other in self.catalogue.live_targets(pool.name):
-            for model in other.models & engine_counts.keys():
-                engine_counts[model] += 1
-        return min(engine_counts, key=lambda m: (engine_counts[m], m), default=None)
-
-    async def request_report(self, engine: ManagedEngine) -> None:
-        """Request an engine's report and record it in the scheduler.
-
-        A report of a later incarnation resets the scheduler instead.
-        """
-        asked_at = self.clock.monotonic()
-        report = await self.engines.report(engine.published.target)
-        now = self.clock.monotonic()
-        self.record_call(engine.published.target, isinstance(report, Success))
-        if isinstance(report, Success):
-            status = report.unwrap()
-            if status.incarnation > engine.scheduler.incarnation:
-                self.reset_scheduler(
-                    engine, replace(engine.published, incarnation=status.incarnation)
-                )
-                return
-            change_number = engine.scheduler.change_number
-            engine.scheduler.apply_report(status, asked_at, now)
-            if engine.scheduler.change_number != change_number:
-                self.log_holdings(engine, "report")
-                self.on_holdings_changed()
-            return
-        detail = str(report.failure())
-        log.info(
-            "no report", extra={"target": engine.scheduler.target, "detail": detail}
-        )
-        await self.wait_for_wake(engine, REPORT_RETRY_PAUSE_S)
-
-    async def send_order(self, engine: ManagedEngine, order: EngineOrder) -> None:
-        """Send one order and record its result in the scheduler."""
-        scheduler, target = engine.scheduler, engine.published.target
-        expected = scheduler.expected_order_count(order)
-        terms = OrderTerms(self.me, self.candidate.token, expected)
-        self.candidate.record_order(self.clock.monotonic())
-        result = await self.engines.order(target, order, terms)
-        now = self.clock.monotonic()
-        self.candidate.record_order(now)
-        self.record_call(target, isinstance(result, Success))
-        if scheduler is not engine.scheduler:
-            # The engine restarted while the order was sent, so the result is about
-            # the previous incarnation.
-            self.record_order(engine, order, "void: the engine started again")
-            return
-        if isinstance(result, Success):
-            reply = result.unwrap()
-            if isinstance(reply, OrderAccepted):
-                outcome = "held already" if reply.holds_already else "accepted"
-                scheduler.handle_order_accepted(order, reply.holds_already, now)
-            else:
-                outcome = f"refused: {reply.detail}"
-                if reply.is_stale_token:
-                    self.candidate.raise_refused_token()
-                scheduler.handle_order_refused(order, now)
-        else:
-            outcome = f"in doubt: {result.failure().detail}"
-            scheduler.mark_in_doubt(now)
-        self.record_order(engine, order, outcome)
-        self.on_holdings_changed()
-
-    def record_order(
-        self, engine: ManagedEngine, order: EngineOrder, outcome: str
-    ) -> None:
-        """Log and count one order."""
-        kind = type(order).__name__
-        result = outcome.partition(":")[0]
-        self.metrics.orders.inc({"kind": kind, "result": result})
-        log.info(
-            "order",
-            extra={
-                "target": engine.scheduler.target,
-                "kind": kind,
-                "subject": order_subject(order),
-                "token": self.candidate.token,
-                "resident": [str(a) for a in engine.scheduler.open_adapters()],
-                "in_use": len(self.uses.counts_on(engine.scheduler.target)),
-                "coming": len(engine.scheduler.loading_until),
-                "wanted": len(engine.scheduler.load_requests),
-                "outcome": outcome,
-            },
-        )
-
-    def log_holdings(self, engine: ManagedEngine, source: str) -> None:
-        """Log the adapters that an engine is now assumed to have loaded."""
-        log.info(
-            "engine holds",
-            extra={
-                "target": engine.scheduler.target,
-                "source": source,
-                "resident": [str(a) for a in engine.scheduler.open_adapters()],
-            },
-        )
-
     async def handle_adapter_event(self, message: AdapterMissing | UseChanged) -> Noted:
         """Handle a host's message about a missing adapter or a changed use count.
 
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -206,7 +206,7 @@
             self.metrics,
             TunnelGate(self.state, self.limits.recorders, deployment.dialect, clock),
         )
-        self.orders.paths = self.paths.monitor
+        self.orders.runner.paths = self.paths.monitor
         self.upstream = Upstream(profile.callers.ip, self.paths.monitor)
         self.feature_guard = FeatureGuard(
             profile.host_id,
