--- a/packages/daemon/tests/test_order_task.py
+++ b/packages/daemon/tests/test_order_task.py
@@ -157,7 +157,7 @@
     task: OrderTask, engines
 ) -> None:
     engines.status = status_holding(SECOND_INCARNATION)
-    await task.request_report(task.managed_engines[ENGINE_ID])
+    await task.runner.request_report(task.managed_engines[ENGINE_ID])
     assert task.managed_engines[ENGINE_ID].scheduler.incarnation == SECOND_INCARNATION
     assert not task.managed_engines[ENGINE_ID].scheduler.open_adapters()
 
@@ -167,7 +167,7 @@
 ) -> None:
     engine = task.managed_engines[ENGINE_ID]
     sending = asyncio.create_task(
-        task.send_order(engine, LoadAdapter(AdapterRef("m/b", "1")))
+        task.runner.send_order(engine, LoadAdapter(AdapterRef("m/b", "1")))
     )
     await asyncio.sleep(0)
     task.apply_catalogue(catalogue(SECOND_INCARNATION))
@@ -184,7 +184,7 @@
     later = replace(
         published_engine(SECOND_INCARNATION), incarnation=SECOND_INCARNATION
     )
-    task.reset_scheduler(task.managed_engines[ENGINE_ID], later)
+    task.runner.reset_scheduler(task.managed_engines[ENGINE_ID], later)
     scheduler = task.managed_engines[ENGINE_ID].scheduler
     now = task.clock.monotonic() + seconds(9)
     scheduler.apply_report(status_holding(SECOND_INCARNATION, ADAPTER), now, now)
