Ask the issuers of permits and of room by one client

RoomClient and TargetLimiter each found the issuer of a target, asked it or themselves, and took silence for None; a request that waits was four parameters in five places. Now an IssuerClient calls, and a PermitRequest is what waits. Behaviour stays: who issues depends on the same names.

--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -17,6 +17,7 @@
 from .exchange import AnswerCutOffError, AnswerSink, RelayExchange
 from .progress import RequestRefusedError, answer_lost_refusal
 from .quarantine.guard import FeatureGuard
+from .statements.permit_request import PermitRequest
 from .statements.room_client import UNUSED
 from .target_picker import TargetPicker
 
@@ -83,13 +84,13 @@
 
         During a wait for a permit the request's time may end.
         """
-        max_wait = chosen.max_permit_wait
-        permit = await self.dependencies.limits.permit_send(
+        request = PermitRequest(
             exchange.terms.request_id,
             chosen.published,
-            max_wait,
+            chosen.max_permit_wait,
             exchange.time_left(self.clock.monotonic()),
         )
+        permit = await self.dependencies.limits.permit_send(request)
         if permit is None:
             return False
         if exchange.time_left(self.clock.monotonic()) <= ZERO:
--- a/packages/daemon/src/sardinequay_daemon/statements/parts.py
+++ b/packages/daemon/src/sardinequay_daemon/statements/parts.py
@@ -5,9 +5,8 @@
 
 import asyncio
 from collections.abc import Callable
-from datetime import timedelta
+from dataclasses import replace
 
-from sardinequay_core.catalogue import PublishedTarget
 from sardinequay_core.clock import Clock
 from sardinequay_core.names import HostId
 
@@ -18,6 +17,7 @@
 from ..serving_ports import ControlAnswer, EngineOrders
 from .limit_messages import AskToSend
 from .permit_issuer import PermitIssuer
+from .permit_request import PermitRequest
 from .recorders import StatementRecorders
 from .room_client import RoomClient, RoomPermit
 from .room_issuer import RoomIssuer
@@ -86,34 +86,21 @@
         if published is not None:
             self.recorders.record_refusals(published, answer.facts, answer.status)
 
-    async def permit_send(
-        self,
-        request_id: str,
-        published: PublishedTarget,
-        max_wait: timedelta | None,
-        lasts: timedelta,
-    ) -> RoomPermit | None:
+    async def permit_send(self, request: PermitRequest) -> RoomPermit | None:
         """Wait for the end of a target's backoff, and for the permits to send to it.
 
-        Parameters
-        ----------
-        max_wait : timedelta or None
-            How long the request can wait for this target; None if others can serve it.
-        lasts : timedelta
-            Time after which the request has ended in any case.
-
         Returns
         -------
         RoomPermit or None
             To be released at the request's end; None if it may not be sent there, or
             if the target begins to leave.
         """
-        permit = self.wait_for_permits(request_id, published, max_wait, lasts)
-        if max_wait is None:
+        permit = self.wait_for_permits(request)
+        if request.max_wait is None:
             return await permit
         waiting = asyncio.create_task(permit)
         begins_to_leave = asyncio.create_task(
-            self.recorders.leaving.wait_for(published.target.target_id)
+            self.recorders.leaving.wait_for(request.target)
         )
         tasks = (waiting, begins_to_leave)
         try:
@@ -123,25 +110,18 @@
             for task in tasks:
                 task.cancel()
 
-    async def wait_for_permits(
-        self,
-        request_id: str,
-        published: PublishedTarget,
-        max_wait: timedelta | None,
-        lasts: timedelta,
-    ) -> RoomPermit | None:
+    async def wait_for_permits(self, request: PermitRequest) -> RoomPermit | None:
         """Wait for the end of a backoff, then for a permit, then for room."""
-        wait = self.state.statements.backoff_wait(
-            published.target.target_id, self.clock.monotonic()
-        )
+        now, max_wait = self.clock.monotonic(), request.max_wait
+        wait = self.state.statements.backoff_wait(request.target, now)
         if wait:
             if max_wait is None or wait > max_wait:
                 return None
             await asyncio.sleep(wait.total_seconds())
-            max_wait -= wait
-        if not await self.limiter.may_send(request_id, published, max_wait):
+            request = replace(request, max_wait=max_wait - wait)
+        if not await self.limiter.may_send(request):
             return None
-        return await self.rooms.acquire(request_id, published, max_wait, lasts)
+        return await self.rooms.acquire(request)
 
     def expire(self) -> None:
         """Drop what nobody needs any more."""
--- a/packages/daemon/tests/test_statements_parts.py
+++ b/packages/daemon/tests/test_statements_parts.py
@@ -18,6 +18,7 @@
 from sardinequay_daemon.serving_metrics import ServingMetrics
 from sardinequay_daemon.serving_ports import ControlAnswer
 from sardinequay_daemon.statements.parts import StatementParts
+from sardinequay_daemon.statements.permit_request import PermitRequest
 from sardinequay_daemon.system_clock import SystemClock
 
 from .limit_helpers import TARGET, TARGET_ID, facts
@@ -44,7 +45,7 @@
 
 
 async def permit(parts: StatementParts, max_wait):
-    return await parts.permit_send("r1", TARGET, max_wait, LONG)
+    return await parts.permit_send(PermitRequest("r1", TARGET, max_wait, LONG))
 
 
 async def test_request_waits_for_the_end_of_a_backoff(parts) -> None:
--- a/packages/daemon/tests/test_statements_room_client.py
+++ b/packages/daemon/tests/test_statements_room_client.py
@@ -12,6 +12,7 @@
 from sardinequay_core.statements.room import RoomReport
 from sardinequay_daemon.serving_metrics import ServingMetrics
 from sardinequay_daemon.statements.limit_recorder import REJECTION_LIMITS, LimitRecorder
+from sardinequay_daemon.statements.permit_request import PermitRequest
 from sardinequay_daemon.statements.room_client import RoomClient
 from sardinequay_daemon.statements.room_issuer import RoomIssuer
 from sardinequay_daemon.statements.room_messages import AskRoom, RoomBack
@@ -75,9 +76,11 @@
 async def test_a_second_request_waits_until_the_first_gives_its_room_back(
     rooms: RoomClient,
 ) -> None:
-    first = await rooms.acquire("r1", TARGET, None, LASTS)
+    first = await rooms.acquire(PermitRequest("r1", TARGET, None, LASTS))
     assert first is not None
-    second = asyncio.create_task(rooms.acquire("r2", TARGET, seconds(2), LASTS))
+    second = asyncio.create_task(
+        rooms.acquire(PermitRequest("r2", TARGET, seconds(2), LASTS))
+    )
     await asyncio.sleep(0.05)
     assert not second.done()
     rooms.release(first, RoomReport())
@@ -87,8 +90,8 @@
 async def test_a_request_that_others_can_serve_does_not_wait(
     rooms: RoomClient,
 ) -> None:
-    await rooms.acquire("r1", TARGET, None, LASTS)
-    assert await rooms.acquire("r2", TARGET, None, LASTS) is None
+    await rooms.acquire(PermitRequest("r1", TARGET, None, LASTS))
+    assert await rooms.acquire(PermitRequest("r2", TARGET, None, LASTS)) is None
     now = rooms.clock.monotonic()
     assert rooms.limits.permit_wait_s(TARGET_ID, can_wait=True, now=now) > 0
 
@@ -97,7 +100,7 @@
     rooms: RoomClient, fleet: Fleet
 ) -> None:
     rooms.limits.forget_target(TARGET_ID)
-    assert await rooms.acquire("r1", TARGET, None, LASTS) is not None
+    assert await rooms.acquire(PermitRequest("r1", TARGET, None, LASTS)) is not None
     assert not fleet.asked
 
 
@@ -105,16 +108,18 @@
     rooms: RoomClient, fleet: Fleet
 ) -> None:
     fleet.is_silent = True
-    assert await rooms.acquire("r1", TARGET, None, LASTS) is None
+    assert await rooms.acquire(PermitRequest("r1", TARGET, None, LASTS)) is None
     assert await until_given_back(rooms, fleet) == 0
 
 
 async def test_room_granted_to_a_caller_that_has_left_is_given_back(
     rooms: RoomClient, fleet: Fleet
 ) -> None:
-    first = await rooms.acquire("r1", TARGET, None, LASTS)
+    first = await rooms.acquire(PermitRequest("r1", TARGET, None, LASTS))
     assert first is not None
-    message = asyncio.create_task(rooms.acquire("r2", TARGET, seconds(0.3), LASTS))
+    message = asyncio.create_task(
+        rooms.acquire(PermitRequest("r2", TARGET, seconds(0.3), LASTS))
+    )
     await asyncio.sleep(0.05)
     message.cancel()
     await asyncio.wait((message,))
--- a/packages/daemon/tests/test_statements_target_limiter.py
+++ b/packages/daemon/tests/test_statements_target_limiter.py
@@ -8,10 +8,12 @@
 from sardinequay_core.clock import seconds
 from sardinequay_core.names import Address, HostId
 from sardinequay_daemon.errors import PeerError
+from sardinequay_daemon.statements.issuer_client import NO_ISSUER_PAUSE
 from sardinequay_daemon.statements.limit_messages import AskToSend, SendReply
 from sardinequay_daemon.statements.limit_recorder import LimitRecorder
 from sardinequay_daemon.statements.permit_issuer import PermitIssuer
-from sardinequay_daemon.statements.target_limiter import NO_ISSUER_PAUSE, TargetLimiter
+from sardinequay_daemon.statements.permit_request import PermitRequest
+from sardinequay_daemon.statements.target_limiter import TargetLimiter
 
 from .conftest import ManualClock
 from .limit_helpers import TARGET, TARGET_ID, hear, news, rate
@@ -67,13 +69,13 @@
 
 
 async def test_target_without_a_limit_needs_no_permit(limiter, peers) -> None:
-    assert await limiter.may_send("r1", TARGET, None)
+    assert await limiter.may_send(PermitRequest("r1", TARGET, None))
     assert peers.asked == []
 
 
 async def test_limited_target_is_asked_for_at_its_issuer(limiter, peers) -> None:
     hear(limiter.recorder, 2.0)
-    assert await limiter.may_send("r1", TARGET, None)
+    assert await limiter.may_send(PermitRequest("r1", TARGET, None))
     assert peers.asked == [AskToSend(ME, None, news())]
 
 
@@ -82,7 +84,7 @@
 ) -> None:
     hear(limiter.recorder, 2.0)
     peers.reply = Success(SendReply(None, 0.5, 2.0))
-    assert not await limiter.may_send("r1", TARGET, None)
+    assert not await limiter.may_send(PermitRequest("r1", TARGET, None))
     now, target = clock.monotonic(), TARGET_ID
     assert limiter.limits.permit_wait_s(target, can_wait=True, now=now) == 0.5
     assert limiter.limits.permit_wait_s(target, can_wait=False, now=now) == 2.0
@@ -93,7 +95,7 @@
 ) -> None:
     hear(limiter.recorder, 2.0)
     peers.reply = Failure(PeerError("h2", "cut off"))
-    assert not await limiter.may_send("r1", TARGET, None)
+    assert not await limiter.may_send(PermitRequest("r1", TARGET, None))
     wait_s = limiter.limits.permit_wait_s(TARGET_ID, True, clock.monotonic())
     assert wait_s == NO_ISSUER_PAUSE.total_seconds()
 
@@ -106,14 +108,14 @@
     limiter.issuer.issue(AskToSend(ME, None, news()))
     clock.advance(5)
     fleet.address = None
-    assert not await limiter.may_send("r1", TARGET, None)
+    assert not await limiter.may_send(PermitRequest("r1", TARGET, None))
 
 
 async def test_issuer_that_heard_the_limit_end_lets_all_send(limiter, peers) -> None:
     hear(limiter.recorder, 2.0)
     limiter.clock.advance(1)
     peers.reply = Success(SendReply(0.0, news=news(None)))
-    assert await limiter.may_send("r1", TARGET, None)
+    assert await limiter.may_send(PermitRequest("r1", TARGET, None))
     assert rate(limiter.recorder) is None
 
 
@@ -122,7 +124,9 @@
 ) -> None:
     hear(limiter.recorder, 4.0)
     peers.reply = Success(SendReply(0.01))
-    waiting = asyncio.create_task(limiter.may_send("r1", TARGET, seconds(1)))
+    waiting = asyncio.create_task(
+        limiter.may_send(PermitRequest("r1", TARGET, seconds(1)))
+    )
     await asyncio.sleep(0)
     hear(limiter.recorder, 1.0)
     assert not await waiting
@@ -131,5 +135,5 @@
 async def test_issuer_asks_nobody(limiter, fleet, peers) -> None:
     hear(limiter.recorder, 2.0)
     fleet.hosts = [ME]
-    assert not await limiter.may_send("r1", TARGET, None)
+    assert not await limiter.may_send(PermitRequest("r1", TARGET, None))
     assert peers.asked == []
