--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -47,7 +47,7 @@
     dialect: HttpDialect
     upstream: Upstream
     load_requests: LoadRequestClient
-    limits: StatementParts
+    statements: StatementParts
     metrics: ServingMetrics
     tracing: Tracing
     paths: PathMonitor
@@ -238,7 +238,7 @@
             if facts.request_id != self.exchange.terms.request_id:
                 detail = f"an answer to {facts.request_id!r}"
                 raise TargetError(TargetFault.BROKEN, detail)
-            self.dependencies.limits.recorders.record_answer(
+            self.dependencies.statements.recorders.record_answer(
                 self.published, facts, answer.status, self.sent_at
             )
             if facts.not_run:
--- a/packages/daemon/src/sardinequay_daemon/relay.py
+++ b/packages/daemon/src/sardinequay_daemon/relay.py
@@ -90,11 +90,11 @@
             chosen.max_permit_wait,
             exchange.time_left(self.clock.monotonic()),
         )
-        permit = await self.dependencies.limits.permit_send(request)
+        permit = await self.dependencies.statements.permit_send(request)
         if permit is None:
             return False
         if exchange.time_left(self.clock.monotonic()) <= ZERO:
-            self.dependencies.limits.rooms.release(permit, UNUSED)
+            self.dependencies.statements.rooms.release(permit, UNUSED)
             raise RequestRefusedError(self.time_over_refusal(exchange))
         exchange.room_permit = permit
         return True
@@ -254,7 +254,7 @@
         """Give back an attempt's room at its target, with what its end showed."""
         permit, attempt.exchange.room_permit = attempt.exchange.room_permit, None
         if permit is not None:
-            self.dependencies.limits.rooms.release(permit, attempt.room_report)
+            self.dependencies.statements.rooms.release(permit, attempt.room_report)
 
     async def run_attempt(
         self, attempt: Attempt, sink: AnswerSink
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -186,7 +186,7 @@
             self.state.statements.is_leaving,
         )
         self.state.orders = self.orders
-        self.limits = StatementParts(
+        self.statements = StatementParts(
             profile.host_id,
             self.state,
             self.fleet,
@@ -204,7 +204,9 @@
             clock,
             random,
             self.metrics,
-            TunnelGate(self.state, self.limits.recorders, deployment.dialect, clock),
+            TunnelGate(
+                self.state, self.statements.recorders, deployment.dialect, clock
+            ),
         )
         self.orders.runner.paths = self.paths.monitor
         self.upstream = Upstream(profile.callers.ip, self.paths.monitor)
@@ -235,7 +237,7 @@
                 deployment.dialect,
                 self.upstream,
                 LoadRequestClient(self.state, self.peers),
-                self.limits,
+                self.statements,
                 self.metrics,
                 tracing,
                 self.paths.monitor,
@@ -261,7 +263,7 @@
             self.state,
             self.store,
             self.orders,
-            self.limits.recorders,
+            self.statements.recorders,
             self.paths.monitor.paths,
             clock,
         )
@@ -279,7 +281,7 @@
         self.store.catalogues.subscribe(self.feature_guard.apply_catalogue)
         self.fleet.digests.subscribe(self.state.apply_digest)
         self.fleet.digests.subscribe(self.handle_peer_contents)
-        self.limits.subscribe(self.fleet, self.peer_server, self.deployment.engines)
+        self.statements.subscribe(self.fleet, self.peer_server, self.deployment.engines)
         self.fleet.digests.subscribe(self.digest_writer.handle_digest)
         self.fleet.digests.subscribe(self.handle_digest)
         self.fleet.lost_peers.subscribe(self.state.forget_peer)
@@ -395,7 +397,7 @@
             self.server.log_left_unread()
             self.metrics.loop_lag.set({}, self.lag.current.total_seconds())
             self.feature_guard.expire()
-            self.limits.expire()
+            self.statements.expire()
             self.streams.do_housekeeping()
             self.state.count_hosts()
             held = self.feature_guard.held_contents()
--- a/packages/daemon/src/sardinequay_daemon/statements/parts.py
+++ b/packages/daemon/src/sardinequay_daemon/statements/parts.py
@@ -1,7 +1,4 @@
-"""The parts of a host that keep what targets state of themselves with all other hosts.
-
-A target may state how many requests a second it takes, and how many it can turn away.
-"""
+"""The parts of a host that record what targets state, and keep to it."""
 
 import asyncio
 from collections.abc import Callable
