Keep to the backoffs of plain services in sardinequayd

Its targets in a backoff get nothing now; where all of a service's are, callers are refused at once, as not run, with the first end.

--- a/packages/daemon/src/sardinequay_daemon/services.py
+++ b/packages/daemon/src/sardinequay_daemon/services.py
@@ -11,21 +11,25 @@
 import aiohttp
 from multidict import CIMultiDict
 from opentelemetry.trace import Span
+from returns.result import Success
 
 from sardinequay_core.bundle import Service
 from sardinequay_core.clock import Clock, Instant
 from sardinequay_core.names import TargetId
 from sardinequay_core.outcome import Outcome, Reason, Refusal, not_run_refusal
 from sardinequay_core.roster import EMPTY_ROSTER, Presence, Roster, Target
+from sardinequay_core.statements.backoff import BackoffStatement, TargetBackoffs
 
 from .caller_requests import RequestEnvelope, make_guarded_request
 from .claimer import Claimer, WonClaim
 from .dispatch import RetryBudgets
 from .errors import TargetError, TargetFault
+from .header_values import parse_backoff
 from .journal import Journal
 from .metrics import Metrics
 from .progress import Progress, RequestRefusedError, deadline_refusal
 from .quarantine.guard import MAX_PROBE_WAIT_S, FeatureGuard
+from .statements.invalid_log import InvalidStatementLog
 from .target_errors import BROKEN_ERRORS, TargetErrorTranslator
 from .tracing import Tracing
 
@@ -98,6 +102,8 @@
         self.roster = EMPTY_ROSTER
         self.in_flight: dict[TargetId, int] = {}
         self.avoided: dict[TargetId, Instant] = {}
+        self.backoffs = TargetBackoffs()
+        self.invalid_backoffs = InvalidStatementLog("target backoff invalid", clock)
 
     def apply_roster(self, roster: Roster) -> None:
         """Replace the roster; targets that are leaving get no new requests."""
@@ -115,24 +121,58 @@
         self.in_flight[name] = self.in_flight.get(name, 0) + change
 
     def choose(self, request: ServiceRequest) -> Target:
-        """Return the live target with the fewest of this host's requests in flight."""
+        """Return the live target with the fewest of this host's requests in flight.
+
+        One that has asked this host for a backoff gets nothing until its end.
+
+        Raises
+        ------
+        RequestRefusedError
+            If no target is live, or all of them have asked for a backoff.
+        """
         now = self.clock.monotonic()
         live = [
             t
             for t in self.roster.targets_in_pool(request.service.pool)
             if t.presence is Presence.LIVE
         ]
-        usable = [t for t in live if self.avoided.get(t.target_id, now) <= now]
         if not live:
             text = "no target of the service is live"
             raise RequestRefusedError(
                 not_run_refusal(Reason.NO_TARGET, text, NO_TARGET_RETRY_AFTER)
             )
+        waits = {t.target_id: self.backoffs.wait(t.target_id, 0, now) for t in live}
+        open_targets = [t for t in live if not waits[t.target_id]]
+        if not open_targets:
+            text = "all targets of the service have asked for a backoff"
+            raise RequestRefusedError(
+                not_run_refusal(Reason.TARGET_LIMITED, text, min(waits.values()))
+            )
+        usable = [t for t in open_targets if self.avoided.get(t.target_id, now) <= now]
         return min(
-            usable or live,
+            usable or open_targets,
             key=lambda t: (self.in_flight.get(t.target_id, 0), self.random.random()),
         )
 
+    def record_answer(self, target: Target, answer: aiohttp.ClientResponse) -> None:
+        """Record the backoff that an answer asks for, if any."""
+        values = answer.headers.getall("Retry-After", [])
+        stated = parse_backoff(answer.status, values)
+        if not isinstance(stated, Success):
+            self.invalid_backoffs.record(target.target_id, stated.failure())
+            return
+        backoff = stated.unwrap()
+        if backoff is None:
+            return
+        now = self.clock.monotonic()
+        self.backoffs.expire(now)
+        self.invalid_backoffs.expire()
+        asked = BackoffStatement(0, now, now + backoff)
+        if self.backoffs.record(target.target_id, asked):
+            backoff_s = round(backoff.total_seconds(), 3)
+            extra = {"target": target.target_id, "backoff_s": backoff_s}
+            log.info("target backoff", extra=extra)
+
     def after_failure(
         self,
         request: ServiceRequest,
@@ -281,6 +321,7 @@
                     is_first = progress.attempts == 1
                     answer = await forwarder.send(target, request, span, is_first)
                 self.target = target
+                forwarder.record_answer(target, answer)
                 return answer
             except TargetError as error:
                 if not error.proves_not_run:
--- a/packages/daemon/src/sardinequay_daemon/serving_ports.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_ports.py
@@ -22,6 +22,7 @@
 from sardinequay_core.roster import Target
 
 from .errors import PlatformError
+from .header_values import InvalidValue
 from .target_probe import ProbeResult
 
 Headers = CIMultiDictProxy[str]
@@ -104,19 +105,6 @@
     organisation: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class InvalidValue:
-    """A statement in a target's answer that could not be parsed.
-
-    Parameters
-    ----------
-    text : str
-        The beginning of what the target sent.
-    """
-
-    text: str
-
-
 @dataclass(frozen=True, slots=True)
 class AnswerFacts:
     """What the head of a target's answer states.
--- a/packages/daemon/src/sardinequay_daemon/statements/invalid_log.py
+++ b/packages/daemon/src/sardinequay_daemon/statements/invalid_log.py
@@ -5,7 +5,7 @@
 from sardinequay_core.clock import Clock, Instant, seconds
 from sardinequay_core.names import TargetId
 
-from ..serving_ports import InvalidValue
+from ..header_values import InvalidValue
 
 LOG_INTERVAL = seconds(10)
 """Interval between two log lines about invalid statements of one target."""
--- a/packages/daemon/src/sardinequay_daemon/statements/limit_recorder.py
+++ b/packages/daemon/src/sardinequay_daemon/statements/limit_recorder.py
@@ -13,8 +13,9 @@
 from sardinequay_core.names import HostId, TargetId
 from sardinequay_core.statements.limits import LimitChange, LimitStatement, TargetLimits
 
+from ..header_values import InvalidValue
 from ..serving_metrics import ServingMetrics
-from ..serving_ports import AnswerFacts, InvalidValue
+from ..serving_ports import AnswerFacts
 from .invalid_log import InvalidStatementLog
 from .limit_messages import LimitNews
 
--- a/packages/daemon/tests/test_statements_limit_recorder.py
+++ b/packages/daemon/tests/test_statements_limit_recorder.py
@@ -5,7 +5,7 @@
 from returns.result import Failure
 
 from sardinequay_core.catalogue import Catalogue
-from sardinequay_daemon.serving_ports import InvalidValue
+from sardinequay_daemon.header_values import InvalidValue
 
 from .limit_helpers import TARGET, facts, hear, news, rate
 
--- a/packages/daemon/tests/test_statements_recorder.py
+++ b/packages/daemon/tests/test_statements_recorder.py
@@ -9,8 +9,8 @@
 from sardinequay_core.names import HostId
 from sardinequay_core.statements.leaving import LeavingStatement
 from sardinequay_core.statements.target_statements import TargetStatements
+from sardinequay_daemon.header_values import InvalidValue
 from sardinequay_daemon.serving_metrics import ServingMetrics
-from sardinequay_daemon.serving_ports import InvalidValue
 from sardinequay_daemon.statements.messages import LeavingNews
 from sardinequay_daemon.statements.recorders import StatementRecorders
 
