Name the targets that a request was kept from, and why

'target chosen' and a refusal's 'no target takes the request' name them by leaving or backoff, with the age and the time left; the status page lists leaving targets and backoffs; 'logs explain' shows both statements.

--- a/packages/cli/src/sardinequay_cli/log_verbs.py
+++ b/packages/cli/src/sardinequay_cli/log_verbs.py
@@ -15,7 +15,14 @@
 line is logged only when its wait for an adapter ends."""
 
 TARGET_EVENTS = frozenset(
-    {"target changed", "target left out", "target limit", "engine holds"}
+    {
+        "target changed",
+        "target left out",
+        "target limit",
+        "target backoff",
+        "target leaving",
+        "engine holds",
+    }
 )
 
 
--- a/packages/core/src/sardinequay_core/statements/backoff.py
+++ b/packages/core/src/sardinequay_core/statements/backoff.py
@@ -62,9 +62,13 @@
             return ZERO
         return max(ZERO, known.until - now)
 
-    def count_running(self, now: Instant) -> int:
-        """Return how many targets want no request of this host now."""
-        return sum(stated.until > now for stated in self.statements.values())
+    def left_s(self, now: Instant) -> dict[TargetId, float]:
+        """Return the time left of each backoff, in seconds."""
+        return {
+            target: round((stated.until - now).total_seconds(), 3)
+            for target, stated in self.statements.items()
+            if stated.until > now
+        }
 
     def apply_catalogue(self, catalogue: Catalogue) -> None:
         """Drop the statements of processes that have ended."""
--- a/packages/core/src/sardinequay_core/statements/obstacle.py
+++ b/packages/core/src/sardinequay_core/statements/obstacle.py
@@ -28,3 +28,13 @@
     kind: ObstacleKind
     heard_at: Instant
     until: Instant | None = None
+
+    def age_s(self, now: Instant) -> float:
+        """Return the time since this host learned of it, in seconds."""
+        return round((now - self.heard_at).total_seconds(), 3)
+
+    def left_s(self, now: Instant) -> float | None:
+        """Return the time to its end, in seconds; None until the process ends."""
+        if self.until is None:
+            return None
+        return round((self.until - now).total_seconds(), 3)
--- a/packages/core/src/sardinequay_core/statements/target_statements.py
+++ b/packages/core/src/sardinequay_core/statements/target_statements.py
@@ -55,6 +55,11 @@
         self.rejection_limits.apply_catalogue(catalogue)
         self.brittle_pools.assume_of_new_targets(before, catalogue)
 
+    @property
+    def has_obstacles(self) -> bool:
+        """Return whether any target may be kept from requests."""
+        return bool(self.leaving.statements or self.backoffs.statements)
+
     def is_leaving(self, published: PublishedTarget) -> bool:
         """Return whether a listed target has stated that it leaves."""
         target = published.target.target_id
--- a/packages/core/tests/test_statements_backoff.py
+++ b/packages/core/tests/test_statements_backoff.py
@@ -41,8 +41,8 @@
 def test_backoff_that_is_over_is_dropped() -> None:
     backoffs = TargetBackoffs()
     backoffs.record(NAME, asked(3))
-    assert backoffs.count_running(T0 + seconds(2)) == 1
+    assert backoffs.left_s(T0 + seconds(2)) == {NAME: 1.0}
     assert backoffs.wait(NAME, 5, T0 + seconds(3)) == ZERO
-    assert backoffs.count_running(T0 + seconds(3)) == 0
+    assert backoffs.left_s(T0 + seconds(3)) == {}
     backoffs.expire(T0 + seconds(3))
     assert not backoffs.statements
--- a/packages/daemon/src/sardinequay_daemon/attempt.py
+++ b/packages/daemon/src/sardinequay_daemon/attempt.py
@@ -265,7 +265,6 @@
     def log_withheld(self, obstacle: Obstacle) -> None:
         """Log that the request is kept from the target, and by what statement."""
         kind, now = obstacle.kind.value, self.clock.monotonic()
-        until = obstacle.until
         self.dependencies.metrics.sends_withheld.inc({"statement": kind})
         log.info(
             "send withheld",
@@ -273,8 +272,8 @@
                 "request": self.exchange.terms.request_id,
                 "target": self.target_id,
                 "statement": kind,
-                "age_s": round((now - obstacle.heard_at).total_seconds(), 3),
-                "left_s": until and round((until - now).total_seconds(), 3),
+                "age_s": obstacle.age_s(now),
+                "left_s": obstacle.left_s(now),
             },
         )
 
--- a/packages/daemon/src/sardinequay_daemon/chosen_target.py
+++ b/packages/daemon/src/sardinequay_daemon/chosen_target.py
@@ -3,11 +3,12 @@
 import logging
 from dataclasses import dataclass
 from datetime import timedelta
+from itertools import islice
 from random import Random
 
 from sardinequay_core.catalogue import PublishedTarget
 from sardinequay_core.clock import Instant, seconds
-from sardinequay_core.names import TargetId
+from sardinequay_core.names import PoolName, TargetId
 
 from .exchange import RelayExchange
 from .relay_state import RelayState
@@ -23,6 +24,9 @@
 NO_TARGET_RETRY = seconds(0.5)
 """Retry-after time if no target is live: about the restart time of a crashed one."""
 
+MAX_KEPT_FROM = 8
+"""Targets that the line of a choice names as kept from the request."""
+
 log = logging.getLogger(__name__)
 
 
@@ -75,6 +79,7 @@
             "adapter": exchange.terms.adapter,
             "why": reason,
             "options": options,
+            "kept_from": describe_obstacles(state, exchange.pool),
             "unread_tokens": share.unread_tokens,
             "running": share.running,
             "revision": state.catalogue.revision,
@@ -88,6 +93,25 @@
     )
 
 
+def log_kept_from_all(state: RelayState, exchange: RelayExchange) -> None:
+    """Log what keeps a request that is refused from the targets of its pool, if any."""
+    kept_from = describe_obstacles(state, exchange.pool)
+    if kept_from:
+        extra = {"request": exchange.terms.request_id, "kept_from": kept_from}
+        log.info("no target takes the request", extra=extra)
+
+
+def describe_obstacles(state: RelayState, pool: PoolName) -> dict[TargetId, str]:
+    """Describe what keeps new requests from targets of a pool, for the log."""
+    now = state.clock.monotonic()
+    described = {}
+    for target_id, obstacle in islice(state.obstacles(pool).items(), MAX_KEPT_FROM):
+        text = f"{obstacle.kind.value} since {obstacle.age_s(now)} s"
+        left_s = obstacle.left_s(now)
+        described[target_id] = text if left_s is None else f"{text}, {left_s} s left"
+    return described
+
+
 def request_worth(priority: int) -> float:
     """Return a request's weight in the load queue; urgent requests weigh more."""
     return 1.0 + 1.0 / (1 + priority)
--- a/packages/daemon/src/sardinequay_daemon/engine_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/engine_picker.py
@@ -23,6 +23,7 @@
     ChosenTarget,
     jittered_retry_after,
     log_choice,
+    log_kept_from_all,
     max_permit_wait_s,
     request_worth,
 )
@@ -84,6 +85,7 @@
                     None if wait_s is None else seconds(wait_s),
                 )
             if not isinstance(choice, LoadOnEngine):
+                log_kept_from_all(self.state, exchange)
                 raise RequestRefusedError(
                     self.no_engine_refusal(exchange, choice, time_left_s)
                 )
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -161,6 +161,17 @@
             return Obstacle(ObstacleKind.LEAVING, self.clock.monotonic())
         return self.statements.obstacle(listed, arrived, self.clock.monotonic())
 
+    def obstacles(self, pool: PoolName) -> dict[TargetId, Obstacle]:
+        """Return the statements that keep new requests from targets of a pool."""
+        if not self.statements.has_obstacles:
+            return {}
+        now = self.clock.monotonic()
+        found = {
+            t.target.target_id: self.statements.obstacle(t, now, now)
+            for t in self.catalogue.live_targets(pool)
+        }
+        return {t: obstacle for t, obstacle in found.items() if obstacle is not None}
+
     def forget_own_failures(self, targets: Iterable[TargetId]) -> None:
         """Drop what this host's failed attempts have shown of targets."""
         for target_id in targets:
--- a/packages/daemon/src/sardinequay_daemon/service_picker.py
+++ b/packages/daemon/src/sardinequay_daemon/service_picker.py
@@ -16,6 +16,7 @@
     ChosenTarget,
     jittered_retry_after,
     log_choice,
+    log_kept_from_all,
     max_permit_wait_s,
 )
 from .exchange import RelayExchange
@@ -56,6 +57,7 @@
         chosen = self.choose_among(exchange, self.options_among(exchange, draining))
         if chosen is not None:
             return chosen
+        log_kept_from_all(self.state, exchange)
         raise RequestRefusedError(
             self.limited_refusal(exchange, options)
             if options
@@ -95,8 +97,11 @@
         """
         if exchange.attempts_so_far.runs:
             return answer_lost_refusal()
-        text = "all targets of the pool state a limit that is used, or a backoff"
         after = self.options.soonest_send([option.target for option in options])
+        text = (
+            "all targets of the pool state a limit that is used, or a backoff; "
+            f"the first takes requests in {after.total_seconds():.2f} s"
+        )
         wait = jittered_retry_after(self.state.random, after)
         return not_run_refusal(Reason.TARGET_LIMITED, text, wait)
 
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -454,6 +454,8 @@
                 asdict(held) for held in self.feature_guard.held_contents()
             ],
             "peers": sorted(p.contact.host_id for p in self.fleet.live_peers()),
+            "leaving": sorted(self.state.statements.leaving.statements),
+            "backoffs": self.state.statements.backoffs.left_s(self.clock.monotonic()),
             "targets": {
                 t: p.target.presence.value for t, p in catalogue.targets.items()
             },
--- a/packages/daemon/src/sardinequay_daemon/statements/backoff_recorder.py
+++ b/packages/daemon/src/sardinequay_daemon/statements/backoff_recorder.py
@@ -53,5 +53,5 @@
         """Drop backoffs that are over, and update the gauge."""
         now = self.clock.monotonic()
         self.backoffs.expire(now)
-        self.metrics.target_backoffs.set({}, self.backoffs.count_running(now))
+        self.metrics.target_backoffs.set({}, len(self.backoffs.left_s(now)))
         self.invalid.expire()
