--- a/packages/core/src/sardinequay_core/serving.py
+++ b/packages/core/src/sardinequay_core/serving.py
@@ -142,7 +142,7 @@
         if not self.weight_mb or not largest_mb:
             return self.adapter_slots
         free_mb = self.weight_mb - sum(m.weight_mb for m in models)
-        return max(0, min(self.adapter_slots, int(free_mb / largest_mb)))
+        return max(0, int(min(self.adapter_slots, free_mb / largest_mb)))
 
     def loadable_models(self) -> tuple[str, ...]:
         """Return the models that fit on an engine that holds nothing."""
