Take only IP numbers for addresses

Cause: an address was any text of hexadecimal digits, dots and colons before a number. A name of 70 letters a to f passed as one, and connecting to it raises UnicodeError, no network error, in the task that probes paths; "abc" was looked up as a host name. A port of digits other than 0 to 9 raised ValueError out of the parser.

Shown before: `parse_address` took "abc:80", 70 times "a" and "1.2.3:80", and raised ValueError for a port of a superscript two. Tests of each case in test_names.py.

--- a/packages/core/src/sardinequay_core/names.py
+++ b/packages/core/src/sardinequay_core/names.py
@@ -1,6 +1,8 @@
 """Identifier types shared by all packages, and their parsers."""
 
+import re
 from dataclasses import dataclass
+from ipaddress import ip_address
 from typing import NewType
 
 from returns.result import Failure, Result, Success
@@ -22,6 +24,7 @@
 """Longest version that counts as a number, in digits."""
 
 MAX_NAME_CHARS = 200
+PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 SEPARATOR = "@"
 
 
@@ -83,9 +86,19 @@
 
 def parse_address(text: str) -> Result[Address, InvalidNameError]:
     """Parse an ``ip:port`` pair; host names are rejected."""
-    ip, separator, port = text.rpartition(":")
+    ip, _, port = text.rpartition(":")
     plain = ip.strip("[]")
-    is_ip = bool(plain) and all(c in "0123456789abcdefABCDEF.:" for c in plain)
-    if not (separator and is_ip and port.isdigit() and int(port) < 1 << 16):
-        return Failure(InvalidNameError("address", text, "ip:port with an IP number"))
+    is_port = PORT_PATTERN.fullmatch(port) is not None and int(port) < 1 << 16
+    if not (is_port and is_ip_number(plain)):
+        allowed = "ip:port with an IP number"
+        return Failure(InvalidNameError("address", text[:MAX_NAME_CHARS], allowed))
     return Success(Address(plain, int(port)))
+
+
+def is_ip_number(text: str) -> bool:
+    """Return whether a text is an IP number, and no host name."""
+    try:
+        ip_address(text)
+    except ValueError:
+        return False
+    return True
