Log and count what tasks raise that nobody awaits

What such a task raised was seen only once the task was collected, and never where something kept it, such as an engine.

Change: `BackgroundTasks` keeps the references, and hands what a task raises to the event loop's handler at once. The host's handler logs it with its kind and key, and counts it in `sardinequay_unforeseen_errors_total`, together with tasks and callbacks of the libraries. Cancellation is no error.

--- a/packages/daemon/src/sardinequay_daemon/claimer.py
+++ b/packages/daemon/src/sardinequay_daemon/claimer.py
@@ -22,6 +22,7 @@
 from sardinequay_core.roster import EMPTY_ROSTER, Roster
 from sardinequay_core.views import GuardAddress, View, build_view, home_data_centre
 
+from .background_tasks import BackgroundTasks
 from .caller_requests import RequestEnvelope
 from .journal import Journal
 from .metrics import Metrics
@@ -62,7 +63,7 @@
         self.tracing = tracing
         self.roster = EMPTY_ROSTER
         self.learned_views: dict[DataCentre, View] = {}
-        self.background_sends: set[asyncio.Task[None]] = set()
+        self.background_sends = BackgroundTasks("settled claim")
 
     def apply_roster(self, roster: Roster) -> None:
         """Replace the roster, which lists the guards of each data centre."""
@@ -184,9 +185,8 @@
         At a guard that doesn't receive it, the claim expires.
         """
         for guard in view.guards:
-            task = asyncio.create_task(self.send_settle_to(guard, message))
-            self.background_sends.add(task)
-            task.add_done_callback(self.background_sends.discard)
+            settling = self.send_settle_to(guard, message)
+            self.background_sends.start(settling, guard.host_id)
 
     async def send_settle_to(self, guard: GuardAddress, message: Settle) -> None:
         """Send the outcome to one guard."""
--- a/packages/daemon/src/sardinequay_daemon/load_requests.py
+++ b/packages/daemon/src/sardinequay_daemon/load_requests.py
@@ -9,6 +9,7 @@
 from sardinequay_core.catalogue import PublishedTarget
 from sardinequay_core.names import AdapterRef, TargetId
 
+from .background_tasks import BackgroundTasks
 from .peers import PeerClient
 from .relay_state import RelayState
 from .serving_messages import (
@@ -29,7 +30,9 @@
 
     state: RelayState
     peers: PeerClient
-    report_tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    report_tasks: BackgroundTasks = field(
+        default_factory=lambda: BackgroundTasks("adapter report")
+    )
 
     async def request_load(self, message: WantAdapter) -> WantReply:
         """Request an adapter load from an engine's keeper and return its reply."""
@@ -78,9 +81,7 @@
         self, target: TargetId, message: AdapterMissing | UseChanged
     ) -> None:
         """Send a report to an engine's keeper without waiting for the reply."""
-        task = asyncio.create_task(self.send_report(target, message))
-        self.report_tasks.add(task)
-        task.add_done_callback(self.report_tasks.discard)
+        self.report_tasks.start(self.send_report(target, message), target)
 
     async def send_report(
         self, target: TargetId, message: AdapterMissing | UseChanged
--- a/packages/daemon/src/sardinequay_daemon/membership_task.py
+++ b/packages/daemon/src/sardinequay_daemon/membership_task.py
@@ -16,6 +16,7 @@
 from sardinequay_core.rendezvous import rank_members
 from sardinequay_core.roster import EMPTY_ROSTER, EntryHost, Presence, Roster
 
+from .background_tasks import BackgroundTasks
 from .mailbox import run_periodically
 from .messages import InForce, Offer, Ping, Pong, Taken
 from .metrics import Metrics
@@ -77,7 +78,7 @@
         self.roster = EMPTY_ROSTER
         self.live_members: BehaviorSubject[LiveMembers] = BehaviorSubject((me,))
         self.round_count = 0
-        self.pending_sends: set[asyncio.Task[None]] = set()
+        self.pending_sends = BackgroundTasks("offer")
 
     def apply_roster(self, roster: Roster) -> None:
         """Add live hosts of this data centre from the roster as members."""
@@ -201,9 +202,7 @@
         """Send an offer to some hosts without waiting for their replies."""
         offer = Offer(self.in_force(), str(self.membership.self_member.address))
         for address in addresses:
-            task = asyncio.create_task(self.send_offer(address, offer))
-            self.pending_sends.add(task)
-            task.add_done_callback(self.pending_sends.discard)
+            self.pending_sends.start(self.send_offer(address, offer), str(address))
 
     async def send_offer(self, address: Address, offer: Offer) -> None:
         """Send one offer; a host that misses it learns of it by heartbeat."""
--- a/packages/daemon/src/sardinequay_daemon/metrics.py
+++ b/packages/daemon/src/sardinequay_daemon/metrics.py
@@ -21,6 +21,9 @@
         self.target_ends = self.counter(
             "target_ends_total", "Targets that ended under requests, by pool"
         )
+        self.unforeseen_errors = self.counter(
+            "unforeseen_errors_total", "Errors of items that nobody foresaw, by kind"
+        )
         self.quarantined = self.gauge(
             "quarantined_contents", "Contents of requests that are held"
         )
--- a/packages/daemon/src/sardinequay_daemon/quarantine/guard.py
+++ b/packages/daemon/src/sardinequay_daemon/quarantine/guard.py
@@ -9,9 +9,9 @@
 import asyncio
 import itertools
 import logging
-from collections.abc import Coroutine, Iterable
+from collections.abc import Iterable
 from dataclasses import asdict
-from typing import Any, TypeVar
+from typing import TypeVar
 
 from sardinequay_core.blame import Blame, find_blame, held_by_itself
 from sardinequay_core.catalogue import Catalogue
@@ -21,6 +21,7 @@
 from sardinequay_core.quarantine import Quarantine, TargetEnd
 from sardinequay_core.roster import Target
 
+from ..background_tasks import BackgroundTasks
 from ..peers import PeerClient
 from ..progress import RequestRefusedError, answer_lost_refusal
 from .end_detector import InterruptedRequest, TargetEndDetector
@@ -74,7 +75,7 @@
             me, quarantine, fleet, peers, clock, self.apply_update
         )
         self.run_numbers = itertools.count()
-        self.tasks: set[asyncio.Task[Any]] = set()
+        self.tasks = BackgroundTasks("target end")
 
     def refuse_if_held(self, request: GuardedRequest) -> None:
         """Refuse a request that has a quarantined feature."""
@@ -179,7 +180,9 @@
             () if is_proven else request.parts,
             began is not None,
         )
-        request.target_end_check = self.start_task(self.check_target_end(interrupted))
+        request.target_end_check = self.tasks.start(
+            self.check_target_end(interrupted), target.target_id
+        )
 
     async def check_target_end(self, interrupted: InterruptedRequest) -> bool:
         """Probe whether a target ended, and record the end against the content."""
@@ -255,7 +258,7 @@
         """Return a request's permit in the background, once its probe is complete."""
         request.cancel_proof()
         if request.permit:
-            self.start_task(self.return_permit(request))
+            self.tasks.start(self.return_permit(request), request.request_id)
 
     async def return_permit(self, request: GuardedRequest) -> None:
         """Return a request's permit once the probe of its target is complete."""
@@ -287,13 +290,6 @@
             log.warning("content quarantined", extra=asdict(held))
         self.fleet.announce_content(content, is_own)
 
-    def start_task(self, work: Coroutine[None, None, Result]) -> asyncio.Task[Result]:
-        """Start a background task and keep a reference to it."""
-        task = asyncio.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-        return task
-
     def expire(self) -> None:
         """Drop expired suspicions and permits."""
         now = self.clock.monotonic()
--- a/packages/daemon/src/sardinequay_daemon/quarantine/replicator.py
+++ b/packages/daemon/src/sardinequay_daemon/quarantine/replicator.py
@@ -15,6 +15,7 @@
 from sardinequay_core.names import Address, FeatureId, HostId
 from sardinequay_core.quarantine import Quarantine
 
+from ..background_tasks import BackgroundTasks
 from ..mailbox import run_periodically
 from ..membership_task import MembershipTask
 from ..peers import PeerClient
@@ -49,7 +50,7 @@
         self.received: Subject[tuple[ContentNews, ...]] = Subject()
         self.unsent: set[FeatureId] = set()
         self.has_unsent = asyncio.Event()
-        self.send_tasks: set[asyncio.Task[None]] = set()
+        self.send_tasks = BackgroundTasks("content")
 
     def known_to_all(self) -> list[HostId]:
         """Return the live hosts of this data centre."""
@@ -81,9 +82,7 @@
             message = ContentsTold(self.content_updates(self.unsent))
             self.unsent = set()
             for address in self.other_addresses():
-                task = asyncio.create_task(self.send_to(address, message))
-                self.send_tasks.add(task)
-                task.add_done_callback(self.send_tasks.discard)
+                self.send_tasks.start(self.send_to(address, message), str(address))
 
     def other_addresses(self) -> list[Address]:
         """Return the peer addresses of all other hosts, of all data centres."""
--- a/packages/daemon/src/sardinequay_daemon/statements/room_client.py
+++ b/packages/daemon/src/sardinequay_daemon/statements/room_client.py
@@ -13,6 +13,7 @@
 from sardinequay_core.statements.limits import PermitOutlook
 from sardinequay_core.statements.room import RoomReport
 
+from ..background_tasks import BackgroundTasks
 from ..peers import PeerClient
 from ..serving_messages import Noted
 from ..serving_metrics import ServingMetrics
@@ -70,7 +71,7 @@
         self.clock = clock
         self.metrics = metrics
         self.numbers = itertools.count(1)
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks = BackgroundTasks("room permit")
 
     async def acquire(self, request: PermitRequest) -> RoomPermit | None:
         """Wait for room for a request at a target; return None if there is none."""
@@ -135,11 +136,8 @@
         """
         if permit.issuer is None:
             return
-        task = asyncio.create_task(
-            self.give_back(permit.issuer, permit, report, after_s)
-        )
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        giving_back = self.give_back(permit.issuer, permit, report, after_s)
+        self.tasks.start(giving_back, permit.target)
 
     async def give_back(
         self, issuer: HostId, permit: RoomPermit, report: RoomReport, after_s: float
--- a/packages/daemon/src/sardinequay_daemon/stream_record_client.py
+++ b/packages/daemon/src/sardinequay_daemon/stream_record_client.py
@@ -19,6 +19,7 @@
     record_holders,
 )
 
+from .background_tasks import BackgroundTasks
 from .peer_table import Peer
 from .peers import PeerClient
 from .serving_messages import Noted
@@ -97,7 +98,7 @@
         self.clock = clock
         self.random = random
         self.metrics = metrics
-        self.tasks: set[asyncio.Task[Any]] = set()
+        self.tasks = BackgroundTasks("stream record")
 
     async def send_first(
         self, request_id: str, key: StreamKey, record: StreamRecord
@@ -182,10 +183,7 @@
 
     def start(self, work: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
         """Start a task that ends by itself."""
-        task = asyncio.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-        return task
+        return self.tasks.start(work)
 
     async def find(
         self, key: StreamKey, pool: PoolName, left_s: float
--- a/packages/daemon/src/sardinequay_daemon/use_lease_task.py
+++ b/packages/daemon/src/sardinequay_daemon/use_lease_task.py
@@ -22,6 +22,7 @@
 from sardinequay_core.rendezvous import rank_members_weighted
 from sardinequay_core.roster import EMPTY_ROSTER, Presence, Roster, Target
 
+from .background_tasks import BackgroundTasks
 from .errors import PeerError
 from .keeper_task import keeper_rank, live_engines
 from .mailbox import run_periodically
@@ -80,7 +81,7 @@
         self.avoided_data_centres: dict[DataCentre, Instant] = {}
         self.avoided_targets: dict[TargetId, Instant] = {}
         self.acquire_tasks: dict[AdapterRef, asyncio.Task[bool]] = {}
-        self.background_sends: set[asyncio.Task[None]] = set()
+        self.background_sends = BackgroundTasks("lease return")
 
     async def run(self) -> None:
         """Renew leases until cancelled."""
@@ -338,9 +339,7 @@
             return
         sequence = self.lease_table.next_sequence()
         message = GiveBack(keepership, self.holder, use, sequence)
-        task = asyncio.create_task(self.send_return(keepership, message))
-        self.background_sends.add(task)
-        task.add_done_callback(self.background_sends.discard)
+        self.background_sends.start(self.send_return(keepership, message))
 
     async def send_return(self, keepership: Keepership, message: GiveBack) -> None:
         """Send the return of a lease; if the message is lost, the lease expires."""
