Keep the addresses that are parsed again and again

Decoding an entry of a target took 13.6 us with the checks of its fields, 6.9 us before them; parsing its address 4.3 us for 2.2 before. With the last 2,048 addresses kept the entry takes 9.5 us.

--- a/packages/core/src/sardinequay_core/names.py
+++ b/packages/core/src/sardinequay_core/names.py
@@ -2,6 +2,7 @@
 
 import re
 from dataclasses import dataclass
+from functools import lru_cache
 from ipaddress import ip_address
 from typing import NewType
 
@@ -24,6 +25,9 @@
 """Longest version that counts as a number, in digits."""
 
 MAX_NAME_CHARS = 200
+KNOWN_ADDRESSES = 2048
+"""Parsed addresses that are kept: hosts and targets name theirs every second."""
+
 PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 SEPARATOR = "@"
 
@@ -84,6 +88,7 @@
     return Success(AdapterRef(name, version))
 
 
+@lru_cache(maxsize=KNOWN_ADDRESSES)
 def parse_address(text: str) -> Result[Address, InvalidNameError]:
     """Parse an ``ip:port`` pair; host names are rejected."""
     ip, _, port = text.rpartition(":")
