Let an item of the store cost itself alone, whatever it raises

Cause: what decoding or applying one item raised beyond the expected error left the task that reads the store, or the fetch from a peer, with all items beside it.

Change: `ItemDecoder` decodes and applies items one by one. What one raises unforeseen is logged once with its key, counted, and costs that item: a target without a usable entry is not used, of a configuration or a version the last one holds. A call to the store that fails unforeseen is a failed read. How many items cannot be used is a gauge. What the tasks raise by themselves still ends the process.

Shown before: the tests with an item whose decoding raises RecursionError, and with a change whose application raises KeyError, fail on the code as it was (both errors left `apply_read`).

--- a/packages/core/src/sardinequay_core/catalogue.py
+++ b/packages/core/src/sardinequay_core/catalogue.py
@@ -5,7 +5,7 @@
 host's own reader or from a peer.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 from functools import singledispatch
 from typing import TypeVar
@@ -258,19 +258,14 @@
     return catalogue
 
 
-def apply_listing(
-    catalogue: Catalogue,
-    changes: tuple[Change, ...],
-    revision: int,
-    absence: RemovalPolicy,
+def remove_unlisted(
+    catalogue: Catalogue, changes: Iterable[Change | None], absence: RemovalPolicy
 ) -> Catalogue:
-    """Apply a complete listing; targets missing from it are treated as removed."""
+    """Return the catalogue without the targets that a complete listing lacks."""
     listed = {
         c.published.target.target_id for c in changes if isinstance(c, TargetPublished)
     }
     for target_id in tuple(catalogue.targets):
         if target_id not in listed:
             catalogue = apply_change(TargetRemoved(target_id), catalogue, absence)
-    for change in changes:
-        catalogue = apply_change(change, catalogue, absence)
-    return replace(catalogue, revision=max(revision, catalogue.revision))
+    return catalogue
--- a/packages/core/tests/test_catalogue.py
+++ b/packages/core/tests/test_catalogue.py
@@ -14,9 +14,9 @@
     TargetUnreadable,
     VersionPublished,
     apply_change,
-    apply_listing,
     expire_unconfirmed,
     is_equal_except_revisions,
+    remove_unlisted,
 )
 from sardinequay_core.clock import seconds
 from sardinequay_core.names import Address, DataCentre, PoolName, TargetId
@@ -44,6 +44,15 @@
     return ConfigPublished(make_serving_config(version, (), (), CallerLimits()))
 
 
+def apply_listing(
+    catalogue: Catalogue, changes: tuple, revision: int, policy: RemovalPolicy
+) -> Catalogue:
+    catalogue = remove_unlisted(catalogue, changes, policy)
+    for change in changes:
+        catalogue = apply_change(change, catalogue, policy)
+    return replace(catalogue, revision=max(revision, catalogue.revision))
+
+
 @pytest.fixture
 def catalogue() -> Catalogue:
     return apply_change(published("a", 5), Catalogue(), REMOVE_AT_ONCE)
--- a/packages/daemon/src/sardinequay_daemon/serving_metrics.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_metrics.py
@@ -35,6 +35,10 @@
         self.store_age = self.gauge(
             "store_age_seconds", "How old this host's copy of the store may be"
         )
+        self.unreadable_items = self.gauge(
+            "unreadable_store_items",
+            "Items of the store that cannot be used",
+        )
         self.left_unread = self.counter(
             "connections_left_unread_total", "New connections that were closed unread"
         )
--- a/packages/daemon/src/sardinequay_daemon/serving_ports.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_ports.py
@@ -225,6 +225,12 @@
             If the item is malformed.
         """
 
+    def withdraw(self, key: str) -> Change | None:
+        """Return the change for an item that cannot be used, for whatever reason.
+
+        It takes back what an earlier state of the item gave; None if that still holds.
+        """
+
 
 @dataclass(frozen=True, slots=True)
 class OrderTerms:
--- a/packages/daemon/src/sardinequay_daemon/store/item_fetcher.py
+++ b/packages/daemon/src/sardinequay_daemon/store/item_fetcher.py
@@ -14,6 +14,7 @@
 from sardinequay_core.names import HostId
 from sardinequay_core.read_times import ReadTimes
 
+from ..background_tasks import BackgroundTasks
 from ..fleet_task import FleetTask, ReceivedDigest
 from ..peers import PeerClient
 from ..serving_messages import FetchItems, ItemsReply
@@ -52,6 +53,7 @@
         self.times = times
         self.offers: dict[HostId, int] = {}
         self.fetches: dict[HostId, asyncio.Task[None]] = {}
+        self.tasks = BackgroundTasks("items of a peer")
         self.failed_at: dict[HostId, Instant] = {}
         self.last_started_at: Instant | None = None
         self.hedge_timer: asyncio.TimerHandle | None = None
@@ -87,7 +89,7 @@
             return
         host_id = min(offering, key=self.preference)
         self.last_started_at = self.clock.monotonic()
-        self.fetches[host_id] = asyncio.create_task(self.fetch(host_id))
+        self.fetches[host_id] = self.tasks.start(self.fetch(host_id), host_id)
         self.schedule(self.times().fetch_hedge.total_seconds())
 
     def offering_peers(self) -> list[HostId]:
--- a/packages/daemon/src/sardinequay_daemon/store/parts.py
+++ b/packages/daemon/src/sardinequay_daemon/store/parts.py
@@ -11,6 +11,7 @@
 from ..serving_messages import FetchItems
 from ..serving_metrics import ServingMetrics
 from ..serving_ports import HostProfile, MetadataStore, ServingBounds
+from ..unforeseen import DIGEST_KIND, subscribe_contained
 from .item_fetcher import ItemFetcher
 from .reader import StoreReader, head_start_s
 from .task import StoreTask, is_stated_age
@@ -33,7 +34,11 @@
         self.fleet = fleet
         self.metrics = metrics
         self.task = StoreTask(
-            store, clock, self.bounds.entry_return, self.bounds.change_in_force
+            store,
+            clock,
+            self.bounds.entry_return,
+            self.bounds.change_in_force,
+            metrics,
         )
         self.reader = StoreReader(
             store,
@@ -51,8 +56,8 @@
     def subscribe(self, server: PeerServer) -> None:
         """Follow peers' digests, announce news, and answer peers."""
         self.task.own_news.subscribe(self.announce_news)
-        self.fleet.digests.subscribe(self.record_statement)
-        self.fleet.digests.subscribe(self.fetcher.handle_digest)
+        for handler in (self.record_statement, self.fetcher.handle_digest):
+            subscribe_contained(self.fleet.digests, handler, self.metrics, DIGEST_KIND)
         self.fleet.lost_peers.subscribe(self.fetcher.forget_peer)
         server.register(FetchItems, self.task.handle_fetch)
 
@@ -94,4 +99,5 @@
     def do_housekeeping(self) -> None:
         """Update the gauge of the copy's age, and log a host that is behind."""
         self.metrics.store_age.set({}, min(self.task.age_s(), 1e6))
+        self.metrics.unreadable_items.set({}, len(self.task.decoder.unreadable))
         self.task.log_behind()
--- a/packages/daemon/src/sardinequay_daemon/store/reader.py
+++ b/packages/daemon/src/sardinequay_daemon/store/reader.py
@@ -8,12 +8,12 @@
 import asyncio
 import logging
 from asyncio import FIRST_COMPLETED
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
 
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 
 from sardinequay_core.clock import Clock, Instant
 from sardinequay_core.read_times import AnswerWait, ReadTimes
@@ -21,6 +21,7 @@
 from ..errors import PlatformError
 from ..serving_metrics import ServingMetrics
 from ..serving_ports import MetadataStore, StoreRead
+from ..unforeseen import record_unforeseen
 from .task import StoreTask
 
 RETRY_DELAYS_S = (0.05, 0.1, 0.25, 0.5, 0.5, 1.0)
@@ -156,9 +157,19 @@
         """Watch the store once from this host's revision on."""
         call = self.begin_call("watch")
         answer_wait = self.answer_wait.value(self.times())
-        result = await self.store.watch(call.revision, wait, answer_wait)
+        result = await self.contain(self.store.watch(call.revision, wait, answer_wait))
         await self.handle_result(result, call, wait)
 
+    async def contain(
+        self, call: Awaitable[Result[StoreRead, PlatformError]]
+    ) -> Result[StoreRead, PlatformError]:
+        """Return the result of a call; one that failed unforeseen is a failed read."""
+        try:
+            return await call
+        except Exception as error:
+            record_unforeseen(self.metrics, "store reply", "", error)
+            return Failure(PlatformError("store", repr(error)))
+
     def begin_call(self, kind: str) -> StoreCall:
         """Count a call to the store and note when, and from what, it begins."""
         self.metrics.store_reads.inc({"call": kind})
@@ -206,7 +217,7 @@
         """
         self.peer_has_items.clear()
         answer_wait = self.answer_wait.value(self.times())
-        listing = asyncio.create_task(self.store.list_all(answer_wait))
+        listing = asyncio.create_task(self.contain(self.store.list_all(answer_wait)))
         peer_items = asyncio.create_task(self.peer_has_items.wait())
         try:
             await asyncio.wait((listing, peer_items), return_when=FIRST_COMPLETED)
--- a/packages/daemon/src/sardinequay_daemon/store/task.py
+++ b/packages/daemon/src/sardinequay_daemon/store/task.py
@@ -8,16 +8,17 @@
 
 from sardinequay_core.catalogue import (
     Catalogue,
+    Change,
     RemovalPolicy,
-    apply_change,
-    apply_listing,
     expire_unconfirmed,
     is_equal_except_revisions,
+    remove_unlisted,
 )
 from sardinequay_core.clock import Clock, Instant, seconds
 from sardinequay_core.freshness import Freshness, FreshnessStatement
 from sardinequay_core.names import HostId
 
+from ..metrics import HostMetrics
 from ..serving_messages import FetchItems, ItemsReply
 from ..serving_ports import MetadataStore, StoreItem, StoreRead
 from .change_log import log_changes
@@ -77,11 +78,12 @@
         clock: Clock,
         entry_return_time: timedelta,
         budget: timedelta,
+        metrics: HostMetrics,
     ) -> None:
         self.clock = clock
         self.entry_return_time = entry_return_time
         self.budget = budget
-        self.decoder = ItemDecoder(store.decode)
+        self.decoder = ItemDecoder(store, metrics)
         self.catalogues: BehaviorSubject[Catalogue] = BehaviorSubject(Catalogue())
         self.own_news: Subject[int] = Subject()
         self.peer_items: Subject[int] = Subject()
@@ -181,21 +183,24 @@
     def with_listing(self, read: StoreRead) -> Catalogue:
         """Return the catalogue after a complete listing."""
         self.items.replace_all(read.items, read.revision)
-        changes = tuple(
-            c for c in map(self.decoder.decode, read.items) if c is not None
-        )
-        return apply_listing(
-            self.catalogue, changes, read.revision, self.removal_policy()
-        )
+        changes = [self.decoder.decode(item) for item in read.items]
+        catalogue = remove_unlisted(self.catalogue, changes, self.removal_policy())
+        return self.after_changes(read, changes, catalogue)
 
     def with_changes(self, read: StoreRead) -> Catalogue:
         """Return the catalogue after changed items, applied in order."""
-        catalogue = self.catalogue
         for item in read.items:
             self.items.save(item)
-            change = self.decoder.decode(item)
-            if change is not None:
-                catalogue = apply_change(change, catalogue, self.removal_policy())
+        changes = [self.decoder.decode(item) for item in read.items]
+        return self.after_changes(read, changes, self.catalogue)
+
+    def after_changes(
+        self, read: StoreRead, changes: list[Change | None], catalogue: Catalogue
+    ) -> Catalogue:
+        """Return a catalogue after the changes of a read's items, in order."""
+        policy = self.removal_policy()
+        for item, change in zip(read.items, changes, strict=True):
+            catalogue = self.decoder.apply(item, change, catalogue, policy)
         return replace(catalogue, revision=max(read.revision, catalogue.revision))
 
     def publish_catalogue(self, catalogue: Catalogue, source: str) -> None:
--- a/packages/daemon/tests/large_fleet.py
+++ b/packages/daemon/tests/large_fleet.py
@@ -95,7 +95,13 @@
             lambda: self.fleet.request_update(far=True),
             lambda: self.fleet.request_update(far=True),
         )
-        self.store = StoreTask(IgnoredItems(), clock, seconds(2), seconds(3))
+        self.store = StoreTask(
+            IgnoredItems(),
+            clock,
+            seconds(2),
+            seconds(3),
+            ServingMetrics(self.me.host_id, data_centre),
+        )
         self.store.freshness.hold(1)
         self.writer = DigestWriter(
             self.me,
--- a/packages/daemon/tests/store_world.py
+++ b/packages/daemon/tests/store_world.py
@@ -11,6 +11,7 @@
     PublishedTarget,
     TargetPublished,
     TargetRemoved,
+    TargetUnreadable,
 )
 from sardinequay_core.clock import Clock, seconds
 from sardinequay_core.names import Address, DataCentre, PoolName, TargetId
@@ -81,6 +82,8 @@
             return TargetRemoved(TargetId("t"))
         if found.value is None:
             return None
+        if found.value == b"poison":
+            raise RecursionError("poison")
         if found.key == "target":
             return published(found.value.decode(), found.revision)
         if found.value == b"spoiled":
@@ -88,13 +91,16 @@
         config = make_serving_config(int(found.value), (), (), CallerLimits())
         return ConfigPublished(config)
 
+    def withdraw(self, key: str) -> Change | None:
+        return TargetUnreadable(TargetId("t"), "") if key == "target" else None
+
 
 def small_fleet_times() -> ReadTimes:
     return read_times(BUDGET, 2000, hosts=8)
 
 
 def make_task(store: ScriptedStore, clock: Clock) -> StoreTask:
-    return StoreTask(store, clock, seconds(2), BUDGET)
+    return StoreTask(store, clock, seconds(2), BUDGET, ServingMetrics("h1", "here"))
 
 
 def make_reader(
--- a/packages/daemon/tests/test_store_reader.py
+++ b/packages/daemon/tests/test_store_reader.py
@@ -346,3 +346,16 @@
         reader.failures += 1
     assert delays_s[0] < 0.1
     assert 0.7 < delays_s[-1] <= (1.25 if is_reader else 2.5)
+
+
+async def test_call_that_fails_unforeseen_is_a_failed_read(clock) -> None:
+    """Guards against the end of a host by a reply of the store that nobody foresaw."""
+    store = ScriptedStore()
+    task = make_task(store, clock)
+    reader = make_reader(store, task, clock)
+    await reader.read_once()
+    assert reader.failures == 1
+    assert reader.metrics.unforeseen_errors.get({"kind": "store reply"}) == 1
+    store.answers = [read(item(1, 5), revision=5)]
+    await reader.read_once()
+    assert task.catalogue.config.version == 1
--- a/packages/daemon/tests/test_store_task.py
+++ b/packages/daemon/tests/test_store_task.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from sardinequay_core.catalogue import TargetPublished, apply_change
 from sardinequay_core.clock import seconds
 from sardinequay_core.freshness import FreshnessStatement
 from sardinequay_core.names import HostId, TargetId
@@ -252,3 +253,49 @@
     reply = ItemsReply((), 1, False, news_revision=1, age_s=age_s)
     task.apply_peer_items(reply, HostId("h2"), clock.monotonic())
     assert task.age_s() >= 1
+
+
+def test_item_that_fails_unforeseen_costs_itself_alone(task: StoreTask) -> None:
+    """Guards against the end of all hosts by one entry that nobody foresaw."""
+    poison = StoreItem("poison", 7, b"poison")
+    apply_read(task, item(1, 5), entry(1, 6), poison, revision=7)
+    assert task.catalogue.config.version == 1
+    assert T in task.catalogue.targets
+    apply_read(task, StoreItem("poison", 8, b"poison"), item(2, 9), revision=9)
+    assert task.catalogue.config.version == 2
+    assert task.catalogue.revision == 9
+    counter = task.decoder.metrics.unforeseen_errors
+    assert counter.get({"kind": "store item"}) == 1
+    assert task.decoder.unreadable == {"poison"}
+    apply_read(task, item(3, 10), StoreItem("poison", 11, None), revision=11)
+    assert not task.decoder.unreadable
+
+
+@pytest.mark.parametrize("is_listing", [True, False])
+def test_target_whose_entry_fails_unforeseen_is_not_used(
+    task: StoreTask, is_listing: bool
+) -> None:
+    apply_read(task, item(1, 5), entry(1, 6), revision=6)
+    assert T in task.catalogue.targets
+    task.must_list = is_listing
+    apply_read(task, item(1, 5), StoreItem("target", 7, b"poison"), revision=7)
+    assert T not in task.catalogue.targets
+    apply_read(task, entry(2, 8), revision=8)
+    assert T in task.catalogue.targets
+
+
+def test_change_that_cannot_be_applied_costs_itself_alone(
+    task: StoreTask, monkeypatch
+) -> None:
+    def fail(change, catalogue, policy):
+        if isinstance(change, TargetPublished):
+            raise KeyError("unforeseen")
+        return apply_change(change, catalogue, policy)
+
+    module = "sardinequay_daemon.store.item_decoder.apply_change"
+    monkeypatch.setattr(module, fail)
+    apply_read(task, entry(1, 5), item(4, 6), revision=6)
+    assert task.catalogue.config.version == 4
+    assert not task.catalogue.targets
+    apply_read(task, item(5, 7), entry(2, 8), revision=8)
+    assert task.catalogue.config.version == 5
