Keep no part of a host from catalogues and digests by what another raises

Cause: the parts of a host follow the catalogue and peers' digests one after another. What one raised kept that catalogue from all after it, and ended the process, again at each start while the item stood: a part that gets a number which it cannot count with is enough.

Change: each part is subscribed by itself. What it raises is logged with its name and counted; the next catalogue reaches it again, about once a second, as targets renew their entries. Hosts log and count what tasks raise that nobody awaits.

--- a/packages/daemon/src/sardinequay_daemon/host.py
+++ b/packages/daemon/src/sardinequay_daemon/host.py
@@ -62,6 +62,7 @@
 from .target_probe import TargetProbe
 from .tls import client_context, server_context
 from .tracing import Tracing
+from .unforeseen import install_error_handler, subscribe_contained
 from .use_lease_task import UseLeaseTask
 
 EXIT_PORT_IN_USE = 3
@@ -301,17 +302,22 @@
     def subscribe_tasks(self) -> None:
         """Subscribe tasks to the updates of other tasks."""
         rosters = self.roster.rosters
-        rosters.subscribe(self.membership.apply_roster)
-        rosters.subscribe(self.claimer.apply_roster)
-        rosters.subscribe(self.leases.apply_roster)
-        rosters.subscribe(self.forwarder.apply_roster)
-        rosters.subscribe(self.forward_roster_to_guard)
+        for handler in (
+            self.membership.apply_roster,
+            self.claimer.apply_roster,
+            self.leases.apply_roster,
+            self.forwarder.apply_roster,
+            self.forward_roster_to_guard,
+        ):
+            subscribe_contained(rosters, handler, self.metrics, "roster")
         self.roster.direct_reads.subscribe(self.guard.apply_host_list)
         self.membership.live_members.subscribe(self.leases.apply_members)
         self.keeper.subscribe(
             self.rollout.bundles, rosters, self.membership.live_members
         )
-        self.rollout.bundles.subscribe(self.announce_bundle)
+        subscribe_contained(
+            self.rollout.bundles, self.announce_bundle, self.metrics, "bundle"
+        )
 
     def forward_roster_to_guard(self, roster: Roster) -> None:
         """Pass a roster to the guard task, unless it is the empty initial one."""
@@ -402,6 +408,7 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until `stop` is set, then let requests in flight finish."""
+        install_error_handler(self.metrics)
         self.build_tasks()
         peer_listener = await self.listen()
         try:
--- a/packages/daemon/src/sardinequay_daemon/path_parts.py
+++ b/packages/daemon/src/sardinequay_daemon/path_parts.py
@@ -17,6 +17,7 @@
 from .target_witness import TargetWitness
 from .tunnel_client import TunnelClient
 from .tunnel_server import TunnelServer
+from .unforeseen import CATALOGUE_KIND, subscribe_contained
 
 
 class PathParts:
@@ -63,6 +64,11 @@
 
     def subscribe(self, store: StoreTask, server: PeerServer) -> None:
         """Follow the catalogue, and answer peers."""
-        store.catalogues.subscribe(self.monitor.apply_catalogue)
+        subscribe_contained(
+            store.catalogues,
+            self.monitor.apply_catalogue,
+            self.monitor.metrics,
+            CATALOGUE_KIND,
+        )
         server.register(AskAlive, self.witness.handle_ask)
         server.register_stream(OpenTunnel, self.tunnel_server.serve)
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -7,11 +7,13 @@
 import asyncio
 import gc
 import logging
+from collections.abc import Callable
 from dataclasses import asdict, dataclass, replace
 from random import Random
 
 from aiohttp import web
 
+from sardinequay_core.catalogue import Catalogue
 from sardinequay_core.clock import ZERO, Clock, Instant, seconds
 from sardinequay_core.names import HostId
 from sardinequay_core.order_lease import Ballot, OrderPolicy, Resign
@@ -62,6 +64,12 @@
 from .stream_record_client import StreamRecordClient
 from .stream_versions import StreamVersions
 from .tracing import Tracing
+from .unforeseen import (
+    CATALOGUE_KIND,
+    DIGEST_KIND,
+    install_error_handler,
+    subscribe_contained,
+)
 from .upstream import Upstream
 
 EXIT_PORT_IN_USE = 3
@@ -275,15 +283,14 @@
 
     def subscribe_tasks(self) -> None:
         """Subscribe tasks to updates, and register the handlers of peers' messages."""
-        self.store.catalogues.subscribe(self.state.apply_catalogue)
-        self.store.catalogues.subscribe(self.versions.apply_catalogue)
+        self.follow_catalogue(self.state.apply_catalogue, self.versions.apply_catalogue)
         self.paths.subscribe(self.store, self.peer_server)
-        self.store.catalogues.subscribe(self.orders.apply_catalogue)
-        self.store.catalogues.subscribe(self.feature_guard.apply_catalogue)
-        self.fleet.digests.subscribe(self.state.apply_digest)
-        self.fleet.digests.subscribe(self.handle_peer_contents)
+        self.follow_catalogue(
+            self.orders.apply_catalogue, self.feature_guard.apply_catalogue
+        )
+        self.follow_digests(self.state.apply_digest, self.handle_peer_contents)
         self.statements.subscribe(self.fleet, self.peer_server, self.deployment.engines)
-        self.fleet.digests.subscribe(self.digest_writer.handle_digest)
+        self.follow_digests(self.digest_writer.handle_digest)
         self.fleet.lost_peers.subscribe(self.state.forget_peer)
         self.fleet.lost_peers.subscribe(self.digest_writer.reset_sent_state)
         self.fleet.holds_lease = lambda: self.lease.is_holder
@@ -300,6 +307,18 @@
         server.register(AdapterMissing, self.orders.handle_adapter_event)
         server.register(UseChanged, self.orders.handle_adapter_event)
 
+    def follow_catalogue(self, *handlers: Callable[[Catalogue], None]) -> None:
+        """Call handlers with each catalogue; none keeps it from the others."""
+        for handler in handlers:
+            subscribe_contained(
+                self.store.catalogues, handler, self.metrics, CATALOGUE_KIND
+            )
+
+    def follow_digests(self, *handlers: Callable[[ReceivedDigest], None]) -> None:
+        """Call handlers with each digest; none keeps it from the others."""
+        for handler in handlers:
+            subscribe_contained(self.fleet.digests, handler, self.metrics, DIGEST_KIND)
+
     def apply_profile(self, profile: HostProfile) -> None:
         """Apply changed settings: seeds and bounds. Addresses need a restart."""
         self.profile = replace(self.profile, seeds=profile.seeds, bounds=profile.bounds)
@@ -333,6 +352,7 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until `stop` is set, then let requests in flight finish."""
+        install_error_handler(self.metrics)
         peer_listener = await self.listen()
         log.info("started", extra={"data_centre": self.profile.data_centre})
         try:
--- a/packages/daemon/src/sardinequay_daemon/statements/parts.py
+++ b/packages/daemon/src/sardinequay_daemon/statements/parts.py
@@ -12,6 +12,7 @@
 from ..relay_state import RelayState
 from ..serving_metrics import ServingMetrics
 from ..serving_ports import ControlAnswer, EngineOrders
+from ..unforeseen import ANSWER_KIND, DIGEST_KIND, subscribe_contained
 from .limit_messages import AskToSend
 from .permit_issuer import PermitIssuer
 from .permit_request import PermitRequest
@@ -60,6 +61,7 @@
             limits, clock, state.fleet_size.live_fraction, draw
         )
         self.room_issuer = RoomIssuer(rejection_limits, clock)
+        self.metrics = metrics
         self.limiter = TargetLimiter(
             me, limits, self.permit_issuer, fleet, peers, clock, metrics
         )
@@ -71,8 +73,12 @@
         self, fleet: FleetTask, server: PeerServer, engines: EngineOrders
     ) -> None:
         """Hear of targets' statements, and answer peers that ask."""
-        engines.answers.subscribe(self.record_control_answer)
-        fleet.digests.subscribe(self.recorders.apply_digest)
+        subscribe_contained(
+            engines.answers, self.record_control_answer, self.metrics, ANSWER_KIND
+        )
+        subscribe_contained(
+            fleet.digests, self.recorders.apply_digest, self.metrics, DIGEST_KIND
+        )
         server.register(AskToSend, self.permit_issuer.handle_ask)
         server.register(AskRoom, self.room_issuer.handle_ask)
         server.register(RoomBack, self.room_issuer.handle_back)
--- a/packages/daemon/src/sardinequay_daemon/stream_versions.py
+++ b/packages/daemon/src/sardinequay_daemon/stream_versions.py
@@ -38,6 +38,7 @@
     StreamReply,
 )
 from .stream_record_client import FoundVersion, StreamRecordClient, VersionSource
+from .unforeseen import CATALOGUE_KIND, DIGEST_KIND, subscribe_contained
 
 UNKNOWN_RETRY = seconds(1)
 """Retry-after time of a stream whose version no host knows now: one that was not
@@ -72,8 +73,12 @@
 
     def subscribe(self, fleet: FleetTask, server: PeerServer) -> None:
         """Follow the list of targets, and answer peers."""
-        self.store.catalogues.subscribe(self.apply_catalogue)
-        fleet.digests.subscribe(lambda _: self.apply_view())
+        subscribe_contained(
+            self.store.catalogues, self.apply_catalogue, self.metrics, CATALOGUE_KIND
+        )
+        subscribe_contained(
+            fleet.digests, lambda _: self.apply_view(), self.metrics, DIGEST_KIND
+        )
         server.register(RecordStreams, self.handle_records)
         server.register(AskStream, self.handle_ask)
         server.register(AskHistory, self.handle_ask_history)
