Go on ordering an engine after a step that failed unforeseen

What callers saw: an engine whose first reports nest deep got no order for as long as its keeper held the lease, also once its reports were sound, and no log said so.

Cause: each engine has a task of its own, which is kept and awaited by nobody. What a report raised ended it in silence. A name in a peer's digest that is too long to parse raised in the host that became the keeper after it, and ended that process.

Change: a step that fails unforeseen is logged with the engine, counted, and followed by a scheduler that asks the engine anew what it holds. A probe of a path costs itself alone. Adapters in digests that cannot be parsed are left out.

Shown before: on the code as it was the engine's task ends with RecursionError after its first report, and `add_engine` raises UnwrapFailedError.

--- a/packages/daemon/src/sardinequay_daemon/engine_runner.py
+++ b/packages/daemon/src/sardinequay_daemon/engine_runner.py
@@ -25,6 +25,7 @@
 from .path_monitor import PathMonitor
 from .serving_metrics import ServingMetrics
 from .serving_ports import EngineOrders, OrderAccepted, OrderTerms
+from .unforeseen import record_unforeseen
 
 LEASE_POLL_S = 0.08
 """Interval between checks of the order lease while an order waits for it."""
@@ -32,6 +33,9 @@
 REPORT_RETRY_PAUSE_S = 0.3
 """Pause before the next report request after an engine returned no report."""
 
+FAULT_PAUSE_S = 0.3
+"""Pause after a step that failed unforeseen, in seconds."""
+
 log = logging.getLogger(__name__)
 
 
@@ -92,32 +96,50 @@
             },
         )
         engine.published = published
+        self.begin_scheduler(engine, published.incarnation)
+
+    def begin_scheduler(self, engine: ManagedEngine, incarnation: int) -> None:
+        """Replace an engine's scheduler by one that knows nothing of the engine."""
+        previous = engine.scheduler
         engine.scheduler = EngineScheduler(
             previous.target,
             previous.max_adapters,
-            published.incarnation,
+            incarnation,
             previous.change_number + 1,
         )
         engine.scheduler.mark_in_doubt(self.clock.monotonic())
         engine.wake.set()
 
     async def run(self, engine: ManagedEngine) -> None:
-        """Perform the steps of an engine's scheduler until the task is cancelled."""
+        """Perform the steps of an engine's scheduler until the task is cancelled.
+
+        After a step that failed unforeseen, the engine is asked anew what it holds.
+        """
         while True:
-            scheduler = engine.scheduler
-            now = self.clock.monotonic()
-            engine.wake.clear()
-            self.refresh_scheduler_inputs(engine)
-            step = scheduler.next_step(self.uses.counts_on(scheduler.target), now)
-            engine.resolve_load_waiters()
-            if isinstance(step, Rest):
-                await self.wait_for_wake(engine, step.for_s)
-            elif isinstance(step, AskReport):
-                await self.request_report(engine)
-            elif self.candidate.can_order(now):
-                await self.send_order(engine, step)
-            else:
-                await self.wait_for_wake(engine, LEASE_POLL_S)
+            try:
+                await self.run_step(engine)
+            except Exception as error:
+                scheduler = engine.scheduler
+                record_unforeseen(self.metrics, "engine", scheduler.target, error)
+                await asyncio.sleep(FAULT_PAUSE_S)
+                self.begin_scheduler(engine, scheduler.incarnation)
+
+    async def run_step(self, engine: ManagedEngine) -> None:
+        """Perform the next step of an engine's scheduler."""
+        scheduler = engine.scheduler
+        now = self.clock.monotonic()
+        engine.wake.clear()
+        self.refresh_scheduler_inputs(engine)
+        step = scheduler.next_step(self.uses.counts_on(scheduler.target), now)
+        engine.resolve_load_waiters()
+        if isinstance(step, Rest):
+            await self.wait_for_wake(engine, step.for_s)
+        elif isinstance(step, AskReport):
+            await self.request_report(engine)
+        elif self.candidate.can_order(now):
+            await self.send_order(engine, step)
+        else:
+            await self.wait_for_wake(engine, LEASE_POLL_S)
 
     async def wait_for_wake(self, engine: ManagedEngine, timeout_s: float) -> None:
         """Wait until the engine's wake event is set, for at most `timeout_s`."""
--- a/packages/daemon/src/sardinequay_daemon/order_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from returns.result import Success
+
 from sardinequay_core.catalogue import Catalogue, PublishedTarget
 from sardinequay_core.clock import ZERO, Clock, Instant, seconds
 from sardinequay_core.engine_scheduler import EngineScheduler
@@ -17,6 +19,7 @@
 from sardinequay_core.room import MAX_SUMMARY_LEVELS, summarise
 from sardinequay_core.roster import Presence
 
+from .background_tasks import BackgroundTasks
 from .engine_runner import EngineRunner
 from .load_request_handler import LoadRequestHandler
 from .managed_engine import ManagedEngine
@@ -91,6 +94,7 @@
         self.candidate = lease.candidate
         self.catalogue = Catalogue()
         self.managed_engines: dict[TargetId, ManagedEngine] = {}
+        self.engine_tasks = BackgroundTasks("engine")
         self.peer_holdings: dict[TargetId, ReceivedHoldings] = {}
         self.is_ordering = False
         self.last_holdings: tuple[EngineHoldings, ...] = ()
@@ -250,11 +254,12 @@
         inherited = received.holdings if received is not None else None
         if inherited is not None and inherited.incarnation >= scheduler.incarnation:
             scheduler.incarnation = inherited.incarnation
+            recent = map(parse_adapter_ref, inherited.recent)
             scheduler.load_times.restore_recent(
-                parse_adapter_ref(t).unwrap() for t in inherited.recent
+                found.unwrap() for found in recent if isinstance(found, Success)
             )
         engine = self.managed_engines[target_id] = ManagedEngine(published, scheduler)
-        engine.task = asyncio.create_task(self.runner.run(engine))
+        engine.task = self.engine_tasks.start(self.runner.run(engine), target_id)
 
     def remove_engine(self, target_id: TargetId) -> None:
         """Cancel the task of an engine and the load requests that wait for it."""
--- a/packages/daemon/src/sardinequay_daemon/path_monitor.py
+++ b/packages/daemon/src/sardinequay_daemon/path_monitor.py
@@ -15,11 +15,13 @@
 from sardinequay_core.names import Address, TargetId
 from sardinequay_core.target_paths import TargetPaths
 
+from .background_tasks import BackgroundTasks
 from .connection_probe import MIN_OPEN_S
 from .errors import PeerError
 from .path_messages import NO_TARGET
 from .serving_metrics import ServingMetrics
 from .tunnel_transport import TunnelTransport
+from .unforeseen import record_unforeseen
 
 PROBE_ROUND_S = 0.1
 """Interval between two rounds of probes, of those paths that are due, in seconds."""
@@ -65,6 +67,7 @@
         self.paths = TargetPaths()
         self.targets_at: dict[Address, tuple[TargetId, ...]] = {}
         self.checks: dict[Address, asyncio.Task[bool]] = {}
+        self.running_checks = BackgroundTasks("path")
         self.was_cut_off = False
 
     def apply_catalogue(self, catalogue: Catalogue) -> None:
@@ -139,7 +142,7 @@
         """
         running = self.checks.get(address)
         if running is None:
-            running = asyncio.create_task(self.run_check(address))
+            running = self.running_checks.start(self.run_check(address), str(address))
             self.checks[address] = running
             running.add_done_callback(lambda _: self.checks.pop(address, None))
         return running
@@ -182,7 +185,12 @@
 
     async def probe(self, address: Address) -> None:
         """Probe one lost path."""
-        if await self.accepts(address):
+        try:
+            is_accepted = await self.accepts(address)
+        except Exception as error:
+            record_unforeseen(self.metrics, "path", str(address), error)
+            return
+        if is_accepted:
             self.record_opened(address)
 
 
--- a/packages/daemon/src/sardinequay_daemon/relay_state.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_state.py
@@ -287,8 +287,9 @@
     def apply_holdings(self, holdings: EngineHoldings, now: Instant) -> None:
         """Apply the adapters that an engine holds, as reported by its keeper."""
         coming = {
-            parse_adapter_ref(text).unwrap(): now + seconds(in_s)
+            adapter: now + seconds(in_s)
             for text, in_s in holdings.coming.items()
+            if (adapter := parse_adapter_ref(text).value_or(None)) is not None
         }
         held = HeldAdapters(
             holdings.token,
--- a/packages/daemon/tests/test_order_task.py
+++ b/packages/daemon/tests/test_order_task.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 from returns.result import Success
@@ -34,9 +35,10 @@
     TargetPool,
     make_serving_config,
 )
+from sardinequay_daemon import engine_runner
 from sardinequay_daemon.managed_engine import ManagedEngine
 from sardinequay_daemon.order_task import OrderTask
-from sardinequay_daemon.serving_messages import AdapterMissing
+from sardinequay_daemon.serving_messages import AdapterMissing, EngineHoldings
 from sardinequay_daemon.serving_metrics import ServingMetrics
 from sardinequay_daemon.serving_ports import OrderAccepted
 
@@ -214,3 +216,46 @@
     assert not latest[0].adapters
     task.stop_ordering()
     assert not task.recent_holdings()
+
+
+async def test_engine_is_ordered_again_after_a_step_that_failed_unforeseen(
+    task: OrderTask, engines, monkeypatch
+) -> None:
+    """Guards against an engine whose task ends in silence by one odd report."""
+    monkeypatch.setattr(engine_runner, "FAULT_PAUSE_S", 0.0)
+    reports = [RecursionError("deep"), Success(engines.status)]
+    asked = asyncio.Event()
+
+    async def report(_: Target):
+        found = reports.pop(0) if len(reports) > 1 else reports[0]
+        if isinstance(found, Exception):
+            raise found
+        asked.set()
+        return found
+
+    engine = task.managed_engines[ENGINE_ID]
+    engine.scheduler = EngineScheduler(ENGINE_ID, 2, FIRST_INCARNATION)
+    monkeypatch.setattr(engines, "report", report)
+    engine.task = asyncio.create_task(task.runner.run(engine))
+    async with asyncio.timeout(10):
+        await asked.wait()
+        while engine.scheduler.accepted_orders is None:
+            task.clock.advance(1)
+            await asyncio.sleep(0.01)
+    counter = task.runner.metrics.unforeseen_errors
+    assert counter.get({"kind": "engine"}) == 1
+    engine.task.cancel()
+
+
+def test_adapter_that_cannot_be_parsed_is_not_inherited(task: OrderTask) -> None:
+    """Guards against a name in a peer's digest that ends the next keeper."""
+    task.remove_engine(ENGINE_ID)
+    recent = ("m/b@1", "m/" + "x" * 300 + "@1", "@")
+    holdings = EngineHoldings(
+        ENGINE_ID, 1, 1, (), {}, recent, incarnation=FIRST_INCARNATION
+    )
+    task.record_peer_holdings(holdings)
+    task.engine_tasks = SimpleNamespace(start=lambda work, key: work.close())
+    task.add_engine(published_engine(FIRST_INCARNATION))
+    recent_loads = task.managed_engines[ENGINE_ID].scheduler.load_times.recent
+    assert [str(adapter) for adapter in recent_loads] == ["m/b@1"]
