Let a peer's message cost itself alone, and say so at once

Cause: a request whose handler raised got no reply, so that its caller waited for its timeout. A message that could not be encoded (a number past 64 bits) raised in the task that sends it, among them the election. A reply that could not be decoded closed the link with all calls on it. An address in a digest that is none, an endless uptime or abstention raised where they were used first, in tasks that end the process. Five bytes let the reader of frames allocate 128 MB.

Change: messages are encoded and decoded with one typed error, which fails its own call. Contacts, uptimes and abstentions are checked as they are decoded. What a handler raises unforeseen is logged with the message's name, counted, and told to the caller. Arrays of a frame are bounded by its five parts.

--- a/packages/core/src/sardinequay_core/clock.py
+++ b/packages/core/src/sardinequay_core/clock.py
@@ -22,3 +22,14 @@
 def seconds(value: float) -> timedelta:
     """Return `value` seconds as a duration."""
     return timedelta(seconds=value)
+
+
+MAX_SECONDS = 1e9
+"""Longest duration that a peer may state, in seconds: some thirty years."""
+
+
+def check_seconds(*durations_s: float) -> None:
+    """Raise ValueError for a duration from which no date can be made."""
+    for duration_s in durations_s:
+        if not abs(duration_s) <= MAX_SECONDS:
+            raise ValueError(f"no duration in seconds: {duration_s}")
--- a/packages/core/src/sardinequay_core/order_lease.py
+++ b/packages/core/src/sardinequay_core/order_lease.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from .clock import ZERO, Instant, seconds
+from .clock import ZERO, Instant, check_seconds, seconds
 from .names import HostId
 
 NO_HOST = HostId("")
@@ -117,6 +117,10 @@
     up_s: float = 0.0
     is_leaving: bool = False
 
+    def __post_init__(self) -> None:
+        """Raise ValueError for durations that are none."""
+        check_seconds(self.abstains_s, self.up_s)
+
 
 @dataclass(frozen=True, slots=True)
 class Resign:
--- a/packages/daemon/src/sardinequay_daemon/fleet_task.py
+++ b/packages/daemon/src/sardinequay_daemon/fleet_task.py
@@ -20,8 +20,9 @@
 
 from sardinequay_core.clock import ZERO, Clock, Instant, seconds
 from sardinequay_core.fleet_topology import DigestScope
-from sardinequay_core.names import Address, FeatureId, HostId, parse_address
+from sardinequay_core.names import Address, FeatureId, HostId
 
+from .background_tasks import BackgroundTasks
 from .digest_dates import DigestDates
 from .hub_table import HubTable
 from .peer_table import Peer
@@ -109,7 +110,7 @@
         self.lost_peers: Subject[HostId] = Subject()
         self.active_exchanges: set[HostId] = set()
         self.repeat_exchanges: set[HostId] = set()
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks = BackgroundTasks("digest")
         self.is_leaving = False
         self.update_pending = asyncio.Event()
         self.is_update_for_far = False
@@ -266,7 +267,7 @@
 
     def exchange_with_host(self, contact: Contact) -> None:
         """Exchange digests with one host."""
-        self.start_exchange(contact.host_id, parse_address(contact.address).unwrap())
+        self.start_exchange(contact.host_id, contact.peer_address)
 
     def request_update(self, far: bool) -> None:
         """Schedule an update of near peers or, with `far`, of all peers."""
@@ -283,9 +284,7 @@
             self.repeat_exchanges.add(host_id)
             return
         self.active_exchanges.add(host_id)
-        task = asyncio.create_task(self.exchange_digests(host_id, address))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.tasks.start(self.exchange_digests(host_id, address), host_id)
 
     async def exchange_digests(self, host_id: HostId, address: Address) -> None:
         """Send this host's digest to a peer and handle the digest in the reply."""
--- a/packages/daemon/src/sardinequay_daemon/peer_table.py
+++ b/packages/daemon/src/sardinequay_daemon/peer_table.py
@@ -9,7 +9,7 @@
 
 from sardinequay_core.clock import ZERO, Clock, Instant, seconds
 from sardinequay_core.fleet_topology import is_mesh
-from sardinequay_core.names import Address, HostId, parse_address
+from sardinequay_core.names import Address, HostId
 from sardinequay_core.rendezvous import rank_members
 
 from .serving_messages import Contact
@@ -261,7 +261,7 @@
     def address_of(self, host_id: HostId) -> Address | None:
         """Return the address of a peer."""
         peer = self.peers.get(host_id)
-        return parse_address(peer.contact.address).unwrap() if peer else None
+        return peer.contact.peer_address if peer else None
 
     def lease_holder(self) -> HostId | None:
         """Return the peer that claims to hold this data centre's order lease.
--- a/packages/daemon/src/sardinequay_daemon/peers.py
+++ b/packages/daemon/src/sardinequay_daemon/peers.py
@@ -22,6 +22,7 @@
 from .errors import PeerError
 from .metrics import HostMetrics
 from .shared_settings import TimingSettings
+from .unforeseen import record_unforeseen
 from .wire import (
     Frame,
     FrameError,
@@ -45,6 +46,10 @@
 """Time without a frame until the called end of a link is closed, in seconds: the
 calling end closes it sooner, unless it is gone without a trace."""
 
+MAX_TAG_CHARS = 100
+MAX_DETAIL_CHARS = 500
+"""Most of a message's tag, and of an error's text, that is logged or sent back."""
+
 RequestHandler = Callable[[Any], Awaitable[Any]]
 log = logging.getLogger(__name__)
 
@@ -185,6 +190,9 @@
             self.close_with_error("closed by the peer")
         except (OSError, FrameError) as error:
             self.close_with_error(str(error))
+        except Exception as error:
+            record_unforeseen(self.metrics, "reply of a peer", "", error)
+            self.close_with_error(repr(error))
         await self.wait_closed()
 
     def complete_call(self, frame: Frame) -> None:
@@ -192,11 +200,15 @@
         future = self.pending_calls.get(frame.correlation)
         if future is None or future.done() or frame.kind is FrameKind.ALIVE:
             return
-        if frame.kind is FrameKind.REPLY:
-            future.set_result(decode_message(frame))
-        else:
+        if frame.kind is not FrameKind.REPLY:
             detail = frame.body.decode(errors="replace")
             future.set_exception(PeerError("", detail))
+            return
+        try:
+            future.set_result(decode_message(frame))
+        except FrameError as error:
+            # Other calls on this link go on.
+            future.set_exception(error)
 
     @property
     def awaits_frames(self) -> bool:
@@ -409,19 +421,34 @@
     async def handle_request(self, connection: PeerConnection, frame: Frame) -> None:
         """Call the handler of one request and send its reply or a failure."""
         try:
-            message = decode_message(frame)
-            handler = self.handlers.get(type(message))
-            if handler is None:
-                raise FrameError(f"{frame.tag} is no request")
-            reply = await handler(message)
-            connection.send(encode_message(FrameKind.REPLY, frame.correlation, reply))
+            reply = await self.reply_to(frame)
         except FrameError as error:
-            failure = Frame(
-                FrameKind.FAILURE, frame.correlation, "", str(error).encode()
+            log.warning(
+                "request of a peer not served",
+                extra={"tag": frame.tag[:MAX_TAG_CHARS], "detail": str(error)},
             )
-            connection.send(failure)
+            reply = failure_frame(frame, str(error))
+        except Exception as error:
+            record_unforeseen(self.metrics, "request of a peer", frame.tag, error)
+            reply = failure_frame(frame, repr(error))
+        connection.send(reply)
+
+    async def reply_to(self, frame: Frame) -> Frame:
+        """Return the reply of a request's handler; raise `FrameError` if malformed."""
+        message = decode_message(frame)
+        handler = self.handlers.get(type(message))
+        if handler is None:
+            raise FrameError(f"{frame.tag} is no request")
+        reply = await handler(message)
+        return encode_message(FrameKind.REPLY, frame.correlation, reply)
 
     def close(self) -> None:
         """Close all connections."""
         for connection in list(self.connections):
             connection.close()
+
+
+def failure_frame(request: Frame, detail: str) -> Frame:
+    """Return the frame that tells a peer why its request has no reply."""
+    body = detail[:MAX_DETAIL_CHARS].encode(errors="replace")
+    return Frame(FrameKind.FAILURE, request.correlation, "", body)
--- a/packages/daemon/src/sardinequay_daemon/serving_messages.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_messages.py
@@ -5,10 +5,19 @@
 
 from dataclasses import dataclass, field
 
+from returns.result import Success
+
 from sardinequay_core.adapter_demand import NO_DEMAND, Demand
+from sardinequay_core.clock import check_seconds
 from sardinequay_core.fleet_topology import DigestScope
 from sardinequay_core.load_view import EngineShare
-from sardinequay_core.names import AdapterRef, HostId, TargetId
+from sardinequay_core.names import (
+    AdapterRef,
+    Address,
+    HostId,
+    TargetId,
+    parse_address,
+)
 from sardinequay_core.order_lease import Ballot, Resign, Vote
 from sardinequay_core.organisations import OrganisationName
 from sardinequay_core.shared_outcomes import Outcomes
@@ -20,6 +29,8 @@
 from .statements.messages import LeavingNews, LoadNews
 from .wire import register_messages
 
+MAX_SHOWN_CHARS = 40
+
 
 @dataclass(frozen=True, slots=True)
 class Contact:
@@ -29,6 +40,16 @@
     data_centre: str
     address: str
 
+    def __post_init__(self) -> None:
+        """Raise ValueError for an address to which nothing can be sent."""
+        if not isinstance(parse_address(self.address), Success):
+            raise ValueError(f"not an address: {self.address[:MAX_SHOWN_CHARS]!r}")
+
+    @property
+    def peer_address(self) -> Address:
+        """Return the parsed address."""
+        return parse_address(self.address).unwrap()
+
 
 @dataclass(frozen=True, slots=True)
 class EngineHoldings:
@@ -85,6 +106,10 @@
     is_leaving: bool
     is_cut_off: bool = False
 
+    def __post_init__(self) -> None:
+        """Raise ValueError for an uptime that is none."""
+        check_seconds(self.up_s)
+
 
 @dataclass(frozen=True, slots=True)
 class Neighbour:
@@ -225,6 +250,10 @@
     stamp: DigestStamp | None = None
     loads: tuple[LoadNews, ...] = ()
 
+    def __post_init__(self) -> None:
+        """Raise ValueError for an uptime that is none."""
+        check_seconds(self.up_s)
+
 
 @dataclass(frozen=True, slots=True)
 class FetchItems:
--- a/packages/daemon/src/sardinequay_daemon/target_witness.py
+++ b/packages/daemon/src/sardinequay_daemon/target_witness.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from sardinequay_core.catalogue import Catalogue
-from sardinequay_core.names import Address, parse_address
+from sardinequay_core.names import Address
 from sardinequay_core.roster import Target
 
 from .path_messages import AliveReply, AskAlive, Verdict
@@ -80,7 +80,7 @@
             return await self.look_at(target, incarnation) is not Verdict.ENDED
         question = AskAlive(target.target_id, incarnation)
         for peer in witnesses:
-            address = parse_address(peer.contact.address).unwrap()
+            address = peer.contact.peer_address
             answer = await self.peers.call(address, question, ASK_TIMEOUT_S)
             reply = answer.value_or(None)
             verdict = Verdict.UNSURE
--- a/packages/daemon/src/sardinequay_daemon/tunnel_client.py
+++ b/packages/daemon/src/sardinequay_daemon/tunnel_client.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from sardinequay_core.clock import Clock, Instant, seconds
-from sardinequay_core.names import Address, HostId, TargetId, parse_address
+from sardinequay_core.names import Address, HostId, TargetId
 
 from .errors import PeerError
 from .path_messages import NO_TARGET, OpenTunnel
@@ -163,7 +163,7 @@
             target,
         )
         carrier: asyncio.BaseTransport | None = None
-        peer_address = parse_address(peer.address).unwrap()
+        peer_address = peer.peer_address
         try:
             async with asyncio.timeout(OPEN_TIMEOUT_S):
                 loop = asyncio.get_running_loop()
--- a/packages/daemon/src/sardinequay_daemon/wire.py
+++ b/packages/daemon/src/sardinequay_daemon/wire.py
@@ -11,7 +11,9 @@
 from typing import Any
 
 import msgpack
-import msgspec
+
+from sardinequay_core.documents import decode_msgpack, encode_msgpack
+from sardinequay_core.errors import DocumentError
 
 from .errors import DaemonError
 
@@ -80,9 +82,18 @@
 
 
 def encode_message(kind: FrameKind, correlation: int, message: Any) -> Frame:
-    """Pack a message into a frame, compressed if it is large."""
-    body = msgspec.msgpack.encode(message)
+    """Pack a message into a frame, compressed if it is large.
+
+    Raises
+    ------
+    FrameError
+        If a value of the message cannot be encoded.
+    """
     tag = type(message).__name__
+    try:
+        body = encode_msgpack(message)
+    except DocumentError as error:
+        raise FrameError(f"{tag}: {error}") from error
     if len(body) < COMPRESS_FROM_BYTES:
         return Frame(kind, correlation, tag, body)
     packed = zlib.compress(body, COMPRESSION_LEVEL)
@@ -109,8 +120,8 @@
     if message_type is None:
         raise FrameError(f"unknown message {frame.tag!r}")
     try:
-        return msgspec.msgpack.decode(decompress_body(frame), type=message_type)
-    except msgspec.DecodeError as error:
+        return decode_msgpack(decompress_body(frame), message_type)
+    except DocumentError as error:
         raise FrameError(f"{frame.tag}: {error}") from error
 
 
@@ -118,7 +129,13 @@
     """Splits a byte stream into frames."""
 
     def __init__(self) -> None:
-        self.unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
+        # The unpacker allocates an array of the length that its head states.
+        self.unpacker = msgpack.Unpacker(
+            max_buffer_size=MAX_FRAME_BYTES,
+            max_array_len=FRAME_PARTS,
+            max_map_len=0,
+            max_ext_len=0,
+        )
 
     def feed(self, data: bytes) -> Iterator[Frame]:
         """Add received bytes and yield the frames that are complete."""
--- a/packages/daemon/tests/test_peers.py
+++ b/packages/daemon/tests/test_peers.py
@@ -10,11 +10,23 @@
 from returns.result import Failure, Success
 
 from sardinequay_core.names import Address
-from sardinequay_daemon.messages import FetchRoot, FetchRoster, RootReply
+from sardinequay_core.roster import Roster
+from sardinequay_daemon.messages import (
+    FetchRoot,
+    FetchRoster,
+    RootReply,
+    RosterReply,
+)
 from sardinequay_daemon.metrics import Metrics
 from sardinequay_daemon.peers import PeerClient, PeerServer, PeerStream
 from sardinequay_daemon.shared_settings import TimingSettings
-from sardinequay_daemon.wire import FrameReader
+from sardinequay_daemon.wire import (
+    Frame,
+    FrameKind,
+    FrameReader,
+    encode_frame,
+    encode_message,
+)
 
 IP = "127.0.0.1"
 
@@ -248,3 +260,61 @@
     async with asyncio.timeout(5):
         await stream.wait_closed()
     server.close()
+
+
+async def test_request_that_fails_unforeseen_is_a_failure_at_once(
+    server, client: PeerClient, metrics: Metrics
+) -> None:
+    """Guards against calls that wait for timeouts, and faults that nobody sees."""
+    peer_server, address = server
+
+    async def answer(_: FetchRoot) -> RootReply:
+        raise RecursionError("deep")
+
+    peer_server.register(FetchRoot, answer)
+    result = await client.call(address, FetchRoot(), 30)
+    assert "deep" in str(result.failure())
+    kind = {"kind": "request of a peer"}
+    assert metrics.unforeseen_errors.get(kind) == 1
+
+
+async def test_message_that_cannot_be_encoded_is_a_failure(
+    server, client: PeerClient
+) -> None:
+    """Guards against numbers past 64 bits that end the tasks which send them."""
+    peer_server, address = server
+
+    async def answer(_: FetchRoot) -> RosterReply:
+        return RosterReply(Roster(2**64))
+
+    peer_server.register(FetchRoot, answer)
+    roster = RosterReply(Roster(2**64))
+    assert isinstance(await client.call(address, roster), Failure)
+    assert "2**64" in str((await client.call(address, FetchRoot(), 30)).failure())
+
+
+async def test_reply_that_cannot_be_decoded_fails_its_own_call_only(
+    client: PeerClient,
+) -> None:
+    async def reply(reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
+        frames = FrameReader()
+        requests = []
+        while len(requests) < 2:
+            requests += [
+                f
+                for f in frames.feed(await reader.read(4096))
+                if f.kind is FrameKind.REQUEST
+            ]
+        nested = b"\x91" * 2_000 + b"\x01"
+        first, second = (f.correlation for f in requests)
+        bad = Frame(FrameKind.REPLY, first, "RootReply", nested)
+        good = encode_message(FrameKind.REPLY, second, RootReply(b"root"))
+        writer.write(encode_frame(bad) + encode_frame(good))
+
+    listener = await asyncio.start_server(reply, IP, 0)
+    address = Address(IP, listener.sockets[0].getsockname()[1])
+    calls = [client.call(address, FetchRoot(), 30) for _ in range(2)]
+    first, second = await asyncio.gather(*calls)
+    assert isinstance(first, Failure)
+    assert second == Success(RootReply(b"root"))
+    listener.close()
--- a/packages/daemon/tests/test_wire.py
+++ b/packages/daemon/tests/test_wire.py
@@ -140,3 +140,45 @@
         for digest in (DIGEST, replace(DIGEST, loads=news))
     )
     assert told - plain < 30 * len(news)
+
+
+@pytest.mark.parametrize("data", [b"\xdd\x00\xff\xff\xff", b"\xdf\x00\xff\xff\xff"])
+def test_stated_length_of_an_array_is_not_allocated(data: bytes) -> None:
+    """Guards against five bytes that take the memory of a host."""
+    with pytest.raises(FrameError):
+        list(FrameReader().feed(data))
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"up_s": math.inf},
+        {"up_s": math.nan},
+        {"up_s": 1e300},
+        {"host": {"host_id": "a", "data_centre": "b", "address": "name:80"}},
+        {"host": {"host_id": "a", "data_centre": "b", "address": "1.2.3.4:99999"}},
+        {"contacts": [{"host_id": "a", "data_centre": "b", "address": ""}]},
+    ],
+    ids=str,
+)
+def test_digest_that_tasks_cannot_use_is_malformed(change: dict) -> None:
+    """Guards against a digest that ends the tasks of each host that gets it."""
+    named = msgspec.to_builtins(DIGEST) | change
+    frame = Frame(FrameKind.REQUEST, 1, "Digest", msgspec.msgpack.encode(named))
+    with pytest.raises(FrameError):
+        decode_message(frame)
+
+
+def test_message_that_nests_too_deep_is_malformed() -> None:
+    body = b"\x81\xa1z" + b"\x91" * 2_000 + b"\x01"
+    with pytest.raises(FrameError):
+        decode_message(Frame(FrameKind.REQUEST, 1, "Digest", body))
+
+
+def test_vote_with_an_endless_abstention_is_malformed() -> None:
+    named = {"granted": True, "holder": "a", "highest_token": 1, "quiet_s": math.inf}
+    vote = Frame(FrameKind.REPLY, 1, "Vote", msgspec.msgpack.encode(named))
+    assert decode_message(vote).quiet_s == math.inf
+    body = msgspec.msgpack.encode(named | {"abstains_s": math.inf})
+    with pytest.raises(FrameError):
+        decode_message(Frame(FrameKind.REPLY, 1, "Vote", body))
