Refuse odd bodies, bundles, rosters and chunks by themselves in sardinequayd

A caller's body that nests deep raised past the expected errors and was answered as a fault of the host (500); a priority of other digits than 0 to 9 did the same. A published root, a host list or a revision that is no number ended the task that reads it, and with it every host. A chunk of an engine of another form was a fault of the host.

Change: each is decoded by `documents`. The body is refused with 400, the read has failed, the chunk makes the engine's answer malformed. A bundle that fails unforeseen is refused, counted and logged. A keeper's message that does costs itself alone; guards keep ending with their process, since half a vote is worse. Settings and the command's files nest no deeper than other documents.

Shown before, on the code as it was: RecursionError out of `read_model_request`, `decode_roster`, `check_root`, `decode_report` and the assembly of chunks; ValueError out of `read_response` and `read_priority`.

--- a/packages/cli/src/sardinequay_cli/files.py
+++ b/packages/cli/src/sardinequay_cli/files.py
@@ -5,7 +5,6 @@
 from pathlib import Path
 from typing import TypeVar
 
-import msgspec
 from cryptography.hazmat.primitives import serialization
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 from returns.result import Success
@@ -17,6 +16,8 @@
     parse_signed_root,
 )
 from sardinequay_core.bundle import Contents
+from sardinequay_core.documents import decode_json
+from sardinequay_core.errors import DocumentError
 from sardinequay_core.names import Digest
 from sardinequay_daemon.settings import Settings
 from sardinequay_daemon.settings_check import read_settings
@@ -40,8 +41,8 @@
 def read_contents(path: Path) -> Contents:
     """Read the contents of a bundle from a JSON file."""
     try:
-        return msgspec.json.decode(read_bytes(path), type=Contents)
-    except msgspec.DecodeError as error:
+        return decode_json(read_bytes(path), Contents)
+    except DocumentError as error:
         raise CommandError(f"{path}: {error}", EXIT_USAGE) from error
 
 
--- a/packages/cli/src/sardinequay_cli/fleet_verbs.py
+++ b/packages/cli/src/sardinequay_cli/fleet_verbs.py
@@ -10,6 +10,9 @@
 import aiohttp
 from returns.result import Success
 
+from sardinequay_core.documents import decode_json_value
+from sardinequay_core.errors import DocumentError
+
 from .errors import (
     EXIT_FINDINGS,
     EXIT_UNREACHABLE,
@@ -39,8 +42,8 @@
     """Send a request to the operator listener of one host."""
     try:
         async with session.request(method, f"http://{address}{path}") as answer:
-            return HostAnswer(address, await answer.json())
-    except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            return HostAnswer(address, decode_json_value(await answer.read()))
+    except (aiohttp.ClientError, TimeoutError, OSError, DocumentError) as error:
         return HostAnswer(address, error=type(error).__name__)
 
 
--- a/packages/cli/src/sardinequay_cli/log_lines.py
+++ b/packages/cli/src/sardinequay_cli/log_lines.py
@@ -1,12 +1,14 @@
 """Parses hosts' log lines from collected files."""
 
-import json
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from datetime import datetime
 from pathlib import Path
 from typing import Any
 
+from sardinequay_core.documents import decode_json_value
+from sardinequay_core.errors import DocumentError
+
 from .errors import EXIT_USAGE, CommandError
 
 STANDARD_KEYS = frozenset({"time", "level", "event", "host", "request"})
@@ -37,8 +39,8 @@
     if start < 0:
         return None
     try:
-        record = json.loads(text[start:])
-    except ValueError:
+        record = decode_json_value(text[start:].encode(errors="replace"))
+    except DocumentError:
         return None
     if not isinstance(record, dict) or "event" not in record:
         return None
--- a/packages/daemon/src/sardinequay_daemon/answers.py
+++ b/packages/daemon/src/sardinequay_daemon/answers.py
@@ -6,8 +6,11 @@
 import msgspec
 from aiohttp import web
 
+from sardinequay_core.documents import decode_json_value, encode_json
+from sardinequay_core.errors import DocumentError
 from sardinequay_core.outcome import Refusal
 
+from .errors import MalformedAnswerError
 from .server_sent_events import DONE_DATA, EVENT_END, event_payloads
 
 REQUEST_HEADER = "Sardinequay-Request"
@@ -15,6 +18,8 @@
 REASON_HEADER = "Sardinequay-Reason"
 ADAPTER_HEADER = "Sardinequay-Adapter"
 BUNDLE_HEADER = "Sardinequay-Bundle"
+CHUNK_ERRORS = (DocumentError, AttributeError, LookupError, TypeError, ValueError)
+"""Errors about chunks that are no JSON, or of other types than those of the format."""
 
 
 def refusal_body(refusal: Refusal, request_id: str) -> dict[str, Any]:
@@ -70,7 +75,20 @@
         """Add the chunks of whole events."""
         for payload in event_payloads(data):
             if payload != DONE_DATA:
-                self.add_chunk(msgspec.json.decode(payload))
+                self.add_payload(payload)
+
+    def add_payload(self, payload: bytes) -> None:
+        """Add the chunk that an event's data holds.
+
+        Raises
+        ------
+        MalformedAnswerError
+            If it is no chunk of a completion or of a chat.
+        """
+        try:
+            self.add_chunk(decode_json_value(payload))
+        except CHUNK_ERRORS as error:
+            raise MalformedAnswerError(repr(error)) from error
 
     def add_chunk(self, chunk: dict[str, Any]) -> None:
         """Add one chunk of a completion or of a chat."""
@@ -87,12 +105,13 @@
             merged.setdefault("is_chat", "delta" in choice)
 
     def body(self) -> bytes:
-        """Return the whole answer as JSON."""
-        choices = [self.whole_choice(index) for index in sorted(self.choices)]
-        kind = str(self.template.get("object", "")).removesuffix(".chunk")
-        return msgspec.json.encode(
-            {**self.template, "object": kind, "choices": choices}
-        )
+        """Return the whole answer as JSON; raise `MalformedAnswerError`."""
+        try:
+            choices = [self.whole_choice(index) for index in sorted(self.choices)]
+            kind = str(self.template.get("object", "")).removesuffix(".chunk")
+            return encode_json({**self.template, "object": kind, "choices": choices})
+        except CHUNK_ERRORS as error:
+            raise MalformedAnswerError(repr(error)) from error
 
     def whole_choice(self, index: int) -> dict[str, Any]:
         """Return one choice with its whole text."""
--- a/packages/daemon/src/sardinequay_daemon/caller_requests.py
+++ b/packages/daemon/src/sardinequay_daemon/caller_requests.py
@@ -7,13 +7,14 @@
 from random import getrandbits
 from typing import Any
 
-import msgspec
 from returns.result import Failure, Result, Success
 
 from sardinequay_core.admission import MAX_PRIORITY
 from sardinequay_core.bundle import Adapter, Bundle, Caller, PoolSettings
 from sardinequay_core.claims import MAX_KEY_CHARS
 from sardinequay_core.clock import Instant
+from sardinequay_core.documents import decode_json_value, encode_json
+from sardinequay_core.errors import DocumentError
 from sardinequay_core.features import (
     MAX_PARTS,
     content_feature,
@@ -31,6 +32,7 @@
 PRIORITY_HEADER = "Sardinequay-Priority"
 REQUEST_HEADER = "X-Request-Id"
 DEFAULT_PRIORITY = 5
+DIGITS = re.compile(r"[0-9]{1,3}")
 PRINTABLE = re.compile(rf"[\x21-\x7e]{{1,{MAX_KEY_CHARS}}}")
 
 
@@ -157,7 +159,7 @@
     raw_value = headers.get(
         PRIORITY_HEADER, str(min(DEFAULT_PRIORITY, caller.max_priority))
     )
-    if not raw_value.isdigit() or int(raw_value) > MAX_PRIORITY:
+    if not DIGITS.fullmatch(raw_value) or int(raw_value) > MAX_PRIORITY:
         allowed = f"0 to {MAX_PRIORITY}"
         return Failure(bad_header_refusal(PRIORITY_HEADER, raw_value, allowed))
     return Success(min(int(raw_value), caller.max_priority))
@@ -168,8 +170,10 @@
 ) -> Result[ModelRequest, Refusal]:
     """Check the body of a model request and the adapter version that it names."""
     try:
-        fields: Any = msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
+        fields = decode_json_value(body)
+        messages = fields.get("messages") if isinstance(fields, dict) else None
+        parts = parse_message_parts(messages)
+    except DocumentError as error:
         return Failure(
             not_run_refusal(Reason.MALFORMED, f"the body is no JSON: {error}")
         )
@@ -184,7 +188,6 @@
         return Failure(
             not_run_refusal(Reason.MALFORMED, "stream is neither true nor false")
         )
-    parts = parse_message_parts(fields.get("messages"))
     return find_offered_pool(envelope, ref.unwrap()).bind(
         lambda pool: Success(
             ModelRequest(envelope, path, body, ref.unwrap(), pool, stream, parts)
@@ -193,11 +196,17 @@
 
 
 def parse_message_parts(messages: Any) -> tuple[str, ...]:
-    """Return ids of a chat's messages; empty if it has none, as engines judge that."""
+    """Return ids of a chat's messages; empty if it has none, as engines judge that.
+
+    Raises
+    ------
+    DocumentError
+        If a message cannot be encoded.
+    """
     if not isinstance(messages, list):
         return ()
     considered = messages[: MAX_PARTS + 1]
-    return message_parts([msgspec.json.encode(m) for m in considered])
+    return message_parts([encode_json(m) for m in considered])
 
 
 def find_offered_pool(
--- a/packages/daemon/src/sardinequay_daemon/caller_server.py
+++ b/packages/daemon/src/sardinequay_daemon/caller_server.py
@@ -36,6 +36,7 @@
 )
 from .connection_reset import cut_off
 from .dispatch import ModelDispatcher
+from .errors import MalformedAnswerError
 from .journal import Journal
 from .metrics import Metrics
 from .progress import (
@@ -257,11 +258,15 @@
                     await self.write(exchange, 200, headers, event_batch.data)
                 return await self.finish_stream(exchange)
             assembler = CompletionAssembler()
-            async for event_batch in event_batches:
-                assembler.add_events(event_batch.data)
-        return web.Response(
-            body=assembler.body(), headers=headers, content_type="application/json"
-        )
+            try:
+                async for event_batch in event_batches:
+                    assembler.add_events(event_batch.data)
+                body = assembler.body()
+            except MalformedAnswerError as error:
+                text = f"the engine's answer is malformed: {error}"
+                refusal = Refusal(Reason.TARGET_FAILED, Outcome.RAN, text)
+                raise RequestRefusedError(refusal) from error
+        return web.Response(body=body, headers=headers, content_type="application/json")
 
     async def run_service(
         self, exchange: CallerExchange, request: ServiceRequest
--- a/packages/daemon/src/sardinequay_daemon/engine_client.py
+++ b/packages/daemon/src/sardinequay_daemon/engine_client.py
@@ -8,13 +8,15 @@
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Annotated, Protocol
 
 import aiohttp
 import msgspec
 from returns.result import Failure, Result, Success
 
+from sardinequay_core.documents import decode_json, decode_json_value
 from sardinequay_core.engine_record import EngineReport
+from sardinequay_core.errors import DocumentError
 from sardinequay_core.leases import AdapterUse
 from sardinequay_core.names import AdapterRef, Address, TargetId
 from sardinequay_core.roster import Target, TargetKind
@@ -44,16 +46,20 @@
     fresh_connection: bool = False
 
 
+Count = Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
+"""A number that messages to peers can carry."""
+
+
 @dataclass(frozen=True, slots=True)
 class ReportBody:
     """An engine's report in its wire format."""
 
     incarnation: str
-    highest_token: int
-    slots: int
+    highest_token: Count
+    slots: Count
     resident: tuple[AdapterRef, ...]
-    running: int = 0
-    waiting: int = 0
+    running: Count = 0
+    waiting: Count = 0
     in_use: tuple[AdapterRef, ...] = ()
 
 
@@ -243,8 +249,8 @@
 def decode_report(target: TargetId, data: bytes) -> Result[EngineReport, TargetError]:
     """Decode an engine's report from JSON."""
     try:
-        body = msgspec.json.decode(data, type=ReportBody)
-    except msgspec.DecodeError as error:
+        body = decode_json(data, ReportBody)
+    except DocumentError as error:
         return Failure(TargetError(TargetFault.BROKEN, f"report: {error}"))
     return Success(
         EngineReport(
@@ -266,8 +272,8 @@
     Its fault states whether the request has certainly not run.
     """
     try:
-        body: Any = msgspec.json.decode(data)
-    except msgspec.DecodeError:
+        body = decode_json_value(data)
+    except DocumentError:
         body = {}
     code = body.get("error", "") if isinstance(body, dict) else ""
     detail = f"{status} {code or data[:200]!r}"
--- a/packages/daemon/src/sardinequay_daemon/errors.py
+++ b/packages/daemon/src/sardinequay_daemon/errors.py
@@ -104,6 +104,16 @@
         )
 
 
+@dataclass(unsafe_hash=True)
+class MalformedAnswerError(DaemonError):
+    """A target's answer has another form than its caller asked for."""
+
+    detail: str
+
+    def __str__(self) -> str:
+        return self.detail
+
+
 @dataclass(unsafe_hash=True)
 class StartError(DaemonError):
     """The daemon cannot start; has the exit code of the process."""
--- a/packages/daemon/src/sardinequay_daemon/keeper_task.py
+++ b/packages/daemon/src/sardinequay_daemon/keeper_task.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 import reactivex
+from returns.result import Success
 
 from sardinequay_core.bundle import Bundle, PoolSettings
 from sardinequay_core.clock import Clock, Instant
@@ -41,6 +42,7 @@
 from sardinequay_core.rendezvous import rank_members
 from sardinequay_core.roster import Presence, Roster, Target, TargetKind
 
+from .background_tasks import BackgroundTasks
 from .engine_client import EngineClient
 from .errors import TargetFault
 from .journal import Journal
@@ -70,6 +72,7 @@
 from .peers import PeerClient
 from .settings import LimitSettings
 from .shared_settings import TimingSettings
+from .unforeseen import record_unforeseen
 
 TICK_S = 0.05
 LOAD_BURST = 2.0
@@ -127,7 +130,7 @@
         self.calls = KeeperCalls(engines, peers, timing, clock, metrics, self.inbox)
         self.order_journal = OrderJournal(journal, clock)
         self.ticket_ids = itertools.count(1)
-        self.background_tasks: set[asyncio.Task[None]] = set()
+        self.background_tasks = BackgroundTasks("engine call")
 
     def subscribe(
         self,
@@ -157,9 +160,7 @@
 
     def start_background(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Run a coroutine in the background; it posts its result to the inbox."""
-        task = asyncio.create_task(coroutine)
-        self.background_tasks.add(task)
-        task.add_done_callback(self.background_tasks.discard)
+        self.background_tasks.start(coroutine)
 
     def handle_assignment_change(self, event: AssignmentChanged) -> None:
         """Create or update the keeperships assigned to this host; drop the others."""
@@ -222,6 +223,15 @@
         log.info("keepership dropped", extra={"pool": pool})
 
     def handle_message(self, queued_message: QueuedMessage) -> None:
+        """Handle one message; an unforeseen error costs that message alone."""
+        try:
+            self.dispatch_message(queued_message)
+        except Exception as error:
+            if not queued_message.fail_with(error):
+                kind = type(queued_message.message).__name__
+                record_unforeseen(self.metrics, "keeper event", kind, error)
+
+    def dispatch_message(self, queued_message: QueuedMessage) -> None:
         """Dispatch one message of a peer or event of a background task."""
         message = queued_message.message
         if isinstance(message, AssignmentChanged):
@@ -247,9 +257,10 @@
             )
             queued_message.reply_with(Taken())
         else:
-            state.holder_addresses[message.holder] = parse_address(
-                message.address
-            ).unwrap()
+            address = parse_address(message.address)
+            if not isinstance(address, Success):
+                raise address.failure()
+            state.holder_addresses[message.holder] = address.unwrap()
             granted = self.grant_leases(state.keeper, message, now)
             queued_message.reply_with(self.granted_reply(state.keeper, granted))
 
--- a/packages/daemon/src/sardinequay_daemon/mailbox.py
+++ b/packages/daemon/src/sardinequay_daemon/mailbox.py
@@ -18,6 +18,13 @@
         if self.reply is not None and not self.reply.done():
             self.reply.set_result(value)
 
+    def fail_with(self, error: Exception) -> bool:
+        """Pass an error to the sender; return whether it waits for a reply."""
+        if self.reply is None or self.reply.done():
+            return False
+        self.reply.set_exception(error)
+        return True
+
 
 @dataclass(slots=True)
 class Mailbox:
--- a/packages/daemon/src/sardinequay_daemon/platform.py
+++ b/packages/daemon/src/sardinequay_daemon/platform.py
@@ -5,14 +5,16 @@
 alone.
 """
 
+import re
 from dataclasses import dataclass
 from typing import Protocol
 
 import aiohttp
-import msgspec
 from returns.result import Failure, Result, Success
 
 from sardinequay_core.bundle import MAX_VALUE_BYTES
+from sardinequay_core.documents import decode_json
+from sardinequay_core.errors import DocumentError
 from sardinequay_core.names import Digest
 from sardinequay_core.roster import Roster
 
@@ -21,6 +23,8 @@
 
 ROOT_KEY = "root"
 REVISION_HEADER = "X-Revision"
+REVISION_PATTERN = re.compile(r"[0-9]{1,18}")
+MAX_SHOWN_CHARS = 40
 WATCH_TIMEOUT_MARGIN_S = 5.0
 """Time that a watch may take beyond the requested wait until it fails, in seconds."""
 
@@ -82,7 +86,11 @@
         self, path: str, answer: aiohttp.ClientResponse
     ) -> Result[PublishedValue, PlatformError]:
         """Convert an HTTP response to a value."""
-        revision = int(answer.headers.get(REVISION_HEADER, "0"))
+        revision_text = answer.headers.get(REVISION_HEADER, "0")
+        if not REVISION_PATTERN.fullmatch(revision_text):
+            detail = f"{path}: no revision: {revision_text[:MAX_SHOWN_CHARS]!r}"
+            return Failure(PlatformError(self.name, detail))
+        revision = int(revision_text)
         if answer.status == 304:
             return Success(PublishedValue(revision, None))
         if answer.status != 200:
@@ -132,6 +140,6 @@
     if value.data is None:
         return Success(Roster(value.revision))
     try:
-        return Success(msgspec.json.decode(value.data, type=Roster))
-    except msgspec.DecodeError as error:
+        return Success(decode_json(value.data, Roster))
+    except DocumentError as error:
         return Failure(PlatformError("host list", str(error)))
--- a/packages/daemon/src/sardinequay_daemon/rollout_task.py
+++ b/packages/daemon/src/sardinequay_daemon/rollout_task.py
@@ -38,6 +38,7 @@
 from .peers import PeerClient
 from .platform import ConfigurationService, PublishedValue
 from .shared_settings import TimingSettings
+from .unforeseen import record_unforeseen
 
 RETRY_S = 0.5
 OWN_READ_SHARE = 0.4
@@ -53,6 +54,7 @@
 BLOBS_PER_FETCH = 64
 JOIN_PAUSE_S = 0.1
 JOURNAL_SUBJECT = "bundle"
+UNFORESEEN = "unforeseen"
 log = logging.getLogger(__name__)
 
 
@@ -222,19 +224,28 @@
             False if it is worth retrying because blobs of it could not be fetched.
         """
         async with self.install_lock:
-            verified = self.rollout.check_root(data)
-            if not isinstance(verified, Success):
-                self.record_refusal(verified.failure(), data)
-                return True
-            signed = verified.unwrap()
-            if signed is None:
-                return True
-            installation = await self.put_in_force(signed, data, source)
+            try:
+                installation = await self.install_root(data, source)
+            except Exception as error:
+                record_unforeseen(self.metrics, "bundle", blob_digest(data), error)
+                installation = Failure(BundleError(UNFORESEEN, repr(error)))
             if isinstance(installation, Success):
                 return True
             self.record_refusal(installation.failure(), data)
             return installation.failure().reason != MISSING_BLOB
 
+    async def install_root(
+        self, data: bytes, source: Address | None
+    ) -> Result[None, BundleError]:
+        """Verify a signed root, and put its bundle in force if it is newer."""
+        verified = self.rollout.check_root(data)
+        if not isinstance(verified, Success):
+            return Failure(verified.failure())
+        signed = verified.unwrap()
+        if signed is None:
+            return Success(None)
+        return await self.put_in_force(signed, data, source)
+
     def record_refusal(self, error: BundleError, data: bytes) -> None:
         """Count every refusal of a bundle, and log each refused bundle once."""
         self.metrics.bundle_refusals.inc({"reason": error.reason})
--- a/packages/daemon/src/sardinequay_daemon/settings_check.py
+++ b/packages/daemon/src/sardinequay_daemon/settings_check.py
@@ -13,6 +13,7 @@
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PublicKey
 from returns.result import Failure, Result, Success
 
+from sardinequay_core.documents import MAX_NESTING, is_nested_too_deep
 from sardinequay_core.names import parse_address
 
 from .errors import SettingsError
@@ -35,11 +36,16 @@
         text = path.read_text()
     except OSError as error:
         return Failure(SettingsError("settings file", str(path), str(error.strerror)))
+    except UnicodeDecodeError as error:
+        return Failure(SettingsError("settings file", str(path), f"UTF-8: {error}"))
     return parse_settings(text)
 
 
 def parse_settings(text: str) -> Result[Settings, SettingsError]:
     """Parse and validate settings in JSON; return the first error found."""
+    if is_nested_too_deep(text.encode(errors="replace")):
+        allowed = f"at most {MAX_NESTING} levels"
+        return Failure(SettingsError("settings", "nested too deep", allowed))
     try:
         raw = json.loads(text)
     except json.JSONDecodeError as error:
--- a/packages/daemon/tests/test_caller_requests.py
+++ b/packages/daemon/tests/test_caller_requests.py
@@ -26,6 +26,7 @@
     read_model_request,
 )
 from sardinequay_daemon.settings import LimitSettings
+from sardinequay_lab.odd_documents import odd_documents
 
 NOW = seconds(100)
 KIOSKS, OTHERS = CallerName("kiosks"), CallerName("others")
@@ -123,3 +124,36 @@
 def test_request_id_of_the_caller_is_kept_if_it_is_usable() -> None:
     assert new_request_id({"X-Request-Id": "abc"}) == "abc"
     assert new_request_id({"X-Request-Id": "a\nb"}) != "a\nb"
+
+
+@pytest.mark.parametrize("depth", [200, 1_200, 100_000])
+@pytest.mark.parametrize("is_whole", [True, False])
+def test_body_that_nests_too_deep_is_refused(
+    bundle: Bundle, depth: int, is_whole: bool
+) -> None:
+    """Guards against a body that is answered as a fault of the host."""
+    nested = "[" * depth + ("]" * depth if is_whole else "")
+    for body in (
+        f'{{"model": "mine@1", "tools": {nested}}}',
+        f'{{"model": "mine@1", "messages": [{nested}]}}',
+    ):
+        read = read_model_request(envelope(bundle).unwrap(), "/v1/x", body.encode())
+        assert read.failure().status == 400
+
+
+def test_odd_bodies_are_read_or_refused(bundle: Bundle) -> None:
+    sound = {
+        "model": "mine@1",
+        "stream": True,
+        "messages": [{"role": "user", "content": [{"text": "x"}]}],
+    }
+    for odd in odd_documents(sound):
+        read = read_model_request(envelope(bundle).unwrap(), "/v1/x", odd.data)
+        refused = read.swap().value_or(None)
+        assert refused is None or 400 <= refused.status < 500, odd.name
+
+
+@pytest.mark.parametrize("priority", ["\u00b2", "9" * 5_000, "\u0663"])
+def test_priority_of_other_digits_is_refused(bundle: Bundle, priority: str) -> None:
+    refused = envelope(bundle, Sardinequay_Priority=priority).failure()
+    assert refused.status == 400
--- a/packages/daemon/tests/test_events.py
+++ b/packages/daemon/tests/test_events.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from sardinequay_daemon.answers import CompletionAssembler
+from sardinequay_daemon.errors import MalformedAnswerError
 from sardinequay_daemon.server_sent_events import (
     MAX_EVENT_BYTES,
     MAX_IDLE_BYTES,
@@ -15,6 +16,7 @@
     EventReader,
     event_payloads,
 )
+from sardinequay_lab.odd_documents import odd_documents
 
 STREAM = b'id: 1\ndata: {"a":1}\n\n: alive\n\nid: 2\ndata: [DONE]\n\n'
 TRICKY = (
@@ -148,3 +150,24 @@
     reader = EventReader()
     reader.feed(b"data:\n" * 1000)
     assert len(reader.data_lines) == 2
+
+
+def test_odd_chunks_are_assembled_or_raise_the_typed_error() -> None:
+    """Guards against an event of an engine that is answered as a fault of the host."""
+    sound = {
+        "id": "c1",
+        "object": "chat.completion.chunk",
+        "choices": [{"index": 0, "delta": {"content": "x"}, "finish_reason": None}],
+    }
+    for odd in odd_documents(sound):
+        whole = CompletionAssembler()
+        try:
+            whole.add_payload(odd.data)
+            assert whole.body(), odd.name
+        except MalformedAnswerError:
+            continue
+
+
+def test_event_with_a_number_of_thousands_of_digits_breaks_the_stream_off() -> None:
+    with pytest.raises(ValueError):
+        EventReader().feed(b"id: " + b"9" * 5_000 + b"\ndata: x\n\n")
--- a/packages/daemon/tests/test_rollout_task.py
+++ b/packages/daemon/tests/test_rollout_task.py
@@ -16,7 +16,7 @@
 )
 from sardinequay_core.bundle import Contents, build_bundle
 from sardinequay_core.names import Digest
-from sardinequay_core.rollout import Confirmation
+from sardinequay_core.rollout import Confirmation, Rollout
 from sardinequay_daemon.errors import PlatformError
 from sardinequay_daemon.journal import Journal
 from sardinequay_daemon.metrics import Metrics
@@ -161,3 +161,30 @@
     assert task.rollout.version() == 2
     assert [r.message for r in caplog.records].count("bundle refused") == 1
     assert [reason for reason, _ in task.rollout.refused] == ["older"]
+
+
+async def test_root_that_nests_too_deep_is_refused_and_the_next_one_installed(
+    task: RolloutTask, service: FakeService
+) -> None:
+    """Guards against the end of all hosts by one published value."""
+    service.data, service.revision = b'{"more": ' + b"[" * 5_000, 1
+    watch = asyncio.create_task(task.watch())
+    await asyncio.sleep(0.05)
+    service.publish(2, revision=2)
+    await in_force(task, 2)
+    watch.cancel()
+
+
+async def test_root_that_fails_unforeseen_is_refused_and_counted(
+    task: RolloutTask, service: FakeService, metrics: Metrics, monkeypatch
+) -> None:
+    def fail(rollout: Rollout, data: bytes):
+        raise KeyError("unforeseen")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(Rollout, "check_root", fail)
+        assert await task.apply_root(b"{}", None)
+    assert metrics.unforeseen_errors.get({"kind": "bundle"}) == 1
+    service.publish(1, revision=1)
+    assert await task.apply_root(service.data, None)
+    assert task.rollout.version() == 1
