Pass bodies with a content coding on as they were sent

What callers saw: a service got a compressed body decompressed, under the header that says it is compressed; a body in a coding that the HTTP library does not know was refused.

Cause: the server of callers decodes bodies by the library's default, and the header is passed on.

--- a/packages/daemon/src/sardinequay_daemon/caller_server.py
+++ b/packages/daemon/src/sardinequay_daemon/caller_server.py
@@ -51,6 +51,10 @@
 
 MODEL_PATHS = ("/v1/completions", "/v1/chat/completions")
 MODELS_PATH = "/v1/models"
+IDENTITY = "identity"
+"""Content coding of a body that is sent as it is."""
+
+MAX_SHOWN_CHARS = 40
 MAX_BUFFERED_BYTES = 65_536
 log = logging.getLogger(__name__)
 
@@ -110,7 +114,12 @@
 
         It has no router, since the bundle defines the paths.
         """
-        return web.Server(self.serve, handler_cancellation=True, access_log=None)
+        return web.Server(
+            self.serve,
+            handler_cancellation=True,
+            access_log=None,
+            auto_decompress=False,
+        )
 
     async def serve(self, http: web.BaseRequest) -> web.StreamResponse:
         """Handle one request and turn failures into refusals."""
@@ -197,6 +206,7 @@
             return self.list_models(envelope)
         body = await self.read_body(http)
         if http.path in MODEL_PATHS and http.method == "POST":
+            refuse_coded_body(http.headers)
             read = read_model_request(envelope, http.path, body)
             if not isinstance(read, Success):
                 raise RequestRefusedError(read.failure())
@@ -363,3 +373,13 @@
     """Return the refusal of a host that is stopping."""
     text = "this host is stopping; another one serves you"
     return not_run_refusal(Reason.SHUTTING_DOWN, text, timedelta(seconds=1))
+
+
+def refuse_coded_body(headers: Mapping[str, str]) -> None:
+    """Refuse a body that this host must read and that its caller has encoded."""
+    coding = headers.get("Content-Encoding", IDENTITY).strip().lower()
+    if coding != IDENTITY:
+        text = (
+            f"the body has the content coding {coding[:MAX_SHOWN_CHARS]!r}; send none"
+        )
+        raise RequestRefusedError(not_run_refusal(Reason.MALFORMED, text))
--- a/packages/daemon/src/sardinequay_daemon/relay_server.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_server.py
@@ -96,6 +96,7 @@
             max_field_size=MAX_FIELD_BYTES,
             lingering_time=1.0,
             access_log=None,
+            auto_decompress=False,
         )
 
     def leave_unread(self) -> None:
--- a/packages/lab/tests/test_whole_path.py
+++ b/packages/lab/tests/test_whole_path.py
@@ -1,6 +1,7 @@
 """The whole path over real processes: streams, callers and operators."""
 
 import asyncio
+import gzip
 import json
 import signal
 from collections.abc import Iterator
@@ -139,6 +140,35 @@
             assert (await answer.json())["ordered"] == "12"
 
 
+async def test_service_gets_a_body_with_a_content_coding_as_it_was_sent(
+    cluster: Cluster,
+) -> None:
+    """Guards against a decoded body under the header of its coding."""
+    url = f"{urls(cluster)[0]}{SERVICE_PREFIX}/x"
+    headers = {**HEADERS, "Content-Encoding": "gzip"}
+    async with aiohttp.ClientSession() as http:
+        data = gzip.compress(b"12")
+        async with http.post(url, data=data, headers=headers) as answer:
+            assert answer.status == 201
+            assert (await answer.json())["ordered"] == "12"
+
+
+@pytest.mark.parametrize("coding", ["gzip", "br", "unknown"])
+async def test_model_request_with_a_content_coding_is_refused(
+    cluster: Cluster, coding: str
+) -> None:
+    data = gzip.compress(json.dumps({"model": "style-00001@1"}).encode())
+    headers = {**HEADERS, "Content-Encoding": coding}
+    url = f"{urls(cluster)[0]}/v1/completions"
+    async with (
+        aiohttp.ClientSession() as http,
+        http.post(url, data=data, headers=headers) as answer,
+    ):
+        error = (await answer.json())["error"]
+        assert (answer.status, error["outcome"]) == (400, "not_run")
+        assert "content coding" in error["message"]
+
+
 async def test_chat_in_one_piece_names_what_ran(cluster: Cluster) -> None:
     messages = [{"role": "user", "content": "hello"}]
     asked = {"model": "style-00001@1", "messages": messages, "max_tokens": 5}
