Send no stream on to a start whose software version no entry has told

What callers saw: while the store was silent and engines were released in place, all streams of the second engine went on at the first, within one answer, though it had new software.

Cause: the choice by version took the version of the catalogue's entry, whatever start of the engine that speaks of. That a later one runs was known by its reports, and hosts even sent streams there by it.

Change: such a start has no known version. Resumed streams do not go there, resumable ones do not begin there, and the first event of either is not passed on. Weighed and left out: streams that begin under a version equal to no other, which hosts that know of one version only would take for that one.

--- a/packages/daemon/src/sardinequay_daemon/software_choice.py
+++ b/packages/daemon/src/sardinequay_daemon/software_choice.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from typing import Protocol, TypeVar
 
+from sardinequay_core.catalogue import PublishedTarget
 from sardinequay_core.names import SoftwareVersion, TargetId
 from sardinequay_core.outcome import Reason, Refusal, not_run_refusal
 from sardinequay_core.serving import Repetition
@@ -32,23 +33,34 @@
     """Return the candidates whose software version a request may use.
 
     A stream that has events is resumed by its own version. A resumable one starts
-    at a version that all hosts know of.
+    at a version that all hosts know of. A target whose version is not known gets
+    neither.
     """
-    versions = {o.target: version_of(state, o.target) for o in options}
+    targets = state.catalogue.targets
+    versions = {o.target: version_of(state, targets[o.target]) for o in options}
     if exchange.software_version is not None:
         allowed = frozenset({exchange.software_version})
     elif exchange.route.repetition is Repetition.RESUMABLE_STREAM:
         now = state.clock.monotonic()
-        available = frozenset(versions.values())
+        available = frozenset(v for v in versions.values() if v is not None)
         allowed = state.software.versions_to_begin_on(exchange.pool, available, now)
     else:
         return list(options)
     return [o for o in options if versions[o.target] in allowed]
 
 
-def version_of(state: RelayState, target: TargetId) -> SoftwareVersion:
-    """Return the software version of a listed target."""
-    return state.catalogue.targets[target].software_version
+def version_of(state: RelayState, published: PublishedTarget) -> SoftwareVersion | None:
+    """Return the software version of the start of a target that runs now.
+
+    It is None if no entry has told it: the target has started again since, as its
+    reports show, and the store may be silent.
+    """
+    target = published.target.target_id
+    listed = state.catalogue.targets.get(target, published)
+    held = state.residency.reported.get(target)
+    if held is not None and 0 < listed.incarnation < held.incarnation:
+        return None
+    return listed.software_version
 
 
 def with_last_of_version(
@@ -61,11 +73,12 @@
     if exchange.route.repetition is not Repetition.RESUMABLE_STREAM:
         return options
     live = state.live_targets(exchange.pool)
-    counts = Counter(published.software_version for published in live)
+    versions = {t.target.target_id: version_of(state, t) for t in live}
+    counts = Counter(versions.values())
     if len(counts) <= 1:
         return options
     return [
-        replace(o, is_last_of_version=counts[version_of(state, o.target)] <= 1)
+        replace(o, is_last_of_version=counts[versions.get(o.target)] <= 1)
         for o in options
     ]
 
--- a/packages/daemon/src/sardinequay_daemon/stream_versions.py
+++ b/packages/daemon/src/sardinequay_daemon/stream_versions.py
@@ -29,6 +29,7 @@
 from .relay_state import RelayState
 from .serving_messages import Noted
 from .serving_metrics import ServingMetrics
+from .software_choice import version_of
 from .store.task import StoreTask
 from .stream_messages import (
     AskHistory,
@@ -119,14 +120,15 @@
         TargetError
             If the target may have been replaced by one of another version.
         """
-        if exchange.software_version is not None:
+        begun_with = exchange.software_version
+        is_resumable = exchange.route.repetition is Repetition.RESUMABLE_STREAM
+        if begun_with is None and not is_resumable:
             return
-        if exchange.route.repetition is not Repetition.RESUMABLE_STREAM:
-            return
-        listed = self.state.catalogue.targets.get(published.target.target_id)
         version = published.software_version
-        if listed is not None and listed.software_version != version:
+        if version_of(self.state, published) != version:
             raise TargetError(TargetFault.BROKEN, "the target was replaced")
+        if begun_with is not None:
+            return
         exchange.software_version = version
         key, now = self.key_of(exchange), self.clock.monotonic()
         is_sure = self.sole_version(exchange.pool) == version
--- a/packages/daemon/tests/test_stream_versions.py
+++ b/packages/daemon/tests/test_stream_versions.py
@@ -1,7 +1,7 @@
 """The software version of streams that callers resume at this host."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from types import SimpleNamespace
 
@@ -23,6 +23,7 @@
 )
 from sardinequay_core.organisations import Organisation, OrganisationName
 from sardinequay_core.outcome import Outcome, Reason
+from sardinequay_core.residency import HeldAdapters, Residency
 from sardinequay_core.roster import Target, TargetKind
 from sardinequay_core.serving import PoolShare, Repetition, Route
 from sardinequay_core.software_history import Sighting, SoftwareHistory
@@ -33,6 +34,7 @@
 from sardinequay_daemon.serving_messages import Noted
 from sardinequay_daemon.serving_metrics import ServingMetrics
 from sardinequay_daemon.serving_ports import RequestTerms
+from sardinequay_daemon.software_choice import options_by_software
 from sardinequay_daemon.stream_messages import AskStream, RecordStreams, StreamReply
 from sardinequay_daemon.stream_record_client import StreamRecordClient
 from sardinequay_daemon.stream_versions import StreamVersions
@@ -84,7 +86,7 @@
         return Success(self.replies.get(address.ip, StreamReply(None)))
 
 
-def engine(version: SoftwareVersion) -> PublishedTarget:
+def engine(version: SoftwareVersion, incarnation: int = 5) -> PublishedTarget:
     target = Target(
         TargetId(f"engine-{version}"),
         POOL,
@@ -92,7 +94,15 @@
         DataCentre("za"),
         Address("127.0.0.1", 1),
     )
-    return PublishedTarget(target, 8, 1, software_version=version)
+    return PublishedTarget(
+        target, 8, 1, incarnation=incarnation, software_version=version
+    )
+
+
+def report_start(streams: StreamVersions, target: TargetId, incarnation: int) -> None:
+    """Let the keeper tell that an engine has started again."""
+    held = HeldAdapters(1, 1, frozenset(), incarnation=incarnation)
+    streams.state.residency.apply_update(target, held)
 
 
 @pytest.fixture
@@ -107,6 +117,8 @@
         catalogue=Catalogue(),
         software=SoftwareHistory(is_first_start=True),
         random=Random(1),
+        residency=Residency(),
+        clock=SystemClock(),
     )
     store = SimpleNamespace(
         freshness=Freshness(), must_list=True, catalogue=Catalogue()
@@ -308,3 +320,54 @@
     assert await streams.handle_ask(unknown) == StreamReply(None)
     list_engines(streams, V1)
     assert await streams.handle_ask(unknown) == StreamReply(V1)
+
+
+@pytest.mark.parametrize("incarnation", [4, 5, 6])
+def test_streams_go_on_and_begin_only_where_the_version_is_known(
+    streams: StreamVersions, incarnation: int
+) -> None:
+    """Guards against a start that no entry has told, while the store is silent."""
+    listed = engine(V1)
+    report_start(streams, listed.target.target_id, incarnation)
+    options = [SimpleNamespace(target=listed.target.target_id)]
+    resumed, new = request("r0", "3"), request()
+    resumed.software_version = V1
+    is_known = incarnation <= listed.incarnation
+    for exchange in (resumed, new):
+        found = options_by_software(streams.state, exchange, options)
+        assert found == (options if is_known else [])
+
+
+def test_version_is_known_again_once_an_entry_tells_the_start(
+    streams: StreamVersions,
+) -> None:
+    target = engine(V1).target.target_id
+    report_start(streams, target, 6)
+    entry = replace(engine(V1, incarnation=6), software_version=V2)
+    streams.state.catalogue = Catalogue(targets={target: entry})
+    resumed = request("r0", "3")
+    resumed.software_version = V2
+    options = [SimpleNamespace(target=target)]
+    assert options_by_software(streams.state, resumed, options) == options
+
+
+def test_entry_that_tells_no_start_keeps_its_version(streams: StreamVersions) -> None:
+    target = engine(V1).target.target_id
+    report_start(streams, target, 6)
+    entry = engine(V1, incarnation=0)
+    streams.state.catalogue = Catalogue(targets={target: entry})
+    resumed = request("r0", "3")
+    resumed.software_version = V1
+    options = [SimpleNamespace(target=target)]
+    assert options_by_software(streams.state, resumed, options) == options
+
+
+@pytest.mark.parametrize("begun_with", [None, V1])
+async def test_first_event_of_a_start_without_a_known_version_is_not_passed_on(
+    streams: StreamVersions, begun_with: SoftwareVersion | None
+) -> None:
+    exchange = request("r0", "3") if begun_with else request()
+    exchange.software_version = begun_with
+    report_start(streams, engine(V1).target.target_id, 6)
+    with pytest.raises(TargetError):
+        await streams.begin(exchange, engine(V1))
