Reset calls that are given up on connections that had been used before

What was seen: an order on a kept connection, given up in a cut of the host's paths, reached its engine 5.8 s after the cut, between orders of the next host, with a lower fencing token.

Cause: connections of orders and reports were closed in order. Whether an answer was due was read from the body of the last answer on the connection, which is complete until the next head comes, so that no kept connection was ever reset, requests' ones neither.

Change: a call forgets the answer before as it begins, and all calls of a host reset what they give up.

--- a/packages/daemon/src/sardinequay_daemon/strict_connector.py
+++ b/packages/daemon/src/sardinequay_daemon/strict_connector.py
@@ -44,6 +44,11 @@
             transport.max_size = RECEIVE_BYTES
         super().connection_made(transport)
 
+    def set_response_params(self, **params: Any) -> None:
+        """Expect the answer to a further request, and forget the one before."""
+        self._payload = None
+        super().set_response_params(**params)
+
     def feed_data(
         self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
     ) -> None:
@@ -59,6 +64,19 @@
             self.set_exception(HttpProcessingError(message="too many interim answers"))
             self.transport.abort()
 
+    def close(self) -> None:
+        """Close the connection; reset it while an answer is due.
+
+        The call was given up then. On a lost path a request would else reach the target
+        once the path is back, beside its repeats, and an order after those of the next
+        host that orders the engine.
+        """
+        transport, payload = self.transport, self._payload
+        is_complete = payload is not None and payload.is_eof()
+        if isinstance(transport, asyncio.Transport) and not is_complete:
+            reset(transport)
+        super().close()
+
 
 def fail_unless_whole(payload: StreamReader | None, detail: str) -> None:
     """Raise an error in the reader of an answer, unless it is whole or has failed."""
@@ -119,18 +137,6 @@
         # After bytes that are no chunk aiohttp drops the answer without an error.
         fail_unless_whole(payload, "ended inside the answer")
 
-    def close(self) -> None:
-        """Close the connection; reset it while an answer is due.
-
-        The request was given up then. On a lost path it would else reach the target
-        once the path is back, beside its repeats.
-        """
-        transport, payload = self.transport, self._payload
-        is_complete = payload is not None and payload.is_eof()
-        if isinstance(transport, asyncio.Transport) and not is_complete:
-            reset(transport)
-        super().close()
-
     def is_connected(self) -> bool:
         """Return whether the connection can take another request."""
         return super().is_connected() and not self.should_close
--- a/packages/daemon/tests/test_strict_connector.py
+++ b/packages/daemon/tests/test_strict_connector.py
@@ -66,3 +66,55 @@
         await asyncio.sleep(read_after_s)
         with pytest.raises(aiohttp.ClientPayloadError):
             await answer.content.readany()
+
+
+@pytest.mark.parametrize("answers_before", [0, 1, 3])
+async def test_request_that_is_given_up_resets_its_connection(
+    answers_before: int,
+) -> None:
+    """Guards against requests and orders that a cut holds up on a kept connection."""
+    ended: asyncio.Future[BaseException | None] = asyncio.Future()
+
+    async def hang(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        for _ in range(answers_before):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        try:
+            while await reader.read(4096):
+                pass
+            ended.set_result(None)
+        except OSError as error:
+            ended.set_result(error)
+        writer.close()
+
+    server = await asyncio.start_server(hang, "127.0.0.1", 0)
+    url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}/"
+    async with aiohttp.ClientSession(connector=StrictConnector("127.0.0.1")) as session:
+        for _ in range(answers_before):
+            async with session.get(url) as answer:
+                assert await answer.read() == b"ok"
+        with pytest.raises(TimeoutError):
+            await session.get(url, timeout=aiohttp.ClientTimeout(0.1))
+        async with asyncio.timeout(5):
+            assert isinstance(await ended, ConnectionResetError)
+    server.close()
+
+
+async def test_connection_whose_answer_is_complete_is_closed_and_not_reset() -> None:
+    ended: asyncio.Future[BaseException | None] = asyncio.Future()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        try:
+            await reader.read(4096)
+            ended.set_result(None)
+        except OSError as error:
+            ended.set_result(error)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    await get(f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}/")
+    async with asyncio.timeout(5):
+        assert await ended is None
+    server.close()
