--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -5,10 +5,10 @@
 """
 
 import asyncio
-import gc
 import logging
 from collections.abc import Callable
-from dataclasses import asdict, dataclass, replace
+from dataclasses import dataclass, replace
+from functools import partial
 from random import Random
 
 from aiohttp import web
@@ -30,6 +30,7 @@
 from .errors import StartError
 from .fleet_task import FleetTask, ReceivedDigest
 from .host_pages import create_status_app
+from .host_upkeep import describe_host, run_housekeeping
 from .http_listeners import HttpListeners, caller_runner
 from .load_requests import LoadRequestClient
 from .loop_lag import LoopLag
@@ -364,7 +365,7 @@
                     group.create_task(self.paths.monitor.run()),
                     group.create_task(self.server.close_overdue_connections()),
                     group.create_task(self.lag.run()),
-                    group.create_task(self.run_housekeeping()),
+                    group.create_task(run_housekeeping(self)),
                 ]
                 await stop.wait()
                 await self.drain()
@@ -376,32 +377,6 @@
             log.info("stopped", extra={"in_flight": self.server.in_flight})
             self.output.write_pending()
 
-    async def run_housekeeping(self) -> None:
-        """Flush the log, update gauges and expire contents, every half a second.
-
-        Objects that exist when it starts are excluded from garbage collection, so that
-        garbage in reference cycles does not make memory grow.
-        """
-        gc.freeze()
-        while True:
-            await asyncio.sleep(0.5)
-            self.output.write_pending()
-            self.metrics.log_lines_left_out.set({}, self.output.left_out_lines)
-            self.metrics.in_flight.set({}, self.server.in_flight)
-            self.server.log_left_unread()
-            self.metrics.loop_lag.set({}, self.lag.current.total_seconds())
-            self.feature_guard.expire()
-            self.statements.expire()
-            self.streams.do_housekeeping()
-            self.store_parts.do_housekeeping()
-            self.versions.do_housekeeping()
-            self.state.count_hosts()
-            self.metrics.set_share_weights(self.state.quotas.current_weights())
-            held = self.feature_guard.held_contents()
-            self.metrics.quarantined.set({}, len(held))
-            config = self.state.catalogue.config
-            self.metrics.config_version.set({}, config.version if config else 0)
-
     async def listen(self) -> asyncio.Server:
         """Open the listeners for peers, readiness, metrics and callers."""
         profile = self.profile
@@ -414,7 +389,7 @@
             metrics = web.AppRunner(
                 create_status_app(
                     self.metrics.registry,
-                    self.status,
+                    partial(describe_host, self),
                     self.feature_guard.lift_quarantine,
                 ),
                 access_log=None,
@@ -425,37 +400,6 @@
             raise StartError(f"cannot listen: {error}", EXIT_PORT_IN_USE) from error
         return listener
 
-    def status(self) -> dict[str, object]:
-        """Return this host's state for the status page."""
-        catalogue = self.store.catalogue
-        return {
-            "host": self.profile.host_id,
-            "data_centre": self.profile.data_centre,
-            "ready": self.is_ready(),
-            "stopping": self.is_stopping,
-            "config_version": catalogue.config.version if catalogue.config else 0,
-            "store_revision": catalogue.revision,
-            "store_age_s": min(self.store.age_s(), 1e6),
-            "behind_peers": self.store.freshness.is_behind,
-            "reads_store": self.fleet.is_reader(),
-            "hub": "" if self.fleet.is_mesh else self.fleet.hub().host_id,
-            "live_hosts": self.fleet.live_hosts,
-            "cut_off": self.paths.monitor.paths.is_cut_off,
-            "lost_paths": sorted(str(a) for a in self.paths.monitor.paths.lost),
-            "orders_engines": self.lease.is_holder,
-            "in_flight": self.server.in_flight,
-            "quarantined": [
-                asdict(held) for held in self.feature_guard.held_contents()
-            ],
-            "adapter_versions": [asdict(v) for v in self.versions.listed()],
-            "peers": sorted(p.contact.host_id for p in self.fleet.live_peers()),
-            "leaving": sorted(self.state.statements.leaving.statements),
-            "backoffs": self.state.statements.backoffs.left_s(self.clock.monotonic()),
-            "targets": {
-                t: p.target.presence.value for t, p in catalogue.targets.items()
-            },
-        }
-
     async def drain(self) -> None:
         """Become unready, leave the fleet, and wait for requests in flight.
 
--- a/packages/daemon/src/sardinequay_daemon/tunnel_server.py
+++ b/packages/daemon/src/sardinequay_daemon/tunnel_server.py
@@ -17,7 +17,7 @@
 from .answer_head import HeadReader, HttpHead
 from .connection_reset import reset
 from .path_messages import OpenTunnel, TunnelReply
-from .peers import PeerStream
+from .peer_link import PeerStream
 from .serving_metrics import ServingMetrics
 from .statements.tunnel_gate import TunnelGate
 from .wire import Frame, FrameKind
--- a/packages/daemon/tests/test_peers.py
+++ b/packages/daemon/tests/test_peers.py
@@ -18,7 +18,8 @@
     RosterReply,
 )
 from sardinequay_daemon.metrics import Metrics
-from sardinequay_daemon.peers import PeerClient, PeerServer, PeerStream
+from sardinequay_daemon.peer_link import PeerStream
+from sardinequay_daemon.peers import PeerClient, PeerServer
 from sardinequay_daemon.shared_settings import TimingSettings
 from sardinequay_daemon.wire import (
     Frame,
