--- a/packages/daemon/src/sardinequay_daemon/engine_runner.py
+++ b/packages/daemon/src/sardinequay_daemon/engine_runner.py
@@ -119,10 +119,10 @@
             try:
                 await self.run_step(engine)
             except Exception as error:
-                scheduler = engine.scheduler
-                record_unforeseen(self.metrics, "engine", scheduler.target, error)
+                target = engine.scheduler.target
+                record_unforeseen(self.metrics, "engine", target, error)
                 await asyncio.sleep(FAULT_PAUSE_S)
-                self.begin_scheduler(engine, scheduler.incarnation)
+                self.begin_scheduler(engine, engine.scheduler.incarnation)
 
     async def run_step(self, engine: ManagedEngine) -> None:
         """Perform the next step of an engine's scheduler."""
--- a/packages/daemon/src/sardinequay_daemon/store/item_decoder.py
+++ b/packages/daemon/src/sardinequay_daemon/store/item_decoder.py
@@ -68,9 +68,14 @@
             return apply_if_any(self.withdraw(item, error), catalogue, policy)
 
     def withdraw(self, item: StoreItem, error: Exception) -> Change | None:
-        """Record an unforeseen error; return what the catalogue is to drop, if any."""
+        """Record an unforeseen error; return what the catalogue is to drop, if any.
+
+        It is logged once for an item, and counted each time.
+        """
         if self.is_new(item.key):
             record_unforeseen(self.metrics, ITEM_KIND, item.key, error)
+        else:
+            self.metrics.unforeseen_errors.inc({"kind": ITEM_KIND})
         return self.store.withdraw(item.key)
 
     def record_unreadable(self, key: str, detail: str) -> None:
--- a/packages/daemon/tests/test_store_task.py
+++ b/packages/daemon/tests/test_store_task.py
@@ -255,7 +255,7 @@
     assert task.age_s() >= 1
 
 
-def test_item_that_fails_unforeseen_costs_itself_alone(task: StoreTask) -> None:
+def test_item_that_fails_unforeseen_costs_itself_alone(task: StoreTask, caplog) -> None:
     """Guards against the end of all hosts by one entry that nobody foresaw."""
     poison = StoreItem("poison", 7, b"poison")
     apply_read(task, item(1, 5), entry(1, 6), poison, revision=7)
@@ -265,7 +265,9 @@
     assert task.catalogue.config.version == 2
     assert task.catalogue.revision == 9
     counter = task.decoder.metrics.unforeseen_errors
-    assert counter.get({"kind": "store item"}) == 1
+    assert counter.get({"kind": "store item"}) == 2
+    lines = [line for line in caplog.records if "unforeseen" in line.message]
+    assert [line.key for line in lines] == ["poison"]
     assert task.decoder.unreadable == {"poison"}
     apply_read(task, item(3, 10), StoreItem("poison", 11, None), revision=11)
     assert not task.decoder.unreadable
