--- a/packages/core/src/sardinequay_core/approval.py
+++ b/packages/core/src/sardinequay_core/approval.py
@@ -16,6 +16,9 @@
 from .errors import BundleError
 from .names import Digest
 
+MAX_VERSION = 2**53
+"""Greatest version of a bundle, which all messages to peers can carry."""
+
 SIGNATURE_DOMAIN = b"sardinequay bundle root\x00"
 """Domain-separation prefix of signed messages: a signature is valid for roots only."""
 
@@ -108,8 +111,8 @@
     root = signed.root
     if root.format != FORMAT:
         return Failure(BundleError("format", f"format {root.format}, not {FORMAT}"))
-    if root.version < 1 or len(root.index) != FANOUT:
-        return Failure(BundleError("malformed", "version below 1 or wrong index"))
+    if not 1 <= root.version <= MAX_VERSION or len(root.index) != FANOUT:
+        return Failure(BundleError("malformed", "version out of range or wrong index"))
     return Success(signed)
 
 
--- a/packages/daemon/src/sardinequay_daemon/peers.py
+++ b/packages/daemon/src/sardinequay_daemon/peers.py
@@ -207,7 +207,7 @@
         try:
             reply = await self.reply_to(frame)
         except FrameError as error:
-            log.warning(
+            log.info(
                 "request of a peer not served",
                 extra={"tag": frame.tag[:MAX_TAG_CHARS], "detail": str(error)},
             )
--- a/packages/daemon/src/sardinequay_daemon/platform.py
+++ b/packages/daemon/src/sardinequay_daemon/platform.py
@@ -24,6 +24,9 @@
 ROOT_KEY = "root"
 REVISION_HEADER = "X-Revision"
 REVISION_PATTERN = re.compile(r"[0-9]{1,18}")
+MAX_NUMBER = 2**53
+"""Greatest number of a host list, which all messages to peers can carry."""
+
 MAX_SHOWN_CHARS = 40
 WATCH_TIMEOUT_MARGIN_S = 5.0
 """Time that a watch may take beyond the requested wait until it fails, in seconds."""
@@ -140,6 +143,9 @@
     if value.data is None:
         return Success(Roster(value.revision))
     try:
-        return Success(decode_json(value.data, Roster))
+        roster = decode_json(value.data, Roster)
     except DocumentError as error:
         return Failure(PlatformError("host list", str(error)))
+    if not 0 <= roster.number <= MAX_NUMBER:
+        return Failure(PlatformError("host list", "its number is out of range"))
+    return Success(roster)
--- a/packages/daemon/tests/test_platform.py
+++ b/packages/daemon/tests/test_platform.py
@@ -53,6 +53,8 @@
 
 def test_odd_host_list_is_read_or_a_failed_read() -> None:
     assert isinstance(decode_roster(PublishedValue(1, b"[" * 2_000)), Failure)
+    number = b'{"number": 18446744073709551616}'
+    assert isinstance(decode_roster(PublishedValue(1, number)), Failure)
     for odd in odd_documents(SOUND_ROSTER):
         read = decode_roster(PublishedValue(1, odd.data))
         assert isinstance(read.value_or(None), Roster | None), odd.name
