Leave departed voters out only while others would tell of their return

Logs of both sides show the two sets of voters ('ordering engines', voters). Ruled out: lost abstention and tokens (the hosts that came back waited as they should), late orders.

Change: a host that announced its leave stays a voter. It is left out while hosts that do not leave are heard (last word less than 0.85 s ago, for a lease at least), for they tell of its return; that return is now logged anew for peers.

New unit tests fail before (their types are new).

--- a/packages/core/src/sardinequay_core/order_candidate.py
+++ b/packages/core/src/sardinequay_core/order_candidate.py
@@ -1,9 +1,17 @@
 """Candidate side of the order lease: counting votes and holding the lease.
 
-`order_lease` contains the voter side and the messages.
+`order_lease` contains the voter side and the messages. A majority is safe only if no
+other host finds one among voters that this host left out. Three kinds of voters are:
+
+- Voters that stated until when they vote for no other host (`uncounted_until`).
+- Departed ones, which announced that they leave. Such a host may be back at any time
+  and vote for another, so it is left out only while this host is in contact with others
+  of the fleet, who would tell of its return.
+- Forgotten ones, which have been silent for too long. Nothing tells of these, so a
+  majority that they could overturn is in doubt. The only witnesses left are the
+  engines: they count the orders that they accept (`order_counts`).
 """
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from .clock import ZERO, Instant, seconds
@@ -11,6 +19,33 @@
 from .order_lease import TOKENS_PER_TICK, Ballot, OrderPolicy, Resign, Vote
 
 
+@dataclass(frozen=True, slots=True)
+class Voters:
+    """The voters of a data centre, as one host knows them.
+
+    Parameters
+    ----------
+    known : frozenset
+        Hosts that were heard or told of, and didn't announce their leave.
+    departed : frozenset
+        Hosts that announced their leave more than a lease ago and aren't back.
+    forgotten : frozenset
+        Hosts that count no more, because they were silent for too long.
+    is_taken_for_alone : bool
+        Whether no host has answered this one since its start.
+    """
+
+    known: frozenset[HostId] = frozenset()
+    departed: frozenset[HostId] = frozenset()
+    forgotten: frozenset[HostId] = frozenset()
+    is_taken_for_alone: bool = False
+
+
+def majority_of(hosts: frozenset[HostId]) -> int:
+    """Return how many votes are a majority of these hosts'."""
+    return len(hosts) // 2 + 1
+
+
 @dataclass(slots=True)
 class OrderCandidate:
     """The state of one host as a candidate for its data centre's order lease.
@@ -42,15 +77,94 @@
     held_since: Instant | None = None
     granted_at: dict[HostId, Instant] = field(default_factory=dict)
     uncounted_until: dict[HostId, Instant] = field(default_factory=dict)
+    departed: frozenset[HostId] = frozenset()
+    forgotten: frozenset[HostId] = frozenset()
+    is_taken_for_alone: bool = False
+    contact_since: Instant | None = None
+    last_contact_at: Instant = ZERO
+    others_quiet_since: Instant | None = None
 
-    def set_voters(self, voters: Iterable[HostId]) -> None:
+    def set_voters(self, voters: Voters) -> None:
         """Set the hosts of the data centre; votes of removed hosts no longer count."""
-        self.voters = frozenset(voters) | {self.own_host_id}
+        self.voters = voters.known | voters.departed | {self.own_host_id}
+        self.departed = voters.departed
+        self.forgotten = voters.forgotten - self.voters
+        self.is_taken_for_alone = voters.is_taken_for_alone
+
+    def record_contact(self, now: Instant) -> None:
+        """Record that a host which isn't leaving was heard."""
+        if self.contact_since is None or now >= self.contact_until:
+            self.contact_since = now
+        self.last_contact_at = now
+
+    @property
+    def contact_until(self) -> Instant:
+        """Return until when this host counts as in contact with others."""
+        policy = self.policy
+        return self.last_contact_at + policy.lease_duration - policy.safety_margin
+
+    def is_in_contact(self, now: Instant) -> bool:
+        """Return whether others would by now have told of a voter's return.
+
+        After a pause, contact has to last for a lease first: the first host that is
+        heard again may know as little as this one.
+        """
+        since = self.contact_since
+        return (
+            since is not None
+            and now >= since + self.policy.lease_duration
+            and now < self.contact_until
+        )
+
+    def counted_voters(self, now: Instant) -> frozenset[HostId]:
+        """Return the voters that a majority is counted of."""
+        left_out = self.departed if self.is_in_contact(now) else frozenset()
+        return self.without_bound_hosts(self.voters - left_out, now)
+
+    def without_bound_hosts(
+        self, hosts: frozenset[HostId], now: Instant
+    ) -> frozenset[HostId]:
+        """Return hosts without those that are known to vote for no other host."""
+        return frozenset(h for h in hosts if now >= self.uncounted_until.get(h, ZERO))
 
     def quorum(self, now: Instant) -> int:
         """Return the number of votes that is a majority of the counted voters."""
-        counted = [v for v in self.voters if now >= self.uncounted_until.get(v, ZERO)]
-        return len(counted) // 2 + 1
+        return majority_of(self.counted_voters(now))
+
+    def is_in_doubt(self, now: Instant) -> bool:
+        """Return whether forgotten voters could have elected another holder."""
+        if self.is_taken_for_alone:
+            return True
+        hosts = self.without_bound_hosts(self.counted_voters(now) | self.forgotten, now)
+        return self.count_valid_votes(now) < majority_of(hosts)
+
+    def leaves_out_voters(self, now: Instant) -> bool:
+        """Return whether voters are left out that may vote for another host."""
+        if self.is_taken_for_alone:
+            return True
+        hosts = self.without_bound_hosts(self.voters | self.forgotten, now)
+        return self.count_valid_votes(now) < majority_of(hosts)
+
+    def should_watch_engines(self, now: Instant) -> bool:
+        """Return whether orders of other hosts would keep this one from ordering."""
+        is_waiting = not self.is_holder or now < self.may_order_from
+        return is_waiting or self.leaves_out_voters(now)
+
+    def record_orders_watched(self, is_foreign: bool, now: Instant) -> None:
+        """Record whether engines counted orders that this host didn't send.
+
+        A holder that already orders by a majority of all voters goes on.
+        """
+        if is_foreign and self.should_watch_engines(now):
+            self.others_quiet_since = now
+            earliest = now + self.policy.quiet_period
+            self.may_order_from = max(self.may_order_from, earliest)
+        elif self.others_quiet_since is None:
+            self.others_quiet_since = now
+
+    def record_watch_ended(self) -> None:
+        """Record that engines are no longer watched, so that nothing is known."""
+        self.others_quiet_since = None
 
     def build_ballot(self, data_centre: str, is_return: bool = False) -> Ballot:
         """Return the ballot to send to voters, with a token above all known ones."""
@@ -112,9 +226,10 @@
 
     def count_valid_votes(self, now: Instant) -> int:
         """Return the number of current voters' votes that have not expired."""
-        return sum(
-            1 for v, until in self.votes.items() if v in self.voters and now < until
-        )
+        counted = self.voters
+        if self.is_in_contact(now):
+            counted = counted - self.departed
+        return sum(1 for v, until in self.votes.items() if v in counted and now < until)
 
     def stop_counting_self(self, vote: Vote, asked_at: Instant) -> None:
         """Stop counting this host's own lost vote if it returns as the holder.
@@ -136,6 +251,10 @@
         if has_majority and is_highest and not self.is_holder:
             self.is_holder = True
             self.held_since = now
+            if self.is_in_doubt(now):
+                quiet_since = self.others_quiet_since or now
+                earliest = quiet_since + self.policy.quiet_period
+                self.may_order_from = max(self.may_order_from, earliest)
         elif not has_majority and self.is_holder:
             self.drop_lease()
             self.highest_seen_token = max(self.highest_seen_token, self.token)
--- a/packages/core/tests/order_world.py
+++ b/packages/core/tests/order_world.py
@@ -5,7 +5,7 @@
 
 from sardinequay_core.clock import Instant, seconds
 from sardinequay_core.names import HostId
-from sardinequay_core.order_candidate import OrderCandidate
+from sardinequay_core.order_candidate import OrderCandidate, Voters
 from sardinequay_core.order_lease import OrderPolicy, Voter
 
 POLICY = OrderPolicy()
@@ -45,7 +45,7 @@
         if not first_start:
             self.voters[host].record_revision(self.revision, self.wall_s(host))
         candidate = OrderCandidate(host, POLICY)
-        candidate.set_voters(self.hosts)
+        candidate.set_voters(Voters(frozenset(self.hosts)))
         self.candidates[host] = candidate
         self.leaving.pop(host, None)
 
@@ -53,9 +53,9 @@
         candidate = self.candidates[host]
         voters = [h for h in self.hosts if self.is_voter(h)]
         if not candidate.is_holder:
-            candidate.set_voters(voters)
+            candidate.set_voters(Voters(frozenset(voters)))
         self.send_ballots(host, is_return)
-        candidate.set_voters(voters)
+        candidate.set_voters(Voters(frozenset(voters)))
         if candidate.needs_higher_token(self.now):
             self.send_ballots(host, is_return)
         if not candidate.is_holder:
--- a/packages/daemon/src/sardinequay_daemon/engine_runner.py
+++ b/packages/daemon/src/sardinequay_daemon/engine_runner.py
@@ -17,6 +17,7 @@
 from sardinequay_core.engine_scheduler import EngineScheduler
 from sardinequay_core.names import HostId
 from sardinequay_core.order_candidate import OrderCandidate
+from sardinequay_core.order_counts import OrderCounts
 from sardinequay_core.residency import AdapterUses
 from sardinequay_core.roster import Target
 from sardinequay_core.serving import EnginePool, TargetPool
@@ -24,7 +25,7 @@
 from .managed_engine import ManagedEngine, order_subject
 from .path_monitor import PathMonitor
 from .serving_metrics import ServingMetrics
-from .serving_ports import EngineOrders, OrderAccepted, OrderTerms
+from .serving_ports import EngineOrders, OrderAccepted, OrderRefused, OrderTerms
 from .unforeseen import record_unforeseen
 
 LEASE_POLL_S = 0.08
@@ -46,6 +47,8 @@
     ----------
     candidate : OrderCandidate
         This host's right to order engines.
+    counts : OrderCounts
+        Orders that engines count; it is told of this host's own ones.
     on_holdings_changed : callable
         Called after an order or a report changed what an engine holds.
     """
@@ -55,6 +58,7 @@
         me: HostId,
         engines: EngineOrders,
         candidate: OrderCandidate,
+        counts: OrderCounts,
         clock: Clock,
         metrics: ServingMetrics,
         uses: AdapterUses,
@@ -63,6 +67,7 @@
         self.me = me
         self.engines = engines
         self.candidate = candidate
+        self.counts = counts
         self.clock = clock
         self.metrics = metrics
         self.uses = uses
@@ -207,10 +212,16 @@
         scheduler, target = engine.scheduler, engine.published.target
         expected = scheduler.expected_order_count(order)
         terms = OrderTerms(self.me, self.candidate.token, expected)
-        self.candidate.record_order(self.clock.monotonic())
+        sent_at = self.clock.monotonic()
+        self.candidate.record_order(sent_at)
+        self.counts.begin_own_order(target.target_id, sent_at)
         result = await self.engines.order(target, order, terms)
         now = self.clock.monotonic()
         self.candidate.record_order(now)
+        is_refused = isinstance(result, Success) and isinstance(
+            result.unwrap(), OrderRefused
+        )
+        self.counts.end_own_order(target.target_id, not is_refused, now)
         self.record_call(target, isinstance(result, Success))
         if scheduler is not engine.scheduler:
             # The engine restarted while the order was sent, so the result is about
--- a/packages/daemon/src/sardinequay_daemon/fleet_task.py
+++ b/packages/daemon/src/sardinequay_daemon/fleet_task.py
@@ -357,6 +357,10 @@
             live_hosts=digest.live_hosts,
             is_cut_off=digest.is_cut_off,
         )
+        if previous is not None and previous.is_leaving and not digest.is_leaving:
+            # It is back: peers that only know of its leave have to be told.
+            self.known_contacts.pop(host_id, None)
+        self.absent_voters.record_returned(host_id)
         self.log_contact(digest.host)
         self.add_contacts(digest.contacts, now)
         self.apply_hub_fields(digest)
@@ -392,18 +396,35 @@
             if contact.host_id == self.me.host_id:
                 continue
             if known is None:
+                self.absent_voters.record_returned(contact.host_id)
+                self.log_contact(contact)
+                self.peers[contact.host_id] = Peer(contact, None, now)
+            elif known.is_leaving and self.has_returned_unheard(known, now):
                 self.log_contact(contact)
                 self.peers[contact.host_id] = Peer(contact, None, now)
             elif known.contact != contact and known.last_heard_at is None:
                 self.log_contact(contact)
                 self.peers[contact.host_id] = replace(known, contact=contact)
 
+    def has_returned_unheard(self, peer: Peer, now: Instant) -> bool:
+        """Return whether another host's word that a leaving peer is back holds.
+
+        While the peer leaves, others may know less of it than this host.
+        """
+        return now - self.last_sign_of_life(peer) > seconds(EXCHANGE_TIMEOUT_S)
+
     def prune_silent_peers(self, now: Instant) -> None:
         """Log peers that became silent, and remove those silent for too long."""
+        self.absent_voters.expire(now)
         for host_id, peer in tuple(self.peers.items()):
             silent_for = now - self.last_sign_of_life(peer)
             if self.is_expired(peer, silent_for):
                 del self.peers[host_id]
+                if self.is_near(peer):
+                    last_sign = self.last_sign_of_life(peer)
+                    self.absent_voters.record_removed(
+                        host_id, peer.is_leaving, last_sign
+                    )
                 self.known_contacts.pop(host_id, None)
                 self.dates.forget_peer(host_id)
                 self.update_near_peer_count()
--- a/packages/daemon/src/sardinequay_daemon/order_lease_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_lease_task.py
@@ -24,7 +24,7 @@
     Voter,
 )
 
-from .fleet_task import FleetTask
+from .fleet_task import FleetTask, ReceivedDigest
 from .peers import PeerClient
 from .serving_messages import Noted
 
@@ -206,12 +206,12 @@
         voters = self.fleet.voters(self.policy.lease_duration)
         if not self.candidate.is_holder:
             self.candidate.set_voters(voters)
-        await self.request_votes(voters, is_return)
+        await self.request_votes(voters.known, is_return)
         # The holder adds new voters only after their votes were requested: otherwise
         # it would lack a majority in between.
         self.candidate.set_voters(voters)
         if self.candidate.needs_higher_token(self.clock.monotonic()):
-            await self.request_votes(voters, is_return)
+            await self.request_votes(voters.known, is_return)
 
     async def request_votes(self, voters: Iterable[HostId], is_return: bool) -> None:
         """Send a ballot to each voter and each leaving host.
@@ -267,6 +267,11 @@
         """Record the loss of the lease, so that another host can be elected first."""
         self.no_holder_since = self.clock.monotonic()
 
+    def handle_digest(self, received: ReceivedDigest) -> None:
+        """Record contact with a host that would tell of voters that return."""
+        if not received.digest.is_leaving:
+            self.candidate.record_contact(received.received_at)
+
     def begin_leaving(self) -> None:
         """Stop candidacies and votes for new holders, because this host shuts down.
 
@@ -293,7 +298,7 @@
         self.voter.handle_resign(message, self.clock.monotonic())
         addresses = [
             self.fleet.address_of(v)
-            for v in self.fleet.voters(self.policy.lease_duration)
+            for v in sorted(self.fleet.voters(self.policy.lease_duration).known)
         ]
         calls = [self.peers.call(a, message, BALLOT_TIMEOUT_S) for a in addresses if a]
         await asyncio.gather(*calls)
--- a/packages/daemon/src/sardinequay_daemon/order_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -21,6 +21,7 @@
 
 from .background_tasks import BackgroundTasks
 from .engine_runner import EngineRunner
+from .engine_watch import EngineWatch
 from .load_request_handler import LoadRequestHandler
 from .managed_engine import ManagedEngine
 from .order_lease_task import OrderLeaseTask
@@ -99,10 +100,12 @@
         self.is_ordering = False
         self.last_holdings: tuple[EngineHoldings, ...] = ()
         self.last_holdings_at = ZERO
+        self.watch = EngineWatch(engines, lease.candidate, clock)
         self.runner = EngineRunner(
             me,
             engines,
             lease.candidate,
+            self.watch.counts,
             clock,
             metrics,
             uses,
@@ -148,12 +151,18 @@
         while True:
             pause_s = await self.lease.step()
             self.apply_lease_state()
+            self.watch_engines()
             if self.is_ordering and self.is_cut_off and self.should_stand_back():
                 log.warning("lease handed on", extra={"token": self.candidate.token})
                 await self.lease.hand_on()
                 self.apply_lease_state()
             await asyncio.sleep(pause_s)
 
+    def watch_engines(self) -> None:
+        """Watch the engines for orders of other hosts if this one has to know."""
+        targets = [p.target for p in self.local_engines().values()]
+        self.watch.step(targets, self.lease.fleet.lease_holder() is not None)
+
     def apply_lease_state(self) -> None:
         """Start ordering if the lease was acquired; stop if it was lost."""
         is_holder = self.lease.is_holder
--- a/packages/daemon/src/sardinequay_daemon/peer_table.py
+++ b/packages/daemon/src/sardinequay_daemon/peer_table.py
@@ -10,8 +10,10 @@
 from sardinequay_core.clock import ZERO, Clock, Instant, seconds
 from sardinequay_core.fleet_topology import is_mesh
 from sardinequay_core.names import Address, HostId
+from sardinequay_core.order_candidate import Voters
 from sardinequay_core.rendezvous import rank_members
 
+from .absent_voters import AbsentVoters
 from .serving_messages import Contact
 
 DIGEST_PERIOD_S = 0.2
@@ -35,8 +37,11 @@
 
 ASSUME_ALONE_AFTER = seconds(10)
 """A host that no peer has answered for so long since its start takes itself to be the
-only host. It then orders engines without votes, so this is far longer than any network
-partition that must be survived."""
+only host. It then orders engines without votes, as long as no other host does."""
+
+VOTER_RETENTION = seconds(30)
+"""Time for which a host that announced its leave counts as a voter while this host is
+in contact with no other."""
 
 ORDER_WAIT_UNKNOWN_S = 60.0
 """Upper limit of a known wait, in seconds: a peer that reports a longer wait until it
@@ -114,6 +119,7 @@
         self.has_received_all_contacts = False
         self.near_peer_count = 0
         self.holds_lease: Callable[[], bool] = lambda: False
+        self.absent_voters = AbsentVoters(VOTER_RETENTION)
         self.known_contacts: dict[HostId, Contact] = {}
         self.contact_log: list[Contact] = []
         self.log_contact(me)
@@ -207,8 +213,8 @@
         """Return when a peer was last known to be live, or when it was added."""
         return max(peer.last_heard_at or peer.added_at, peer.hub_reported_at)
 
-    def voters(self, lease: timedelta) -> tuple[HostId, ...]:
-        """Return the hosts of this data centre that count as voters.
+    def voters(self, lease: timedelta) -> Voters:
+        """Return the voters of this data centre, present and absent.
 
         Parameters
         ----------
@@ -217,10 +223,18 @@
             they have cast.
         """
         left_since = self.clock.monotonic() - lease
-        return tuple(
+        near = [p for p in self.peers.values() if self.is_near(p)]
+        departed = {
             p.contact.host_id
-            for p in self.peers.values()
-            if self.is_near(p) and (not p.is_leaving or p.leaving_since > left_since)
+            for p in near
+            if p.is_leaving and p.leaving_since <= left_since
+        }
+        known = {p.contact.host_id for p in near} - departed
+        return Voters(
+            frozenset(known),
+            frozenset(departed | self.absent_voters.departed.keys()) - known,
+            frozenset(self.absent_voters.forgotten) - known,
+            is_taken_for_alone=self.is_taken_for_alone,
         )
 
     def leaving_hosts(self) -> tuple[HostId, ...]:
@@ -234,10 +248,17 @@
     def has_joined(self) -> bool:
         """Return whether enough hosts of this data centre are known to vote."""
         now = self.clock.monotonic()
-        if not self.seeds or now - self.joining_since > ASSUME_ALONE_AFTER:
+        if not self.seeds or self.is_taken_for_alone:
             return True
         return self.joined_at is not None and now - self.joined_at > seconds(1)
 
+    @property
+    def is_taken_for_alone(self) -> bool:
+        """Return whether no host has answered although there may be others."""
+        searched_for = self.clock.monotonic() - self.joining_since
+        is_unanswered = bool(self.seeds) and self.joined_at is None
+        return is_unanswered and searched_for > ASSUME_ALONE_AFTER
+
     def restart_joining(self) -> None:
         """Discover the hosts again: they may have changed during a suspension."""
         self.joining_since = self.clock.monotonic()
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -291,7 +291,7 @@
         )
         self.follow_digests(self.state.apply_digest, self.handle_peer_contents)
         self.statements.subscribe(self.fleet, self.peer_server, self.deployment.engines)
-        self.follow_digests(self.digest_writer.handle_digest)
+        self.follow_digests(self.digest_writer.handle_digest, self.lease.handle_digest)
         self.fleet.lost_peers.subscribe(self.state.forget_peer)
         self.fleet.lost_peers.subscribe(self.digest_writer.reset_sent_state)
         self.fleet.holds_lease = lambda: self.lease.is_holder
--- a/packages/daemon/tests/test_fleet_task.py
+++ b/packages/daemon/tests/test_fleet_task.py
@@ -8,6 +8,7 @@
 
 from sardinequay_core.fleet_topology import DigestScope
 from sardinequay_core.names import HostId, parse_address
+from sardinequay_core.order_candidate import Voters
 from sardinequay_daemon.fleet_task import FleetTask
 from sardinequay_daemon.peers import PeerClient
 from sardinequay_daemon.serving_messages import Contact, Digest
@@ -37,6 +38,10 @@
     return replace(default_digest, **more)
 
 
+def hosts(*names: str) -> frozenset[HostId]:
+    return frozenset(map(HostId, names))
+
+
 @pytest.fixture
 def fleet(clock: ManualClock, metrics, timing) -> FleetTask:
     peer_client = PeerClient(timing, metrics, "127.0.0.1")
@@ -59,25 +64,70 @@
     fleet.handle_digest(digest("h3", "zb"))
     clock.advance(20)
     fleet.prune_silent_peers(clock.monotonic())
-    assert fleet.voters(LEASE) == ("h2",)
+    assert fleet.voters(LEASE) == Voters(known=hosts("h2"))
     clock.advance(11)
     fleet.prune_silent_peers(clock.monotonic())
-    assert fleet.voters(LEASE) == ()
+    assert fleet.voters(LEASE) == Voters(forgotten=hosts("h2"))
+    fleet.handle_digest(digest("h2"))
+    assert fleet.voters(LEASE) == Voters(known=hosts("h2"))
 
 
-def test_leaving_peer_is_a_voter_until_its_votes_expire(fleet, clock) -> None:
+def test_leaving_peer_is_a_departed_voter_after_its_votes_expired(fleet, clock) -> None:
     fleet.handle_digest(digest("h2"))
     fleet.handle_digest(digest("h2", is_leaving=True))
     clock.advance(0.9)
     fleet.handle_digest(digest("h2", is_leaving=True))
-    assert fleet.voters(LEASE) == ("h2",)
+    assert fleet.voters(LEASE) == Voters(known=hosts("h2"))
     assert fleet.leaving_hosts() == ("h2",)
     clock.advance(0.2)
-    assert fleet.voters(LEASE) == ()
+    assert fleet.voters(LEASE) == Voters(departed=hosts("h2"))
     clock.advance(5)
     assert fleet.leaving_hosts() == ()
 
 
+# A holder once took hosts that had announced their leave for gone. They came back,
+# elected one of them, and two holders ordered the same engines.
+@pytest.mark.parametrize("silent_s", [1.0, 2.0])
+def test_departed_voter_is_known_again_once_another_host_tells_of_its_return(
+    fleet, clock, silent_s: float
+) -> None:
+    fleet.handle_digest(digest("h2", is_leaving=True))
+    clock.advance(silent_s)
+    fleet.prune_silent_peers(clock.monotonic())
+    assert fleet.voters(LEASE).departed == hosts("h2")
+    fleet.handle_digest(digest("h3", "zb", contacts=(digest("h2").host,)))
+    assert fleet.voters(LEASE) == Voters(known=hosts("h2"))
+
+
+def test_word_that_a_host_which_is_still_heard_has_not_left_is_ignored(
+    fleet, clock
+) -> None:
+    fleet.handle_digest(digest("h2", is_leaving=True))
+    clock.advance(0.3)
+    fleet.handle_digest(digest("h3", "zb", contacts=(digest("h2").host,)))
+    assert fleet.peers[HostId("h2")].is_leaving
+
+
+def test_return_of_a_host_is_told_to_peers_that_know_of_its_leave(fleet, clock) -> None:
+    fleet.handle_digest(digest("h2"))
+    fleet.handle_digest(digest("h2", is_leaving=True))
+    told = len(fleet.contact_log)
+    fleet.handle_digest(digest("h2", up_s=0.5))
+    assert [c.host_id for c in fleet.contacts_since(told)] == ["h2"]
+
+
+def test_departed_voter_is_forgotten_after_the_retention(fleet, clock) -> None:
+    fleet.handle_digest(digest("h2", is_leaving=True))
+    clock.advance(29)
+    fleet.prune_silent_peers(clock.monotonic())
+    assert fleet.voters(LEASE).departed == hosts("h2")
+    clock.advance(2)
+    fleet.prune_silent_peers(clock.monotonic())
+    assert fleet.voters(LEASE) == Voters(
+        forgotten=hosts("h2"), is_taken_for_alone=False
+    )
+
+
 def test_host_without_peers_joins_after_the_alone_timeout(fleet, clock) -> None:
     assert not fleet.has_joined()
     clock.advance(5)
--- a/packages/daemon/tests/test_large_fleet.py
+++ b/packages/daemon/tests/test_large_fleet.py
@@ -220,7 +220,7 @@
     for host in world.hosts:
         host.fleet.start_exchange = world.make_start_exchange(host)
     world.advance(2.5)
-    assert {len(h.fleet.voters(seconds(1))) for h in world.hosts} == {9}
+    assert {len(h.fleet.voters(seconds(1)).known) for h in world.hosts} == {9}
 
 
 @pytest.mark.parametrize("hosts", [50, 100])
@@ -297,7 +297,7 @@
     world.advance(5)
     others = [h for h in world.live_hosts("zd") if not h.orders.lease.is_holder]
     for host in others:
-        assert lost.me.host_id in host.fleet.voters(seconds(1))
+        assert lost.me.host_id in host.fleet.voters(seconds(1)).known
         assert lost.me.host_id not in {
             p.contact.host_id for p in host.fleet.live_peers()
         }
--- a/packages/daemon/tests/test_order_lease_task.py
+++ b/packages/daemon/tests/test_order_lease_task.py
@@ -5,6 +5,7 @@
 from sardinequay_core.catalogue import Catalogue
 from sardinequay_core.clock import seconds
 from sardinequay_core.names import HostId
+from sardinequay_core.order_candidate import Voters
 from sardinequay_core.order_lease import Ballot, OrderPolicy, upper_token_bound
 from sardinequay_daemon.order_lease_task import OrderLeaseTask
 
@@ -32,7 +33,7 @@
         return ()
 
     def voters(self, lease):
-        return ()
+        return Voters()
 
     def leaving_hosts(self):
         return ()
