Take own orders of a moment ago for own in an engine's first report

A new holder whose watch began as it was elected took its predecessor's, or its own, last orders for those of another host: reports lag by up to 0.4 s. It put its first order off by up to 0.4 s more, and a holder that began to watch while it ordered could have stopped for the quiet period. The new unit test fails before.

--- a/packages/core/src/sardinequay_core/order_counts.py
+++ b/packages/core/src/sardinequay_core/order_counts.py
@@ -36,12 +36,21 @@
 
 @dataclass(slots=True)
 class OrderCounts:
-    """The order counts of a data centre's engines."""
+    """The order counts of a data centre's engines.
+
+    Parameters
+    ----------
+    sent_at : dict
+        When this host sent its latest orders to each engine.
+    """
 
     counts: dict[TargetId, OrderCount] = field(default_factory=dict)
+    sent_at: dict[TargetId, list[Instant]] = field(default_factory=dict)
 
     def begin_own_order(self, target: TargetId, now: Instant) -> None:
         """Record that this host sends an order, which the engine may count."""
+        recent = [at for at in self.sent_at.get(target, ()) if now - at < COUNT_LAG]
+        self.sent_at[target] = [*recent, now]
         count = self.counts.get(target)
         if count is not None:
             count.own_orders += 1
@@ -58,9 +67,18 @@
         if not may_be_counted:
             count.own_orders = max(0, count.own_orders - 1)
 
-    def restart(self, target: TargetId, status: EngineStatus) -> None:
-        """Count from a report on: it proves nothing of orders before."""
-        self.counts[target] = OrderCount(status.incarnation, status.orders)
+    def restart(
+        self, target: TargetId, status: EngineStatus, asked_at: Instant
+    ) -> None:
+        """Count from a report on: it proves nothing of orders before.
+
+        It may lack this host's own orders of a moment ago.
+        """
+        own = [at for at in self.sent_at.get(target, ()) if asked_at - at < COUNT_LAG]
+        last_own_order_at = max(own, default=ZERO)
+        self.counts[target] = OrderCount(
+            status.incarnation, status.orders, len(own), last_own_order_at
+        )
 
     def apply_report(
         self, target: TargetId, status: EngineStatus, asked_at: Instant
@@ -68,7 +86,7 @@
         """Apply a report; return whether it counts orders of another host."""
         count = self.counts.get(target)
         if count is None or status.incarnation > count.incarnation:
-            self.restart(target, status)
+            self.restart(target, status, asked_at)
             return False
         rise = status.orders - count.orders
         if status.incarnation < count.incarnation or rise < 0:
--- a/packages/core/tests/test_order_counts.py
+++ b/packages/core/tests/test_order_counts.py
@@ -66,3 +66,13 @@
     restarted = replace(STATUS, orders=9, incarnation=2)
     assert not counts.apply_report(ENGINE, restarted, seconds(3))
     assert not apply_count(counts, 20, 4)
+
+
+def test_first_report_may_lack_own_orders_of_a_moment_ago() -> None:
+    counts = OrderCounts()
+    for begun_s in (0.4, 0.9, 1.1):
+        counts.begin_own_order(ENGINE, seconds(begun_s))
+        counts.end_own_order(ENGINE, True, seconds(begun_s))
+    assert not apply_count(counts, 5, 1.2)
+    assert not apply_count(counts, 7, 1.3)
+    assert apply_count(counts, 8, 1.4)
--- a/packages/daemon/src/sardinequay_daemon/engine_watch.py
+++ b/packages/daemon/src/sardinequay_daemon/engine_watch.py
@@ -86,7 +86,7 @@
         report = await self.engines.report(target)
         if not isinstance(report, Success):
             return None
-        if asked_at < began_at + COUNT_LAG and not self.candidate.is_holder:
-            self.counts.restart(target.target_id, report.unwrap())
+        if asked_at < began_at + COUNT_LAG:
+            self.counts.restart(target.target_id, report.unwrap(), asked_at)
             return False
         return self.counts.apply_report(target.target_id, report.unwrap(), asked_at)
