Raise the token of a host that takes itself for alone or has forgotten voters

No voter can tell such a host of others' tokens, so it takes the bound of the newest revision and the time. Both new cases fail before.

--- a/packages/daemon/src/sardinequay_daemon/order_lease_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_lease_task.py
@@ -22,6 +22,7 @@
     Resign,
     Vote,
     Voter,
+    upper_token_bound,
 )
 
 from .fleet_task import FleetTask, ReceivedDigest
@@ -96,6 +97,7 @@
         self.last_step_at = now
         self.has_resigned = False
         self.has_reclaimed_lease = False
+        self.revision = 0
         self.newest_revision: Callable[[], int] = lambda: 0
         self.should_stand_back: Callable[[], bool] = lambda: False
 
@@ -123,12 +125,23 @@
         A restarted voter has lost the highest fencing token that it voted for; the
         revision gives an upper bound of it.
         """
+        self.revision = catalogue.revision
         if catalogue.revision:
             wall_s = self.clock.now().timestamp()
             # Peers forward entries up to seconds after they know of a later revision.
             revision = max(catalogue.revision, self.newest_revision())
             self.voter.record_revision(revision, wall_s)
 
+    def raise_token_of_lone_host(self) -> None:
+        """Raise the token above those of holders that this host may not have heard of.
+
+        No voter tells of them. They had their tokens from earlier revisions and times.
+        """
+        revision = max(self.revision, self.newest_revision())
+        bound = upper_token_bound(revision, self.clock.now().timestamp())
+        candidate = self.candidate
+        candidate.highest_seen_token = max(candidate.highest_seen_token, bound)
+
     async def step(self) -> float:
         """Run or renew an election if due; return the delay to the next step (s)."""
         self.detect_suspension()
@@ -206,6 +219,8 @@
         voters = self.fleet.voters(self.policy.lease_duration)
         if not self.candidate.is_holder:
             self.candidate.set_voters(voters)
+            if voters.is_taken_for_alone or voters.forgotten:
+                self.raise_token_of_lone_host()
         await self.request_votes(voters.known, is_return)
         # The holder adds new voters only after their votes were requested: otherwise
         # it would lack a majority in between.
--- a/packages/daemon/tests/test_order_lease_task.py
+++ b/packages/daemon/tests/test_order_lease_task.py
@@ -2,6 +2,8 @@
 
 from random import Random
 
+import pytest
+
 from sardinequay_core.catalogue import Catalogue
 from sardinequay_core.clock import seconds
 from sardinequay_core.names import HostId
@@ -108,6 +110,24 @@
     assert task.voter.highest_token >= upper_token_bound(80, 0.0)
 
 
+@pytest.mark.parametrize(
+    "voters",
+    [Voters(is_taken_for_alone=True), Voters(forgotten=frozenset({HostId("h2")}))],
+)
+async def test_lone_host_has_a_token_above_those_of_holders_that_it_never_heard_of(
+    clock, monkeypatch, voters: Voters
+) -> None:
+    """Another host had been elected at a later revision, and had died."""
+    task = start_task(clock, imports_s=0.1, is_first_start=False)
+    monkeypatch.setattr(task.fleet, "voters", lambda lease: voters)
+    task.newest_revision = lambda: 80
+    other = upper_token_bound(80, clock.now().timestamp()) + 1
+    clock.advance(5.0)
+    await task.run_election()
+    assert task.is_holder
+    assert task.candidate.token > other
+
+
 async def test_suspended_host_restarts_joining_before_it_requests_votes(
     clock, monkeypatch
 ) -> None:
--- a/packages/lab/src/sardinequay_lab/election_world.py
+++ b/packages/lab/src/sardinequay_lab/election_world.py
@@ -49,7 +49,7 @@
 
     def now(self) -> datetime:
         """Return the wall-clock time."""
-        return datetime(2026, 1, 1, tzinfo=UTC) + seconds(self.now_s)
+        return datetime.fromtimestamp(self.now_s, UTC)
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,6 +115,7 @@
         )
         self.fleet.digests.subscribe(self.lease.handle_digest)
         self.fleet.holds_lease = lambda: self.lease.is_holder
+        self.lease.newest_revision = world.revision
         self.lease.voter.record_revision(world.revision(), world.now_s)
 
     @property
