--- a/packages/core/src/sardinequay_core/order_candidate.py
+++ b/packages/core/src/sardinequay_core/order_candidate.py
@@ -62,6 +62,16 @@
         candidate gains by it. When they were counted, restarts of three of four hosts,
         half a second apart, cost the holder its lease, and the data centre had no
         orders for 6 s.
+    voters : frozenset
+        All that may count, departed ones included.
+    departed, forgotten, is_taken_for_alone
+        See `Voters`.
+    contact_since, last_contact_at : timedelta
+        Start and end of the time for which hosts that do not leave were heard without
+        a pause; None if none was.
+    others_quiet_since : timedelta or None
+        Since when the watched engines have counted this host's orders alone; None
+        while they are not watched.
     """
 
     own_host_id: HostId
