Watch engines until the own vote is given, whoever says that it holds the lease

A host ended its watch as it heard another hold the lease, which lost it a moment later; it was elected by voters that did not know of that holder, and its next watch began after the last orders. The watch now ends only while the host's vote is another's.

--- a/packages/daemon/src/sardinequay_daemon/engine_watch.py
+++ b/packages/daemon/src/sardinequay_daemon/engine_watch.py
@@ -44,10 +44,16 @@
         self.began_at: Instant | None = None
         self.next_round_at = clock.monotonic()
 
-    def step(self, targets: Iterable[Target], has_other_holder: bool) -> None:
-        """Start a round of reports if one is due."""
+    def step(self, targets: Iterable[Target], has_voted: bool) -> None:
+        """Start a round of reports if one is due.
+
+        Parameters
+        ----------
+        has_voted : bool
+            Whether this host's vote is another host's now, so that it elects no other.
+        """
         now = self.clock.monotonic()
-        if has_other_holder or not self.candidate.should_watch_engines(now):
+        if has_voted or not self.candidate.should_watch_engines(now):
             self.stop()
         elif now >= self.next_round_at and not self.tasks:
             if self.began_at is None:
--- a/packages/daemon/src/sardinequay_daemon/order_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_task.py
@@ -159,9 +159,15 @@
             await asyncio.sleep(pause_s)
 
     def watch_engines(self) -> None:
-        """Watch the engines for orders of other hosts if this one has to know."""
+        """Watch the engines for orders of other hosts if this one has to know.
+
+        That another host says that it holds the lease is no reason not to: it may be
+        about to lose it, and this host's voters may not know of it.
+        """
         targets = [p.target for p in self.local_engines().values()]
-        self.watch.step(targets, self.lease.fleet.lease_holder() is not None)
+        now = self.clock.monotonic()
+        has_voted = self.lease.voter.is_vote_given_elsewhere(self.me, now)
+        self.watch.step(targets, has_voted)
 
     def apply_lease_state(self) -> None:
         """Start ordering if the lease was acquired; stop if it was lost."""
--- a/packages/lab/src/sardinequay_lab/election_world.py
+++ b/packages/lab/src/sardinequay_lab/election_world.py
@@ -162,7 +162,9 @@
         if self.world.now_s >= self.next_step_s:
             self.next_step_s = self.world.now_s + await self.lease.step()
         targets = [e.target for e in self.world.engines]
-        self.watch.step(targets, self.fleet.lease_holder() is not None)
+        now = self.clock.monotonic()
+        has_voted = self.lease.voter.is_vote_given_elsewhere(self.name, now)
+        self.watch.step(targets, has_voted)
         for task in self.watch.tasks:
             await task
 
