Let order counts forget engines that are gone, and take the reports' lag from one place

Counts of engines that had been replaced stayed for the process's life, and the lag of reports stood twice (0.4 s).

--- a/packages/core/src/sardinequay_core/order_counts.py
+++ b/packages/core/src/sardinequay_core/order_counts.py
@@ -10,9 +10,10 @@
 
 from .clock import ZERO, Instant, seconds
 from .engine_orders import EngineStatus
+from .engine_state import REPORT_LAG_S
 from .names import TargetId
 
-COUNT_LAG = seconds(0.4)
+COUNT_LAG = seconds(REPORT_LAG_S)
 """A report that was requested so long after an order has counted it."""
 
 
@@ -97,3 +98,10 @@
         if asked_at >= count.last_own_order_at + COUNT_LAG:
             count.own_orders = 0
         return is_foreign
+
+    def keep_only(self, targets: frozenset[TargetId]) -> None:
+        """Forget the engines that are gone."""
+        for target in self.counts.keys() - targets:
+            del self.counts[target]
+        for target in self.sent_at.keys() - targets:
+            del self.sent_at[target]
--- a/packages/core/tests/test_order_counts.py
+++ b/packages/core/tests/test_order_counts.py
@@ -76,3 +76,10 @@
     assert not apply_count(counts, 5, 1.2)
     assert not apply_count(counts, 7, 1.3)
     assert apply_count(counts, 8, 1.4)
+
+
+def test_engines_that_are_gone_are_forgotten(counts) -> None:
+    counts.begin_own_order(ENGINE, seconds(2))
+    counts.keep_only(frozenset())
+    assert not counts.counts
+    assert not counts.sent_at
