Date contact with other hosts by when their digests were built

A link may hold digests up for seconds. They counted as contact when they came, so that a holder could leave departed voters out by news from before their return. Contact now counts from when the digest was built; one that cannot be dated is none. The new test fails before.

--- a/packages/core/src/sardinequay_core/order_candidate.py
+++ b/packages/core/src/sardinequay_core/order_candidate.py
@@ -106,11 +106,11 @@
         self.forgotten = voters.forgotten - self.voters
         self.is_taken_for_alone = voters.is_taken_for_alone
 
-    def record_contact(self, now: Instant) -> None:
-        """Record that a host which isn't leaving was heard."""
-        if self.contact_since is None or now >= self.contact_until:
-            self.contact_since = now
-        self.last_contact_at = now
+    def record_contact(self, told_at: Instant) -> None:
+        """Record what a host which isn't leaving told at `told_at`."""
+        if self.contact_since is None or told_at >= self.contact_until:
+            self.contact_since = told_at
+        self.last_contact_at = max(self.last_contact_at, told_at)
 
     @property
     def contact_until(self) -> Instant:
--- a/packages/daemon/src/sardinequay_daemon/order_lease_task.py
+++ b/packages/daemon/src/sardinequay_daemon/order_lease_task.py
@@ -282,9 +282,12 @@
         self.no_holder_since = self.clock.monotonic()
 
     def handle_digest(self, received: ReceivedDigest) -> None:
-        """Record contact with a host that would tell of voters that return."""
-        if not received.digest.is_leaving:
-            self.candidate.record_contact(received.received_at)
+        """Record contact with a host that would tell of voters that return.
+
+        What a link held up tells of the time at which it was sent.
+        """
+        if not received.digest.is_leaving and received.built_at is not None:
+            self.candidate.record_contact(received.built_at)
 
     def record_orders_watched(self, is_foreign: bool) -> None:
         """Record whether the engines counted orders of another host."""
--- a/packages/daemon/tests/test_order_lease_task.py
+++ b/packages/daemon/tests/test_order_lease_task.py
@@ -9,9 +9,11 @@
 from sardinequay_core.names import HostId
 from sardinequay_core.order_candidate import Voters
 from sardinequay_core.order_lease import Ballot, OrderPolicy, upper_token_bound
+from sardinequay_daemon.fleet_task import ReceivedDigest
 from sardinequay_daemon.order_lease_task import OrderLeaseTask
 
 from .conftest import ManualClock
+from .test_fleet_task import digest
 
 
 class FakeFleet:
@@ -135,6 +137,18 @@
     assert task.candidate.token > other
 
 
+@pytest.mark.parametrize("held_up_s", [0.0, 3.0])
+def test_digest_that_a_link_held_up_is_no_contact_now(clock, held_up_s: float) -> None:
+    task = start_task(clock, imports_s=0.1, is_first_start=True)
+    for _ in range(20):
+        clock.advance(0.1)
+        now = clock.monotonic()
+        task.handle_digest(
+            ReceivedDigest(digest("h2"), now, built_at=now - seconds(held_up_s))
+        )
+    assert task.candidate.is_in_contact(clock.monotonic()) == (held_up_s == 0.0)
+
+
 async def test_suspended_host_restarts_joining_before_it_requests_votes(
     clock, monkeypatch
 ) -> None:
--- a/packages/lab/src/sardinequay_lab/election_world.py
+++ b/packages/lab/src/sardinequay_lab/election_world.py
@@ -143,6 +143,7 @@
             store_revision=1,
             news_revision=1,
             store_age_s=0.0,
+            stamp=self.fleet.dates.stamp(peer.name),
         )
 
     def call_peers(self, tick: int) -> None:
