Take the time for which departed hosts count from the table's retention

It stood twice: 30 s for silent hosts in the order policy, 30 s for departed ones beside the table. No behaviour changes; the tests of both pass as they were.

--- a/packages/daemon/src/sardinequay_daemon/absent_voters.py
+++ b/packages/daemon/src/sardinequay_daemon/absent_voters.py
@@ -16,15 +16,12 @@
 
     Parameters
     ----------
-    retention : timedelta
-        How long a host that announced its leave still counts as a voter.
     departed : dict
         Those that announced their leave.
     forgotten : dict
         Those that count as voters no more.
     """
 
-    retention: timedelta
     departed: dict[HostId, Instant] = field(default_factory=dict)
     forgotten: dict[HostId, Instant] = field(default_factory=dict)
 
@@ -40,10 +37,16 @@
         self.departed.pop(host_id, None)
         self.forgotten.pop(host_id, None)
 
-    def expire(self, now: Instant) -> None:
-        """Forget departed hosts that stay away, and then their ids."""
+    def expire(self, now: Instant, retention: timedelta) -> None:
+        """Count departed hosts no more that stay away, and drop old ids.
+
+        Parameters
+        ----------
+        retention : timedelta
+            How long a host that announced its leave still counts as a voter.
+        """
         for host_id, last_sign in tuple(self.departed.items()):
-            if now - last_sign > self.retention:
+            if now - last_sign > retention:
                 self.forgotten[host_id] = self.departed.pop(host_id)
         for host_id, last_sign in tuple(self.forgotten.items()):
             if now - last_sign > FORGOTTEN_RETENTION:
--- a/packages/daemon/src/sardinequay_daemon/fleet_task.py
+++ b/packages/daemon/src/sardinequay_daemon/fleet_task.py
@@ -88,7 +88,8 @@
     Parameters
     ----------
     peer_retention : timedelta
-        Time for which a silent peer is kept in the table.
+        Time for which a silent peer is kept in the table, and for which one that left
+        counts as a voter.
     build_digest : callable
         Returns the digest to send to a peer.
     """
@@ -415,7 +416,7 @@
 
     def prune_silent_peers(self, now: Instant) -> None:
         """Log peers that became silent, and remove those silent for too long."""
-        self.absent_voters.expire(now)
+        self.absent_voters.expire(now, self.peer_retention)
         for host_id, peer in tuple(self.peers.items()):
             silent_for = now - self.last_sign_of_life(peer)
             if self.is_expired(peer, silent_for):
--- a/packages/daemon/src/sardinequay_daemon/peer_table.py
+++ b/packages/daemon/src/sardinequay_daemon/peer_table.py
@@ -39,10 +39,6 @@
 """A host that no peer has answered for so long since its start takes itself to be the
 only host. It then orders engines without votes, as long as no other host does."""
 
-VOTER_RETENTION = seconds(30)
-"""Time for which a host that announced its leave counts as a voter while this host is
-in contact with no other."""
-
 ORDER_WAIT_UNKNOWN_S = 60.0
 """Upper limit of a known wait, in seconds: a peer that reports a longer wait until it
 may order engines does not know when it may."""
@@ -119,7 +115,7 @@
         self.has_received_all_contacts = False
         self.near_peer_count = 0
         self.holds_lease: Callable[[], bool] = lambda: False
-        self.absent_voters = AbsentVoters(VOTER_RETENTION)
+        self.absent_voters = AbsentVoters()
         self.known_contacts: dict[HostId, Contact] = {}
         self.contact_log: list[Contact] = []
         self.log_contact(me)
@@ -254,7 +250,7 @@
 
     @property
     def is_taken_for_alone(self) -> bool:
-        """Return whether no host has answered although there may be others."""
+        """Return whether no host has answered, since its start or suspension."""
         searched_for = self.clock.monotonic() - self.joining_since
         is_unanswered = bool(self.seeds) and self.joined_at is None
         return is_unanswered and searched_for > ASSUME_ALONE_AFTER
