Split callers' bytes into bounded messages before the parser sees them

What callers saw: a host that others pressed ended for its memory, at its machine's limit, and their connections were reset; or it lived and did not answer.

Cause: nothing stood between the socket and the HTTP library's parser. For each piece that it cannot parse the library raises an error with what it has read (up to 256 KB, four characters a byte once escaped), queues an answer that holds it and logs it with a traceback that holds it again. Its limits bound lines, not heads, chunk extensions, trailers or bytes after an upgrade. Chunks of a byte and empty lines cost time by piece, and bounds were by byte. What the kernel receives for a connection that is not read had no bound and no entry.

Ruled out: a leak of own objects (in an earlier trial, with a collector run each second, most of the memory went; not repeated); the parser in C alone (most cases ended the host with the parser in Python, too); bounds of the byte budget (it held what it counts).

Change: the framer (core request_framing, no socket) lets through whole heads, bodies within their limit and chunks without extensions, one message at a time; what two readers may take for two messages is refused. Connections handle input in turns, by steps and not by time, messages that cost least first. Refusals are typed, hold nothing of the caller, are counted by cause and logged in one line a quarter of a second. Receive buffers are bounded, and count while a connection is not read. All HTTP listeners of both daemons.

A property test: cuts change neither the verdict nor what is let through.

--- a/dev.py
+++ b/dev.py
@@ -25,7 +25,8 @@
 TOOLS = ("hypothesis", "import-linter", "mypy", "pytest", "pytest-asyncio", "ruff")
 TEST_TOOLS = ("pytest-xdist", "syrupy")
 TEST_PROCESSES = 3
-"""Test files that run side by side. Most tests wait for hosts of their own."""
+"""Test files that run side by side. Most tests wait for hosts of their own. Tests that
+need the machine to themselves run after them, one at a time."""
 BUNDLE_DEMO = "sardinequay_lab.demo"
 PLATFORM_DEMO = "sardinequay_platform_lab.demo"
 
@@ -62,8 +63,11 @@
     run(PYTHON, "-m", "ruff", "check", ".")
     run(PYTHON, "-m", "mypy", *[f"{member}/src" for member in MEMBERS])
     run(VENV / "bin" / "lint-imports", "--no-cache")
+    pytest = (PYTHON, "-m", "pytest", "-m")
     side_by_side = ("-n", str(TEST_PROCESSES), "--dist", "loadfile")
-    return run(PYTHON, "-m", "pytest", *side_by_side, check=False)
+    together = run(*pytest, "not alone", *side_by_side, check=False)
+    alone = run(*pytest, "alone", check=False)
+    return together or alone
 
 
 def demo(module: str, *words: str) -> int:
--- a/packages/daemon/src/sardinequay_daemon/byte_budget/connection_bytes.py
+++ b/packages/daemon/src/sardinequay_daemon/byte_budget/connection_bytes.py
@@ -43,8 +43,8 @@
     is_cut : bool
         Whether the connection, or the body that comes on it, is given up.
     progress : tuple of int
-        Bytes that had come of a body, and that the caller had taken of answers, when
-        last sampled.
+        Bytes that had come of a body, that the caller had taken of answers, and that
+        had come otherwise, when last sampled.
     progress_at : timedelta
         When either last changed, or nothing was waited for.
     """
@@ -57,19 +57,30 @@
         self.answer: UnreadAnswer | None = None
         self.is_cut = False
         self.deadline: Instant | None = None
-        self.progress = (0, 0)
+        self.progress = (0, 0, 0)
         self.progress_at = now
 
     def sample(
-        self, transport: asyncio.Transport, number: int, now: Instant
+        self,
+        transport: asyncio.Transport,
+        number: int,
+        now: Instant,
+        input_bytes: int = 0,
     ) -> Holding:
-        """Return what the connection holds now; call it periodically."""
+        """Return what the connection holds now; call it periodically.
+
+        Parameters
+        ----------
+        input_bytes : int
+            Bytes that have come, and that no handler has been given.
+        """
         unsent_bytes = transport.get_write_buffer_size()
         unread_bytes = self.answer.held_bytes() if self.answer is not None else 0
-        held_bytes = unsent_bytes + unread_bytes + self.body_bytes
+        held_bytes = unsent_bytes + unread_bytes + self.body_bytes + input_bytes
         waiting_bytes = unsent_bytes + unacknowledged_bytes(transport, unsent_bytes)
-        progress = (self.body_bytes, self.written_bytes - waiting_bytes)
-        is_waiting = unsent_bytes > 0 or self.body_timer is not None
+        taken_bytes = self.written_bytes - waiting_bytes
+        progress = (self.body_bytes, taken_bytes, input_bytes)
+        is_waiting = unsent_bytes > 0 or self.body_timer is not None or input_bytes > 0
         if progress != self.progress or not is_waiting:
             self.progress = progress
             self.progress_at = now
@@ -103,18 +114,34 @@
             self.body_timer.reschedule(asyncio.get_running_loop().time())
 
 
+def unread_bytes(transport: asyncio.Transport) -> int:
+    """Return how many bytes the kernel has received for a connection, and holds."""
+    return queued_bytes(transport, termios.FIONREAD)
+
+
 def unacknowledged_bytes(transport: asyncio.Transport, unsent_bytes: int) -> int:
     """Return how many bytes the kernel holds that the caller has not taken.
 
     The kernel takes more from a host in large steps only. These bytes tell between two
     steps whether a caller reads.
     """
+    return queued_bytes(transport, termios.TIOCOUTQ) if unsent_bytes else 0
+
+
+def queued_bytes(transport: asyncio.Transport, queue: int) -> int:
+    """Return the bytes in a queue of a connection's socket; 0 if that is not known.
+
+    Parameters
+    ----------
+    queue : int
+        The request to the kernel that names the queue.
+    """
     sock = transport.get_extra_info("socket")
-    if not unsent_bytes or sock is None:
+    if sock is None:
         return 0
     try:
-        size = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
+        size = fcntl.ioctl(sock.fileno(), queue, struct.pack("i", 0))
     except OSError:
-        # Just closed, or no socket of the kernel: only the large steps show then.
+        # Just closed, or no socket of the kernel.
         return 0
     return int(struct.unpack("i", size)[0])
--- a/packages/daemon/src/sardinequay_daemon/byte_budget/guard.py
+++ b/packages/daemon/src/sardinequay_daemon/byte_budget/guard.py
@@ -19,7 +19,8 @@
 
 MEMORY_SHARE = 0.25
 """Share of the process's memory for what callers' connections hold: bodies that are not
-complete, and answers that are not taken. Complete bodies have a share of their own."""
+complete, answers that are not taken, and input that waits. Complete bodies have a share
+of their own."""
 
 BODY_STOPPED = seconds(1)
 """A body of which nothing came for this long gives way to those that come."""
@@ -124,8 +125,11 @@
         transport = connection.transport
         if not isinstance(transport, asyncio.Transport) or connection.bytes.is_cut:
             continue
-        if connection.idle_since is None or transport.get_write_buffer_size():
-            holdings.append(connection.bytes.sample(transport, number, now))
+        input_bytes = connection.input_bytes()
+        is_in_use = connection.idle_since is None or input_bytes
+        if is_in_use or transport.get_write_buffer_size():
+            sampled = connection.bytes.sample(transport, number, now, input_bytes)
+            holdings.append(sampled)
     return holdings
 
 
--- a/packages/daemon/src/sardinequay_daemon/caller_answer.py
+++ b/packages/daemon/src/sardinequay_daemon/caller_answer.py
@@ -118,7 +118,7 @@
         response = web.Response(
             status=status, text=refusal.message + "\n", headers=headers
         )
-        if self.server.is_closing:
+        if self.server.is_closing or refusal.reason is Reason.TOO_LARGE:
             response.force_close()
         return response
 
--- a/packages/daemon/src/sardinequay_daemon/caller_connection.py
+++ b/packages/daemon/src/sardinequay_daemon/caller_connection.py
@@ -1,14 +1,15 @@
-"""A caller's connection with time limits on idle time and on request heads."""
+"""A caller's connection whose bytes count against the byte budget."""
 
 import asyncio
 from typing import Any
 
-from aiohttp import web
+from aiohttp import StreamReader
 
-from sardinequay_core.clock import Clock, Instant, seconds
+from sardinequay_core.clock import Instant, seconds
 from sardinequay_core.serving import CallerLimits
 
-from .byte_budget.connection_bytes import ConnectionBytes
+from .bounded_http import BoundedConnection, BoundedServer
+from .byte_budget.connection_bytes import ConnectionBytes, unread_bytes
 
 IDLE_BEFORE_CLOSE = seconds(0.2)
 """A stopping host closes connections that have been idle for this time: several round
@@ -18,27 +19,12 @@
 """Unsent bytes up to which an answer's next part is written."""
 
 
-class UnreadConnection(asyncio.Protocol):
-    """Protocol of a connection that is closed before anything of it is read.
+class CallerConnection(BoundedConnection):
+    """Protocol of a caller's connection that tracks what the caller makes it hold."""
 
-    Its caller learns at once that no request was read, and may try another host.
-    """
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Close the connection."""
-        assert isinstance(transport, asyncio.Transport)
-        transport.abort()
-
-
-class CallerConnection(web.RequestHandler):
-    """Protocol of a caller's connection that tracks how long the caller takes."""
-
-    def __init__(self, server: web.Server, clock: Clock, **options: Any) -> None:
-        super().__init__(server, loop=asyncio.get_running_loop(), **options)
-        self.clock = clock
-        self.idle_since: Instant | None = clock.monotonic()
-        self.head_began_at: Instant | None = None
-        self.bytes = ConnectionBytes(clock.monotonic())
+    def __init__(self, server: BoundedServer, **options: Any) -> None:
+        super().__init__(server, **options)
+        self.bytes = ConnectionBytes(server.clock.monotonic())
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Bound what a caller that does not read makes this host hold."""
@@ -46,32 +32,21 @@
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         super().connection_made(transport)
 
-    def data_received(self, data: bytes) -> None:
-        """Record when the head of a request begins to arrive."""
-        if self.idle_since is not None and self.head_began_at is None:
-            self.head_began_at = self.clock.monotonic()
-        super().data_received(data)
-
-    def begin_request(self) -> None:
-        """Record that a request's head is complete."""
-        self.idle_since = None
-        self.head_began_at = None
-        self.bytes.begin_request(self.clock.monotonic())
+    def begin_request(self, content: StreamReader) -> None:
+        """Record that the handler of a request begins."""
+        super().begin_request(content)
+        self.bytes.begin_request(self.server.clock.monotonic())
 
     def end_request(self) -> None:
         """Record that the answer is complete."""
-        self.idle_since = self.clock.monotonic()
         self.bytes.deadline = None
 
-    def close_overdue(self) -> None:
-        """Close the connection, and drop what its caller has not taken.
-
-        A connection that is only closed stays open until its caller has taken all.
-        """
-        transport = self.transport
-        self.force_close()
-        if transport is not None and transport.get_write_buffer_size():
-            transport.abort()
+    def input_bytes(self) -> int:
+        """Return what has come of the caller that no handler has been given."""
+        held_bytes = self.framer.pending_bytes
+        if self.transport is None or not (self.is_held or self.is_parser_full):
+            return held_bytes
+        return held_bytes + unread_bytes(self.transport)
 
     def is_idle(self, now: Instant) -> bool:
         """Return whether no request was handled or received for `IDLE_BEFORE_CLOSE`."""
@@ -84,10 +59,8 @@
 
     def is_overdue(self, limits: CallerLimits, now: Instant) -> bool:
         """Return whether the caller exceeds the header timeout or the idle timeout."""
-        if self.head_began_at is not None:
-            return now - self.head_began_at > limits.header_timeout
-        if self.idle_since is not None:
+        if self.head_began_at is None and self.idle_since is not None:
             # The rest of an answer may take its caller longer than the timeout.
             taken_at = max(self.idle_since, self.bytes.progress_at)
             return now - taken_at > limits.idle_timeout
-        return False
+        return super().is_overdue(limits, now)
--- a/packages/daemon/src/sardinequay_daemon/caller_server.py
+++ b/packages/daemon/src/sardinequay_daemon/caller_server.py
@@ -14,9 +14,10 @@
 
 from sardinequay_core.admission import OVERLOAD_RETRY_AFTER, Admission
 from sardinequay_core.bundle import Bundle
-from sardinequay_core.clock import Clock, Instant
+from sardinequay_core.clock import Clock, Instant, seconds
 from sardinequay_core.names import RequestId
 from sardinequay_core.outcome import Outcome, Reason, Refusal, not_run_refusal
+from sardinequay_core.serving import CallerLimits
 
 from .answers import (
     ADAPTER_HEADER,
@@ -27,6 +28,7 @@
     refusal_event,
     refusal_response,
 )
+from .bounded_http import BoundedConnection, BoundedServer, ListenerBounds
 from .caller_requests import (
     ModelRequest,
     RequestEnvelope,
@@ -36,7 +38,7 @@
 )
 from .connection_reset import cut_off
 from .dispatch import ModelDispatcher
-from .errors import MalformedAnswerError
+from .errors import BodyRefusedError, MalformedAnswerError
 from .journal import Journal
 from .metrics import Metrics
 from .progress import (
@@ -109,17 +111,12 @@
         self.idle = asyncio.Event()
         self.idle.set()
 
-    def server(self) -> web.Server:
+    def server(self, bounds: ListenerBounds) -> "CallerHttpServer":
         """Return the HTTP server.
 
         It has no router, since the bundle defines the paths.
         """
-        return web.Server(
-            self.serve,
-            handler_cancellation=True,
-            access_log=None,
-            auto_decompress=False,
-        )
+        return CallerHttpServer(self, bounds)
 
     async def serve(self, http: web.BaseRequest) -> web.StreamResponse:
         """Handle one request and turn failures into refusals."""
@@ -223,18 +220,19 @@
     async def read_body(self, http: web.BaseRequest) -> bytes:
         """Read a request's body, up to the size limit."""
         limit = self.limits.max_body_bytes
-        parts: list[bytes] = []
-        size = http.content_length or 0
+        body, size = bytearray(), http.content_length or 0
         try:
             while size <= limit and not http.content.at_eof():
-                parts.append(await http.content.readany())
-                size = sum(map(len, parts))
+                body += await http.content.readany()
+                size = len(body)
+        except BodyRefusedError as error:
+            raise RequestRefusedError(error.cause.refusal) from error
         except (OSError, aiohttp.ClientError) as error:
             raise CallerGoneError from error
         if size > limit:
             text = f"the body exceeds {limit} bytes"
             raise RequestRefusedError(not_run_refusal(Reason.TOO_LARGE, text))
-        return b"".join(parts)
+        return bytes(body)
 
     def list_models(self, envelope: RequestEnvelope) -> web.Response:
         """Return the list of models that are offered to the caller."""
@@ -369,6 +367,35 @@
         return response
 
 
+class CallerHttpServer(BoundedServer):
+    """HTTP server of callers that need not keep to any limit."""
+
+    def __init__(self, callers: CallerServer, bounds: ListenerBounds) -> None:
+        super().__init__(self.handle, bounds, handler_cancellation=True)
+        self.callers = callers
+
+    def limits(self) -> CallerLimits:
+        """Return the limits on callers' requests, by the settings."""
+        limits = self.callers.limits
+        return CallerLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            seconds(limits.header_timeout_s),
+            seconds(limits.idle_timeout_s),
+        )
+
+    def make_refusal(self, refusal: Refusal) -> web.Response:
+        """Return the answer to a request that no handler sees."""
+        return refusal_response(refusal, RequestId(""))
+
+    async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
+        """Handle one HTTP request."""
+        connection = http.protocol
+        assert isinstance(connection, BoundedConnection)
+        connection.begin_request(http.content)
+        return await self.callers.serve(http)
+
+
 def shutting_down_refusal() -> Refusal:
     """Return the refusal of a host that is stopping."""
     text = "this host is stopping; another one serves you"
--- a/packages/daemon/src/sardinequay_daemon/errors.py
+++ b/packages/daemon/src/sardinequay_daemon/errors.py
@@ -9,6 +9,8 @@
 
 from aiohttp import ClientError
 
+from sardinequay_core.request_framing import RequestFramingError
+
 
 @dataclass(unsafe_hash=True)
 class DaemonError(Exception):
@@ -27,6 +29,16 @@
         return f"{self.field} is {self.value}; allowed: {self.allowed}"
 
 
+@dataclass(unsafe_hash=True)
+class BodyRefusedError(DaemonError):
+    """The body of a caller's request is not framed as it must be."""
+
+    cause: RequestFramingError
+
+    def __str__(self) -> str:
+        return str(self.cause)
+
+
 @dataclass(unsafe_hash=True)
 class PeerError(DaemonError):
     """A call to another entry host got no reply."""
--- a/packages/daemon/src/sardinequay_daemon/host.py
+++ b/packages/daemon/src/sardinequay_daemon/host.py
@@ -107,7 +107,7 @@
             client_context(settings.peer_tls),
         )
         self.sessions: list[aiohttp.ClientSession] = []
-        self.listeners = HttpListeners()
+        self.listeners = HttpListeners(clock, self.metrics)
 
     def build_tasks(self) -> None:
         """Create all tasks and connect them."""
@@ -420,6 +420,7 @@
                     group.create_task(self.guard.run()),
                     group.create_task(self.keeper.run()),
                     group.create_task(self.leases.run()),
+                    group.create_task(self.listeners.close_overdue_connections()),
                     group.create_task(self.quarantine_replicator.run()),
                     group.create_task(
                         run_periodically(EXPIRE_INTERVAL_S, self.expire_contents)
@@ -439,12 +440,14 @@
         try:
             peer_tls = server_context(settings.peer_tls)
             listener = await self.peer_server.start(self.listener, peer_tls)
-            operators = web.AppRunner(self.operators.app(), access_log=None)
-            await self.listeners.serve(
-                operators, parse_address(settings.operator_listener).unwrap()
+            await self.listeners.serve_pages(
+                self.operators.app(),
+                "operators",
+                parse_address(settings.operator_listener).unwrap(),
             )
             caller_tls = server_context(settings.caller_tls)
-            runner = web.ServerRunner(self.callers.server(), shutdown_timeout=1.0)
+            bounds = self.listeners.bounds("callers")
+            runner = web.ServerRunner(self.callers.server(bounds), shutdown_timeout=1.0)
             await self.listeners.serve(
                 runner, parse_address(settings.caller_listener).unwrap(), caller_tls
             )
--- a/packages/daemon/src/sardinequay_daemon/http_listeners.py
+++ b/packages/daemon/src/sardinequay_daemon/http_listeners.py
@@ -1,12 +1,24 @@
 """The HTTP listeners of a host, opened one after the other and closed together."""
 
+import asyncio
 import logging
 import ssl
 
 from aiohttp import web
 
+from sardinequay_core.clock import Clock
 from sardinequay_core.names import Address
 
+from .bounded_http import (
+    BoundedPages,
+    BoundedServer,
+    InputTurns,
+    ListenerBounds,
+    RefusedCallers,
+)
+from .bounded_http.listening import BoundedSite
+from .metrics import HostMetrics
+
 AnyRunner = web.AppRunner | web.ServerRunner
 ABANDON_AFTER_S = 0.2
 """Time that requests still have to end when their listener is closed, in seconds: the
@@ -24,10 +36,31 @@
 
 
 class HttpListeners:
-    """Listeners and what serves them; the last one opened is closed first."""
+    """Listeners and what serves them; the last one opened is closed first.
+
+    Attributes
+    ----------
+    turns : InputTurns
+        Shares the event loop among the connections of all listeners.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock, metrics: HostMetrics) -> None:
+        self.clock = clock
+        self.metrics = metrics
+        self.turns = InputTurns()
         self.runners: list[AnyRunner] = []
+        self.servers: list[BoundedServer] = []
+
+    def bounds(self, name: str) -> ListenerBounds:
+        """Return the bounds of a listener.
+
+        Parameters
+        ----------
+        name : str
+            Name of the listener, in log lines and metric labels.
+        """
+        refused = RefusedCallers(name, self.metrics)
+        return ListenerBounds(self.clock, self.turns, refused)
 
     async def serve(
         self,
@@ -44,8 +77,32 @@
         """
         await runner.setup()
         self.runners.append(runner)
-        site = web.TCPSite(runner, address.ip, address.port, ssl_context=tls)
-        await site.start()
+        if isinstance(runner.server, BoundedServer):
+            self.servers.append(runner.server)
+        await BoundedSite(runner, address, tls).start()
+
+    async def serve_pages(
+        self, app: web.Application, name: str, address: Address
+    ) -> None:
+        """Serve an application's pages at an address, to any caller.
+
+        Raises
+        ------
+        OSError
+            If the address cannot be listened at.
+        """
+        pages = web.AppRunner(app, access_log=None)
+        await pages.setup()
+        self.runners.append(pages)
+        assert pages.server is not None
+        server = BoundedPages(pages.server, self.bounds(name))
+        await self.serve(web.ServerRunner(server, shutdown_timeout=1.0), address)
+
+    async def close_overdue_connections(self) -> None:
+        """Close connections of all listeners that are past their limits, for good."""
+        async with asyncio.TaskGroup() as group:
+            for server in self.servers:
+                group.create_task(server.close_overdue_connections())
 
     async def close(self) -> None:
         """Close all listeners and their connections."""
--- a/packages/daemon/src/sardinequay_daemon/metrics.py
+++ b/packages/daemon/src/sardinequay_daemon/metrics.py
@@ -24,6 +24,10 @@
         self.unforeseen_errors = self.counter(
             "unforeseen_errors_total", "Errors of items that nobody foresaw, by kind"
         )
+        self.callers_refused = self.counter(
+            "callers_refused_total",
+            "Callers whose bytes no handler saw, by listener and cause",
+        )
         self.quarantined = self.gauge(
             "quarantined_contents", "Contents of requests that are held"
         )
--- a/packages/daemon/src/sardinequay_daemon/relay_server.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_server.py
@@ -9,19 +9,27 @@
 from aiohttp import web
 from returns.result import Success
 
-from sardinequay_core.clock import Clock, Instant, seconds
+from sardinequay_core.clock import Instant, seconds
 from sardinequay_core.features import content_feature, part_features
 from sardinequay_core.organisations import Organisation
 from sardinequay_core.outcome import Outcome, Reason, Refusal, not_run_refusal
 from sardinequay_core.quota_ledger import Admitted
 from sardinequay_core.serving import CallerLimits, Route, ServingConfig
 
+from .bounded_http import (
+    BoundedConnection,
+    BoundedServer,
+    ListenerBounds,
+    UnreadConnection,
+)
+from .bounded_http.server import OVERDUE_CHECK_S
 from .byte_budget.connection_bytes import ConnectionBytes
 from .byte_budget.guard import ByteBudget
 from .caller_admission import CallerAdmission
-from .caller_answer import CallerAnswer
-from .caller_connection import CallerConnection, UnreadConnection
+from .caller_answer import CallerAnswer, refusal_status
+from .caller_connection import CallerConnection
 from .connection_gate import ConnectionGate
+from .errors import BodyRefusedError
 from .exchange import AnswerCutOffError, RelayExchange
 from .progress import RequestRefusedError
 from .quarantine.guarded_request import GuardedRequest
@@ -31,22 +39,15 @@
 from .serving_ports import HttpDialect, RequestTerms
 from .tracing import Tracing
 
-MAX_FIELD_BYTES = 16_384
-"""Longest header line that the parser accepts. The limit on all headers of a request
-together is set by the configuration."""
-
 BODIES_MEMORY_SHARE = 0.2
 """Share of the process's memory for the bodies of all requests in flight."""
 
-OVERDUE_CHECK_S = 0.25
-"""Period of the check for connections past their time limits, in seconds."""
-
 BODY_RETRY = seconds(0.5)
 STOPPING_RETRY = seconds(0.05)
 log = logging.getLogger(__name__)
 
 
-class RelayServer(web.Server):
+class RelayServer(BoundedServer):
     """HTTP server that relays callers' requests to targets."""
 
     def __init__(
@@ -57,28 +58,27 @@
         dialect: HttpDialect,
         metrics: ServingMetrics,
         tracing: Tracing,
-        clock: Clock,
+        bounds: ListenerBounds,
         gate: ConnectionGate,
         memory_mb: int,
     ) -> None:
-        super().__init__(self.handle, handler_cancellation=True)
+        super().__init__(self.handle, bounds, handler_cancellation=True)
         self.relay = relay
         self.admission = admission
         self.state = state
         self.dialect = dialect
         self.metrics = metrics
         self.tracing = tracing
-        self.clock = clock
         self.gate = gate
         self.max_bodies_bytes = int(memory_mb * 1e6 * BODIES_MEMORY_SHARE)
         self.bodies_bytes = 0
-        self.byte_budget = ByteBudget(clock, metrics, memory_mb)
+        self.byte_budget = ByteBudget(bounds.clock, metrics, memory_mb)
         self.in_flight = 0
         self.is_closing = False
         self.left_unread = 0
         self.stops_at: Instant | None = None
 
-    def __call__(self) -> CallerConnection | UnreadConnection:  # type: ignore[override]
+    def __call__(self) -> BoundedConnection | UnreadConnection:  # type: ignore[override]
         """Return the protocol of a new connection.
 
         A host that cannot handle in time what it reads leaves new connections unread,
@@ -87,16 +87,19 @@
         if not self.gate.admits():
             self.leave_unread()
             return UnreadConnection()
+        return super().__call__()
+
+    def make_connection(self) -> CallerConnection:
+        """Return the protocol of a connection that is read."""
         idle_s = self.limits().idle_timeout.total_seconds()
-        return CallerConnection(
-            self,
-            self.clock,
-            keepalive_timeout=idle_s + OVERDUE_CHECK_S,
-            max_line_size=MAX_FIELD_BYTES,
-            max_field_size=MAX_FIELD_BYTES,
-            lingering_time=1.0,
-            access_log=None,
-            auto_decompress=False,
+        return CallerConnection(self, keepalive_timeout=idle_s + OVERDUE_CHECK_S)
+
+    def make_refusal(self, refusal: Refusal) -> web.Response:
+        """Return the answer to a request whose id is not known."""
+        return web.Response(
+            status=refusal_status(refusal),
+            text=refusal.message + "\n",
+            headers=self.dialect.refusal_headers("", refusal),
         )
 
     def leave_unread(self) -> None:
@@ -118,28 +121,25 @@
         config = self.state.catalogue.config
         return config.limits if config is not None else CallerLimits()
 
-    async def close_overdue_connections(self) -> None:
-        """Check periodically for connections past their time limits, and close them."""
-        while True:
-            await asyncio.sleep(OVERDUE_CHECK_S)
-            now, limits = self.clock.monotonic(), self.limits()
-            connections = self.caller_connections()
-            self.byte_budget.check(connections)
-            for connection in connections:
-                if connection.is_overdue(limits, now):
-                    connection.close_overdue()
-                elif self.is_closing and connection.is_idle(now):
-                    connection.force_close()
+    def check_connections(self, now: Instant) -> None:
+        """Close connections past their time limits, and those that hold too much."""
+        self.byte_budget.check(self.caller_connections())
+        super().check_connections(now)
+        if not self.is_closing:
+            return
+        for connection in self.caller_connections():
+            if connection.is_idle(now):
+                connection.force_close()
 
     def caller_connections(self) -> list[CallerConnection]:
         """Return the callers' open connections."""
-        return [c for c in self.connections if isinstance(c, CallerConnection)]
+        return [c for c in self.open_connections if isinstance(c, CallerConnection)]
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Handle one HTTP request and count it while it is in flight."""
         connection = http.protocol
         assert isinstance(connection, CallerConnection)
-        connection.begin_request()
+        connection.begin_request(http.content)
         self.in_flight += 1
         arrived = self.clock.monotonic()
         try:
@@ -184,6 +184,8 @@
             if admitted is not None and refused.refusal.outcome is Outcome.NOT_RUN:
                 self.admission.refund(admitted)
             return await answer.refuse(request_id, refused.refusal)
+        except BodyRefusedError as refused:
+            return await answer.refuse(request_id, refused.cause.refusal)
         except AnswerCutOffError:
             return answer.abort_answer(request_id, "the target's answer broke off")
         except (ConnectionError, aiohttp.ClientError) as error:
@@ -277,8 +279,7 @@
             return b""
         if http.headers.get("Expect", "").lower() == "100-continue":
             await http.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        parts: list[bytes] = []
-        size = 0
+        body, size = bytearray(), 0
         held = connection_bytes(http)
         left_s = (deadline - self.clock.monotonic()).total_seconds()
         try:
@@ -288,7 +289,7 @@
                     size += len(part)
                     self.bodies_bytes += len(part)
                     held.body_bytes = size
-                    parts.append(part)
+                    body += part
                     if size > limit:
                         raise RequestRefusedError(too_large_refusal(limit))
                     left_bytes = max(0, (http.content_length or 0) - size)
@@ -297,7 +298,7 @@
                         raise RequestRefusedError(
                             not_run_refusal(Reason.OVERLOADED, text, BODY_RETRY)
                         )
-            return b"".join(parts)
+            return bytes(body)
         except TimeoutError as error:
             self.bodies_bytes -= size
             if held.is_cut:
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -11,8 +11,6 @@
 from functools import partial
 from random import Random
 
-from aiohttp import web
-
 from sardinequay_core.catalogue import Catalogue
 from sardinequay_core.clock import ZERO, Clock, Instant, seconds
 from sardinequay_core.names import HostId
@@ -257,6 +255,7 @@
             self.feature_guard,
         )
         self.lag = LoopLag(clock)
+        self.listeners = HttpListeners(clock, self.metrics)
         self.server = RelayServer(
             self.relay,
             CallerAdmission(self.state, self.store.is_current, self.metrics),
@@ -264,7 +263,7 @@
             deployment.dialect,
             self.metrics,
             tracing,
-            clock,
+            self.listeners.bounds("callers"),
             ConnectionGate(self.lag),
             profile.memory_mb,
         )
@@ -279,7 +278,6 @@
             clock,
         )
         self.is_stopping = False
-        self.listeners = HttpListeners()
         self.subscribe_tasks()
 
     def subscribe_tasks(self) -> None:
@@ -363,7 +361,7 @@
                     group.create_task(self.fleet.run()),
                     group.create_task(self.orders.run()),
                     group.create_task(self.paths.monitor.run()),
-                    group.create_task(self.server.close_overdue_connections()),
+                    group.create_task(self.listeners.close_overdue_connections()),
                     group.create_task(self.lag.run()),
                     group.create_task(run_housekeeping(self)),
                 ]
@@ -382,19 +380,14 @@
         profile = self.profile
         try:
             listener = await self.peer_server.start(profile.peers)
-            ready = web.AppRunner(
-                readiness_app(profile.readiness_path, self.is_ready), access_log=None
-            )
-            await self.listeners.serve(ready, profile.readiness)
-            metrics = web.AppRunner(
-                create_status_app(
-                    self.metrics.registry,
-                    partial(describe_host, self),
-                    self.feature_guard.lift_quarantine,
-                ),
-                access_log=None,
+            ready = readiness_app(profile.readiness_path, self.is_ready)
+            await self.listeners.serve_pages(ready, "readiness", profile.readiness)
+            status = create_status_app(
+                self.metrics.registry,
+                partial(describe_host, self),
+                self.feature_guard.lift_quarantine,
             )
-            await self.listeners.serve(metrics, profile.metrics)
+            await self.listeners.serve_pages(status, "metrics", profile.metrics)
             await self.listeners.serve(caller_runner(self.server), profile.callers)
         except OSError as error:
             raise StartError(f"cannot listen: {error}", EXIT_PORT_IN_USE) from error
--- a/packages/daemon/src/sardinequay_daemon/settings.py
+++ b/packages/daemon/src/sardinequay_daemon/settings.py
@@ -61,7 +61,17 @@
 
 @dataclass(frozen=True, slots=True)
 class LimitSettings:
-    """Limits on the requests of one host."""
+    """Limits on the requests of one host.
+
+    Parameters
+    ----------
+    max_header_bytes : int
+        Header names and values and the path of one request.
+    header_timeout_s : float
+        Time from the first byte of a request to the end of its head.
+    idle_timeout_s : float
+        Time without a request after which a connection is closed.
+    """
 
     max_in_flight: int = field(default=1024, metadata={"range": (1, 1_000_000)})
     max_body_bytes: int = field(default=1_048_576, metadata={"range": (1024, 1 << 30)})
@@ -70,6 +80,9 @@
     default_deadline_s: float = ranged_field(60, 0.1, 3600)
     retry_ratio: float = ranged_field(0.1, 0, 1)
     max_attempts: int = field(default=3, metadata={"range": (1, 10)})
+    max_header_bytes: int = field(default=16_384, metadata={"range": (1024, 1 << 20)})
+    header_timeout_s: float = ranged_field(10, 0.1, 3600)
+    idle_timeout_s: float = ranged_field(75, 0.1, 3600)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/tests/test_http_listeners.py
+++ b/packages/daemon/tests/test_http_listeners.py
@@ -8,7 +8,9 @@
 MUCH_LESS_THAN_A_MINUTE_S = 20
 
 
-async def test_request_that_does_not_end_is_abandoned_when_its_listener_closes():
+async def test_request_that_does_not_end_is_abandoned_when_its_listener_closes(
+    clock, metrics
+):
     began = asyncio.Event()
 
     async def wait_for_ever(request: web.BaseRequest) -> web.StreamResponse:
@@ -17,7 +19,7 @@
         return web.Response()
 
     runner = caller_runner(web.Server(wait_for_ever))
-    listeners = HttpListeners()
+    listeners = HttpListeners(clock, metrics)
     await listeners.serve(runner, Address("127.0.0.1", 0))
     ip, port = runner.addresses[0]
     reader, writer = await asyncio.open_connection(ip, port)
--- a/packages/daemon/tests/test_slow_callers.py
+++ b/packages/daemon/tests/test_slow_callers.py
@@ -17,11 +17,13 @@
 from sardinequay_core.names import Address, TargetId
 from sardinequay_core.serving import CallerLimits
 from sardinequay_daemon.answer_forwarder import AnswerForwarder
+from sardinequay_daemon.bounded_http.server import OVERDUE_CHECK_S
 from sardinequay_daemon.byte_budget.guard import BODY_STOPPED
 from sardinequay_daemon.errors import TargetError, TargetFault
 from sardinequay_daemon.exchange import AnswerCutOffError, AnswerSink, RelayExchange
+from sardinequay_daemon.http_listeners import HttpListeners
 from sardinequay_daemon.pending_send import PendingSend
-from sardinequay_daemon.relay_server import OVERDUE_CHECK_S, RelayServer
+from sardinequay_daemon.relay_server import RelayServer
 from sardinequay_daemon.serving_metrics import ServingMetrics
 from sardinequay_daemon.serving_ports import RequestTerms
 from sardinequay_daemon.system_clock import SystemClock
@@ -144,7 +146,7 @@
         Dialect(),
         ServingMetrics("h1", "za"),
         SimpleNamespace(server_span=lambda *_: INVALID_SPAN),
-        SystemClock(),
+        HttpListeners(SystemClock(), ServingMetrics("h1", "za")).bounds("callers"),
         SimpleNamespace(admits=lambda: True),
         MEMORY_MB,
     )
