Bound callers' connections by the process's descriptors and memory

What callers saw: with idle connections, or ones that stop within a head or a body, beyond the descriptors of a host, it accepted nobody else, and had none left for targets.

Cause: no bound on connections followed the descriptors; the gate goes by the event loop's lag and by new connections in a tenth of a second.

Change: callers get 0.75 of the descriptors less those for files and those of connections that are accepted at once, and a quarter of the memory at 16 KB a connection (4,100 descriptors and 300 MB: 2,877); 4,096 by default with bundles (`limits.max_connections`), 64 at readiness, metrics and operators. Beyond it the connection that has waited longest for a whole request is closed; without one, the new connection is. 32 connections are accepted in a turn of the event loop, 128 before: each is counted a turn later.

--- a/packages/daemon/src/sardinequay_daemon/bounded_http/connection.py
+++ b/packages/daemon/src/sardinequay_daemon/bounded_http/connection.py
@@ -151,6 +151,7 @@
         self.idle_since = None
         self.head_began_at = None
         self.content = None
+        self.server.mark_busy(self)
 
     def begin_request(self, content: StreamReader) -> None:
         """Record that the handler of a request begins.
@@ -181,6 +182,7 @@
             # The rest of the body need not be waited for.
             self.content.feed_eof()
         self.content = None
+        self.server.mark_waiting(self)
         self.framer.limits = self.server.framing_limits()
         if self.framer.is_stopped:
             self.close_soon()
--- a/packages/daemon/src/sardinequay_daemon/bounded_http/listening.py
+++ b/packages/daemon/src/sardinequay_daemon/bounded_http/listening.py
@@ -19,6 +19,13 @@
 BACKLOG = 128
 """Connections that the kernel accepts before this process does."""
 
+ACCEPTED_AT_ONCE = 32
+"""Connections that this process accepts in one turn of its event loop."""
+
+MAX_UNCOUNTED = 2 * ACCEPTED_AT_ONCE
+"""Descriptors of connections beyond a listener's bound: one is counted a turn
+after it is accepted, and what it replaces is closed in the next."""
+
 log = logging.getLogger(__name__)
 
 
@@ -48,13 +55,15 @@
         await super().start()
         server = self._runner.server
         assert server is not None
+        listener = bind(self.address)
         self._server = await asyncio.get_running_loop().create_server(
             server,
-            sock=bind(self.address),
+            sock=listener,
             ssl=self.tls,
-            backlog=BACKLOG,
+            backlog=ACCEPTED_AT_ONCE,
             ssl_handshake_timeout=HANDSHAKE_TIMEOUT_S if self.tls else None,
         )
+        listener.listen(BACKLOG)
 
 
 def bind(address: Address) -> socket.socket:
--- a/packages/daemon/src/sardinequay_daemon/bounded_http/refused_callers.py
+++ b/packages/daemon/src/sardinequay_daemon/bounded_http/refused_callers.py
@@ -7,11 +7,12 @@
 
 from ..metrics import HostMetrics
 
+TOO_MANY_CONNECTIONS = "too_many_connections"
 log = logging.getLogger(__name__)
 
 
 class RefusedCallers:
-    """What the callers of one listener were refused for.
+    """What the callers of one listener were refused for, and connections closed.
 
     Parameters
     ----------
@@ -28,6 +29,10 @@
         """Count a caller whose bytes were refused."""
         self.count(fault.value)
 
+    def count_closed(self) -> None:
+        """Count a connection that was closed because there were too many."""
+        self.count(TOO_MANY_CONNECTIONS)
+
     def count(self, cause: str) -> None:
         """Count a caller by cause."""
         self.unlogged[cause] += 1
--- a/packages/daemon/src/sardinequay_daemon/bounded_http/server.py
+++ b/packages/daemon/src/sardinequay_daemon/bounded_http/server.py
@@ -1,9 +1,10 @@
-"""An HTTP server with bounds on what each connection may send."""
+"""An HTTP server with bounds on connections, and on what each may send."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
+from weakref import WeakSet
 
 from aiohttp import web
 
@@ -12,7 +13,7 @@
 from sardinequay_core.request_framing import FramingLimits
 from sardinequay_core.serving import CallerLimits
 
-from .connection import BoundedConnection
+from .connection import BoundedConnection, UnreadConnection
 from .refused_callers import RefusedCallers
 from .turns import InputTurns
 
@@ -24,7 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ListenerBounds:
-    """What the servers of one listener share.
+    """What the servers of one listener share, and its bound on connections.
 
     Parameters
     ----------
@@ -32,15 +33,27 @@
         Shares the event loop among the connections of all listeners.
     refused : RefusedCallers
         Counts the callers of this listener that are refused.
+    max_connections : int
+        Connections open at once. Beyond it, the one that has waited longest for a
+        whole request is closed, or the new one if there is none.
     """
 
     clock: Clock
     turns: InputTurns
     refused: RefusedCallers
+    max_connections: int
 
 
 class BoundedServer(web.Server):
-    """HTTP server whose callers need not keep to any limit."""
+    """HTTP server whose callers need not keep to any limit.
+
+    Attributes
+    ----------
+    opening : WeakSet
+        Connections that are accepted, but not set up yet.
+    waiting : dict
+        Connections without a request in flight; those that wait longest come first.
+    """
 
     def __init__(
         self, handler: Handler, bounds: ListenerBounds, **options: Any
@@ -49,7 +62,10 @@
         self.clock = bounds.clock
         self.turns = bounds.turns
         self.refused = bounds.refused
+        self.max_connections = bounds.max_connections
+        self.opening: WeakSet[BoundedConnection] = WeakSet()
         self.open_connections: set[BoundedConnection] = set()
+        self.waiting: dict[BoundedConnection, None] = {}
 
     def limits(self) -> CallerLimits:
         """Return the limits on callers' requests that are in force."""
@@ -69,9 +85,30 @@
         idle_s = self.limits().idle_timeout.total_seconds()
         return BoundedConnection(self, keepalive_timeout=idle_s + OVERDUE_CHECK_S)
 
-    def __call__(self) -> BoundedConnection:
+    def __call__(self) -> BoundedConnection | UnreadConnection:  # type: ignore[override]
         """Return the protocol of a new connection."""
-        return self.make_connection()
+        if not self.make_room():
+            return UnreadConnection()
+        connection = self.make_connection()
+        self.opening.add(connection)
+        return connection
+
+    def make_room(self) -> bool:
+        """Return whether there is room for a connection, if need be for another one."""
+        if len(self.open_connections) + len(self.opening) < self.max_connections:
+            return True
+        self.refused.count_closed()
+        victim = next(iter(self.waiting), None)
+        if victim is None or victim.transport is None:
+            return False
+        victim.transport.abort()
+        self.forget(victim)
+        return True
+
+    def forget(self, connection: BoundedConnection) -> None:
+        """Count a connection no longer."""
+        self.open_connections.discard(connection)
+        self.waiting.pop(connection, None)
 
     def connection_made(
         self, handler: web.RequestHandler, transport: asyncio.Transport
@@ -79,7 +116,9 @@
         """Count a connection that is set up."""
         super().connection_made(handler, transport)
         assert isinstance(handler, BoundedConnection)
+        self.opening.discard(handler)
         self.open_connections.add(handler)
+        self.mark_waiting(handler)
 
     def connection_lost(
         self, handler: web.RequestHandler, exc: BaseException | None = None
@@ -87,7 +126,17 @@
         """Count a connection that is closed no longer."""
         super().connection_lost(handler, exc)
         assert isinstance(handler, BoundedConnection)
-        self.open_connections.discard(handler)
+        self.forget(handler)
+
+    def mark_waiting(self, connection: BoundedConnection) -> None:
+        """Record that a connection waits for a request from now on."""
+        if connection in self.open_connections:
+            self.waiting.pop(connection, None)
+            self.waiting[connection] = None
+
+    def mark_busy(self, connection: BoundedConnection) -> None:
+        """Record that a request is in flight on a connection."""
+        self.waiting.pop(connection, None)
 
     async def close_overdue_connections(self) -> None:
         """Check periodically for connections past their time limits, and close them."""
--- a/packages/daemon/src/sardinequay_daemon/host.py
+++ b/packages/daemon/src/sardinequay_daemon/host.py
@@ -446,7 +446,7 @@
                 parse_address(settings.operator_listener).unwrap(),
             )
             caller_tls = server_context(settings.caller_tls)
-            bounds = self.listeners.bounds("callers")
+            bounds = self.listeners.bounds("callers", settings.limits.max_connections)
             runner = web.ServerRunner(self.callers.server(bounds), shutdown_timeout=1.0)
             await self.listeners.serve(
                 runner, parse_address(settings.caller_listener).unwrap(), caller_tls
--- a/packages/daemon/src/sardinequay_daemon/http_listeners.py
+++ b/packages/daemon/src/sardinequay_daemon/http_listeners.py
@@ -24,6 +24,9 @@
 """Time that requests still have to end when their listener is closed, in seconds: the
 process is killed half a second after the drain, and has more to close."""
 
+MAX_PAGE_CONNECTIONS = 64
+"""Connections to a listener for operators or for readiness checks, at most."""
+
 log = logging.getLogger(__name__)
 
 
@@ -51,7 +54,7 @@
         self.runners: list[AnyRunner] = []
         self.servers: list[BoundedServer] = []
 
-    def bounds(self, name: str) -> ListenerBounds:
+    def bounds(self, name: str, max_connections: int) -> ListenerBounds:
         """Return the bounds of a listener.
 
         Parameters
@@ -60,7 +63,7 @@
             Name of the listener, in log lines and metric labels.
         """
         refused = RefusedCallers(name, self.metrics)
-        return ListenerBounds(self.clock, self.turns, refused)
+        return ListenerBounds(self.clock, self.turns, refused, max_connections)
 
     async def serve(
         self,
@@ -95,7 +98,7 @@
         await pages.setup()
         self.runners.append(pages)
         assert pages.server is not None
-        server = BoundedPages(pages.server, self.bounds(name))
+        server = BoundedPages(pages.server, self.bounds(name, MAX_PAGE_CONNECTIONS))
         await self.serve(web.ServerRunner(server, shutdown_timeout=1.0), address)
 
     async def close_overdue_connections(self) -> None:
--- a/packages/daemon/src/sardinequay_daemon/relay_server.py
+++ b/packages/daemon/src/sardinequay_daemon/relay_server.py
@@ -22,6 +22,7 @@
     ListenerBounds,
     UnreadConnection,
 )
+from .bounded_http.listening import MAX_UNCOUNTED
 from .bounded_http.server import OVERDUE_CHECK_S
 from .byte_budget.connection_bytes import ConnectionBytes
 from .byte_budget.guard import ByteBudget
@@ -42,6 +43,19 @@
 BODIES_MEMORY_SHARE = 0.2
 """Share of the process's memory for the bodies of all requests in flight."""
 
+CALLERS_FD_SHARE = 0.75
+"""Share of the process's descriptors for connections of callers. The others are for
+targets, other hosts, the store and files."""
+
+RESERVED_FDS = 200
+"""Descriptors that connections do not get, as files, listeners and pipes need them."""
+
+CONNECTIONS_MEMORY_SHARE = 0.25
+"""Share of the process's memory for the objects of idle connections of callers."""
+
+CONNECTION_BYTES = 16_384
+"""Memory of an idle connection of a caller."""
+
 BODY_RETRY = seconds(0.5)
 STOPPING_RETRY = seconds(0.05)
 log = logging.getLogger(__name__)
@@ -330,6 +344,19 @@
         )
 
 
+def connection_limit(memory_mb: int, max_fds: int) -> int:
+    """Return how many connections of callers may be open at once.
+
+    Parameters
+    ----------
+    max_fds : int
+        Descriptors that the process may open.
+    """
+    by_fds = (max_fds - RESERVED_FDS - MAX_UNCOUNTED) * CALLERS_FD_SHARE
+    by_memory = memory_mb * 1e6 * CONNECTIONS_MEMORY_SHARE / CONNECTION_BYTES
+    return max(1, int(min(by_fds, by_memory)))
+
+
 def connection_bytes(http: web.BaseRequest) -> ConnectionBytes:
     """Return the record of what a request's connection holds."""
     connection = http.protocol
--- a/packages/daemon/src/sardinequay_daemon/serving_host.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_host.py
@@ -40,7 +40,7 @@
 from .quarantine.guard import FeatureGuard
 from .quarantine.messages import AskPermit, PermitBack
 from .relay import Relay
-from .relay_server import RelayServer, readiness_app
+from .relay_server import RelayServer, connection_limit, readiness_app
 from .relay_state import RelayState
 from .serving_messages import (
     AdapterMissing,
@@ -263,7 +263,9 @@
             deployment.dialect,
             self.metrics,
             tracing,
-            self.listeners.bounds("callers"),
+            self.listeners.bounds(
+                "callers", connection_limit(profile.memory_mb, profile.max_fds)
+            ),
             ConnectionGate(self.lag),
             profile.memory_mb,
         )
--- a/packages/daemon/src/sardinequay_daemon/serving_ports.py
+++ b/packages/daemon/src/sardinequay_daemon/serving_ports.py
@@ -351,6 +351,8 @@
         Peer addresses of a few hosts, to discover the others; they may be down.
     is_first_start : bool
         Whether the whole system starts for the first time.
+    max_fds : int
+        File descriptors that the process may open.
     link_mbps : float
         Bandwidth of its network link, in megabits a second; 0 if unknown.
     """
@@ -366,4 +368,5 @@
     is_first_start: bool
     memory_mb: int
     bounds: ServingBounds = field(default_factory=ServingBounds)
+    max_fds: int = 1024
     link_mbps: float = 0.0
--- a/packages/daemon/src/sardinequay_daemon/settings.py
+++ b/packages/daemon/src/sardinequay_daemon/settings.py
@@ -67,6 +67,8 @@
     ----------
     max_header_bytes : int
         Header names and values and the path of one request.
+    max_connections : int
+        Connections of callers; beyond it, those that wait for a request are closed.
     header_timeout_s : float
         Time from the first byte of a request to the end of its head.
     idle_timeout_s : float
@@ -81,6 +83,7 @@
     retry_ratio: float = ranged_field(0.1, 0, 1)
     max_attempts: int = field(default=3, metadata={"range": (1, 10)})
     max_header_bytes: int = field(default=16_384, metadata={"range": (1024, 1 << 20)})
+    max_connections: int = field(default=4096, metadata={"range": (1, 1_000_000)})
     header_timeout_s: float = ranged_field(10, 0.1, 3600)
     idle_timeout_s: float = ranged_field(75, 0.1, 3600)
 
--- a/packages/daemon/tests/test_bounded_http.py
+++ b/packages/daemon/tests/test_bounded_http.py
@@ -1,6 +1,7 @@
 """Servers whose callers keep to no limits, on real sockets."""
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
@@ -28,6 +29,7 @@
 
 IP = "127.0.0.1"
 HEAD = b"POST /x HTTP/1.1\r\nHost: h\r\n"
+MAX_CONNECTIONS = 5
 MAX_BODY_BYTES = 1000
 ENDS_WITHIN_S = 20.0
 
@@ -63,7 +65,7 @@
 @pytest.fixture
 async def server(metrics) -> AsyncIterator[Server]:
     listeners = HttpListeners(SystemClock(), metrics)
-    made = Server(listeners.bounds("callers"))
+    made = Server(listeners.bounds("callers", MAX_CONNECTIONS))
     await listeners.serve(web.ServerRunner(made), Address(IP, 0))
     made.address = listeners.runners[0].addresses[0]
     check = asyncio.create_task(listeners.close_overdue_connections())
@@ -142,6 +144,36 @@
     assert received.index(b"<>") < received.index(b"<last>")
 
 
+async def test_caller_that_is_idle_longest_gives_way(server) -> None:
+    idle = [await asyncio.open_connection(*server.address) for _ in range(3)]
+    server.may_answer.clear()
+    busy = [asyncio.create_task(call(server, LAST)) for _ in range(2)]
+    await until(lambda: server.began == 2)
+    await until(lambda: len(server.open_connections) == MAX_CONNECTIONS)
+    late = asyncio.create_task(call(server, LAST))
+    async with asyncio.timeout(ENDS_WITHIN_S):
+        with pytest.raises((ConnectionError, EOFError)):
+            await idle[0][0].readexactly(1)
+    await until(lambda: server.began == 3)
+    server.may_answer.set()
+    for answer in await asyncio.gather(*busy, late):
+        assert b"<last>" in answer
+    assert len(server.open_connections) <= MAX_CONNECTIONS
+    for _, writer in idle:
+        writer.close()
+
+
+async def test_new_connection_is_left_unread_while_all_are_busy(server) -> None:
+    server.may_answer.clear()
+    busy = [asyncio.create_task(call(server, LAST)) for _ in range(MAX_CONNECTIONS)]
+    await until(lambda: server.began == MAX_CONNECTIONS)
+    with contextlib.suppress(ConnectionError):
+        assert await call(server, LAST) == b""
+    assert server.began == MAX_CONNECTIONS
+    server.may_answer.set()
+    assert all(b"<last>" in answer for answer in await asyncio.gather(*busy))
+
+
 @pytest.mark.parametrize("data", [b"", b"\r\n", HEAD])
 async def test_connection_without_a_whole_request_is_closed(server, data) -> None:
     server.idle_s = 0.1
--- a/packages/daemon/tests/test_slow_callers.py
+++ b/packages/daemon/tests/test_slow_callers.py
@@ -146,7 +146,7 @@
         Dialect(),
         ServingMetrics("h1", "za"),
         SimpleNamespace(server_span=lambda *_: INVALID_SPAN),
-        HttpListeners(SystemClock(), ServingMetrics("h1", "za")).bounds("callers"),
+        HttpListeners(SystemClock(), ServingMetrics("h1", "za")).bounds("callers", 99),
         SimpleNamespace(admits=lambda: True),
         MEMORY_MB,
     )
