--- a/packages/daemon/src/sardinequay_daemon/bounded_log.py
+++ b/packages/daemon/src/sardinequay_daemon/bounded_log.py
@@ -1,7 +1,8 @@
 """Structured logs on standard output that never block and are bounded in rate and size.
 
 Each line is one JSON object. Lines above the rate limit, and lines that a slow reader
-does not read in time, are dropped and counted; a separate line reports the count.
+does not read in time, are dropped and counted; a separate line reports the count. A
+line that is too long is replaced by a short one.
 """
 
 import logging
@@ -20,21 +21,51 @@
 """Ten lines for each of the forty requests a second that a busy host serves."""
 
 MAX_BURST_LINES = 800.0
+MAX_ERROR_LINES_PER_S = 20.0
+MAX_BURST_ERROR_LINES = 200.0
+"""Errors have a rate of their own, so that other lines do not displace them."""
+
+MAX_LINE_BYTES = 16_384
+MAX_SHOWN_CHARS = 500
+MAX_SHOWN_TRACEBACK_CHARS = 1500
+"""What is kept of a text, and of the end of a traceback, in a line that is too long."""
+
 MAX_PENDING_BYTES = 1_048_576
 """Bytes that may be queued for a slow reader: some seconds of a busy host's lines."""
 
 
+class LineRate:
+    """Rate limit of log lines (token bucket)."""
+
+    def __init__(self, clock: Clock, lines_per_s: float, burst_lines: float) -> None:
+        self.clock = clock
+        self.lines_per_s = lines_per_s
+        self.burst_lines = burst_lines
+        self.tokens = burst_lines
+        self.refilled_at = clock.monotonic()
+
+    def admits(self) -> bool:
+        """Return whether a line is within the rate, and count it."""
+        now = self.clock.monotonic()
+        earned = (now - self.refilled_at).total_seconds() * self.lines_per_s
+        self.tokens = min(self.burst_lines, self.tokens + earned)
+        self.refilled_at = now
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
 class NonBlockingLogHandler(logging.Handler):
     """Log handler that writes to a non-blocking descriptor and drops excess lines."""
 
     def __init__(self, clock: Clock, descriptor: int) -> None:
         super().__init__()
-        self.clock = clock
         self.descriptor = descriptor
         self.pending_lines: deque[bytes] = deque()
         self.pending_bytes = 0
-        self.rate_tokens = MAX_BURST_LINES
-        self.refilled_at = clock.monotonic()
+        self.rate = LineRate(clock, MAX_LINES_PER_S, MAX_BURST_LINES)
+        self.error_rate = LineRate(clock, MAX_ERROR_LINES_PER_S, MAX_BURST_ERROR_LINES)
         self.left_out_lines = 0
         os.set_blocking(descriptor, False)
 
@@ -50,20 +81,11 @@
         self.write_pending()
 
     def may_write(self, record: logging.LogRecord) -> bool:
-        """Return whether a line is within the rate limit and the queue has room.
-
-        Errors are exempt from the rate limit.
-        """
-        now = self.clock.monotonic()
-        earned_tokens = (now - self.refilled_at).total_seconds() * MAX_LINES_PER_S
-        self.rate_tokens = min(MAX_BURST_LINES, self.rate_tokens + earned_tokens)
-        self.refilled_at = now
+        """Return whether a line is within its rate limit and the queue has room."""
         if self.pending_bytes > MAX_PENDING_BYTES:
             return False
-        if self.rate_tokens < 1 and record.levelno < logging.ERROR:
-            return False
-        self.rate_tokens -= 1
-        return True
+        is_error = record.levelno >= logging.ERROR
+        return (self.error_rate if is_error else self.rate).admits()
 
     def left_out_record(self, left_out: int) -> logging.LogRecord:
         """Return the log record that reports how many lines were dropped."""
@@ -76,6 +98,8 @@
     def enqueue(self, record: logging.LogRecord) -> None:
         """Queue one line."""
         line = self.format(record).encode() + b"\n"
+        if len(line) > MAX_LINE_BYTES:
+            line = self.format(shortened(record, len(line))).encode() + b"\n"
         self.pending_lines.append(line)
         self.pending_bytes += len(line)
 
@@ -99,6 +123,32 @@
             self.pending_lines.popleft()
 
 
+def shortened(record: logging.LogRecord, size: int) -> logging.LogRecord:
+    """Return a short record in place of one whose line is too long.
+
+    Parameters
+    ----------
+    size : int
+        Bytes of that line.
+    """
+    short = logging.LogRecord(
+        record.name,
+        record.levelno,
+        record.pathname,
+        record.lineno,
+        record.getMessage()[:MAX_SHOWN_CHARS],
+        None,
+        None,
+    )
+    short.cut_from_bytes = size
+    if hasattr(record, "request"):
+        short.request = str(record.request)[:MAX_SHOWN_CHARS]
+    if record.exc_info:
+        traceback_text = logging.Formatter().formatException(record.exc_info)
+        short.exc_info_end = traceback_text[-MAX_SHOWN_TRACEBACK_CHARS:]
+    return short
+
+
 def configure_bounded_logging(
     clock: Clock, host_id: str, level: str = "INFO"
 ) -> NonBlockingLogHandler:
--- a/packages/daemon/tests/test_bounded_log.py
+++ b/packages/daemon/tests/test_bounded_log.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import os
+import sys
 from collections.abc import Iterator
 
 import pytest
@@ -10,7 +11,9 @@
 
 from sardinequay_daemon.bounded_log import (
     FIELDS,
+    MAX_BURST_ERROR_LINES,
     MAX_BURST_LINES,
+    MAX_LINE_BYTES,
     MAX_PENDING_BYTES,
     RENAMED_FIELDS,
     NonBlockingLogHandler,
@@ -103,3 +106,38 @@
     handler.emit(line("x"))
     assert not handler.pending_lines
     os.close(writing)
+
+
+def test_errors_are_logged_beside_too_many_other_lines(output, pipe) -> None:
+    for _ in range(int(MAX_BURST_LINES) + 50):
+        output.emit(line("x"))
+    read_lines(pipe[0])
+    output.emit(line("failed", logging.ERROR))
+    assert read_lines(pipe[0])[-1]["event"] == "failed"
+
+
+def test_errors_are_bounded_by_a_rate_of_their_own(output, pipe, clock) -> None:
+    # Callers that caused an error each made a host log as much as they sent.
+    for _ in range(int(MAX_BURST_ERROR_LINES) + 50):
+        output.emit(line("failed", logging.ERROR))
+    assert output.left_out_lines == 50
+    assert len(read_lines(pipe[0])) == MAX_BURST_ERROR_LINES
+
+
+@pytest.mark.parametrize("level", [logging.INFO, logging.ERROR])
+def test_line_that_is_too_long_is_replaced_by_a_short_one(output, pipe, level) -> None:
+    # An error's text held what a caller had sent, and its line held it twice.
+    text = "\0" * 300_000
+    try:
+        raise ValueError(text)
+    except ValueError:
+        record = line(text, level, request="r1", detail=text)
+        record.exc_info = sys.exc_info()
+    output.emit(record)
+    data = os.read(pipe[0], 1_000_000)
+    assert len(data) <= MAX_LINE_BYTES
+    found = json.loads(data)
+    assert found["request"] == "r1"
+    assert found["event"] == text[:500]
+    assert found["cut_from_bytes"] > len(text)
+    assert found["exc_info_end"]
