Answer keepalive frames without their tag and body

Cause: the called end of a link sent a keepalive frame back as it had come, and counted it under its tag. Whoever reaches the peers' port could add a label to the metrics with each frame, for good, and have up to 16 MB a frame held for sending. Found in reading for the class of "what an unknown caller sends"; peers send neither tag nor body.

Change: the answer holds the correlation alone. The test failed before.

--- a/packages/daemon/src/sardinequay_daemon/peers.py
+++ b/packages/daemon/src/sardinequay_daemon/peers.py
@@ -206,7 +206,8 @@
     ) -> None:
         """Start a task that handles a request; send a keepalive frame back at once."""
         if frame.kind is FrameKind.ALIVE:
-            connection.send(frame)
+            # Nothing else of the frame is sent back, or becomes a label of a metric.
+            connection.send(Frame(FrameKind.ALIVE, frame.correlation))
             return
         task = asyncio.create_task(self.handle_request(connection, frame))
         request_tasks.add(task)
--- a/packages/daemon/tests/test_peers.py
+++ b/packages/daemon/tests/test_peers.py
@@ -343,3 +343,22 @@
     assert isinstance(result, Failure)
     assert not client.links
     assert not peer_server.connections
+
+
+async def test_keepalive_frames_add_nothing_to_what_a_host_holds(
+    server, metrics: Metrics
+) -> None:
+    # Each tag became a label of a metric, and each body was sent back.
+    _, address = server
+    reader, writer = await asyncio.open_connection(address.ip, address.port)
+    for number in range(50):
+        frame = Frame(FrameKind.ALIVE, number, f"tag {number}", b"x" * 9000)
+        writer.write(encode_frame(frame))
+    frames = FrameReader()
+    received: list[Frame] = []
+    async with asyncio.timeout(5):
+        while len(received) < 50:
+            received += frames.feed(await reader.read(65_536))
+    writer.close()
+    assert not any(frame.tag or frame.body for frame in received)
+    assert len(metrics.peer_messages.get_all()) == 1
