Spare callers that still take an answer when connections are too many, and abort the rest

A connection of which the rest of an answer was not taken yet could give way like an idle one, which cut a ready answer off. Of the sixteen that have waited longest one without unsent bytes is taken now. A refused connection whose caller reads nothing was only closed, so that it stayed open until it was read; it is aborted. A refusal of a faulty body says that its connection is closed.

Found in reading the change. Tests: the choice of who gives way.

--- a/packages/daemon/src/sardinequay_daemon/bounded_http/connection.py
+++ b/packages/daemon/src/sardinequay_daemon/bounded_http/connection.py
@@ -115,6 +115,13 @@
         if self.dropped_bytes > allowed_bytes and self.transport is not None:
             self.transport.abort()
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Return whether the caller has not taken all that was written."""
+        return self.transport is not None and bool(
+            self.transport.get_write_buffer_size()
+        )
+
     @property
     def message_pieces(self) -> int:
         """Return how many steps the message in progress has taken so far."""
@@ -138,7 +145,8 @@
         except RequestFramingError as error:
             self.refuse(error)
             return 1
-        self.lacks_bytes = not (part.data or part.pieces)
+        has_moved = bool(part.data or part.pieces)
+        self.lacks_bytes = not (has_moved and self.framer.pending_bytes)
         if part.data:
             if was_before_body:
                 self.begin_message()
@@ -236,7 +244,7 @@
             self.send_refusal(error.refusal)
         else:
             # The request was answered before its body had come.
-            self.force_close()
+            self.close_overdue()
 
     def fail_body(self, content: StreamReader, error: RequestFramingError) -> None:
         """Let the handler of the request in flight see that its body is refused."""
@@ -254,7 +262,7 @@
     def close_soon(self) -> None:
         """Close the connection once its caller had time to read the refusal."""
         loop = asyncio.get_running_loop()
-        loop.call_later(REFUSED_LINGER_S, self.force_close)
+        loop.call_later(REFUSED_LINGER_S, self.close_overdue)
 
     def handle_error(
         self,
--- a/packages/daemon/src/sardinequay_daemon/bounded_http/server.py
+++ b/packages/daemon/src/sardinequay_daemon/bounded_http/server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from itertools import islice
 from typing import Any
 from weakref import WeakSet
 
@@ -20,6 +21,9 @@
 OVERDUE_CHECK_S = 0.25
 """Period of the check for connections past their time limits, in seconds."""
 
+MAX_EXAMINED = 16
+"""Connections of which one is chosen to give way: a bound on what a new one costs."""
+
 Handler = Callable[[Any], Awaitable[web.StreamResponse]]
 
 
@@ -98,13 +102,28 @@
         if len(self.open_connections) + len(self.opening) < self.max_connections:
             return True
         self.refused.count_closed()
-        victim = next(iter(self.waiting), None)
+        victim = self.choose_victim()
         if victim is None or victim.transport is None:
             return False
         victim.transport.abort()
         self.forget(victim)
         return True
 
+    def choose_victim(self) -> BoundedConnection | None:
+        """Return the connection that gives way to a new one, if any does.
+
+        Of those that have waited longest, one whose caller has taken all answers.
+        """
+        oldest = [
+            connection
+            for connection in islice(self.waiting, MAX_EXAMINED)
+            if connection.transport is not None
+        ]
+        for connection in oldest:
+            if not connection.has_unsent_bytes:
+                return connection
+        return next(iter(oldest), None)
+
     def forget(self, connection: BoundedConnection) -> None:
         """Count a connection no longer."""
         self.open_connections.discard(connection)
--- a/packages/daemon/src/sardinequay_daemon/caller_answer.py
+++ b/packages/daemon/src/sardinequay_daemon/caller_answer.py
@@ -118,10 +118,16 @@
         response = web.Response(
             status=status, text=refusal.message + "\n", headers=headers
         )
-        if self.server.is_closing or refusal.reason is Reason.TOO_LARGE:
+        if self.server.is_closing or self.is_body_left(refusal):
             response.force_close()
         return response
 
+    def is_body_left(self, refusal: Refusal) -> bool:
+        """Return whether the rest of a refused body may follow on the connection."""
+        connection = self.http.protocol
+        is_faulty = isinstance(connection, CallerConnection) and connection.fault
+        return refusal.reason is Reason.TOO_LARGE or bool(is_faulty)
+
     def abort_answer(self, request_id: str, detail: str) -> web.StreamResponse:
         """End the connection, so that the caller sees an incomplete answer."""
         self.record_end(request_id, "cut off", "cut_off", detail)
--- a/packages/daemon/tests/test_bounded_http.py
+++ b/packages/daemon/tests/test_bounded_http.py
@@ -163,6 +163,21 @@
         writer.close()
 
 
+async def test_caller_that_still_takes_an_answer_does_not_give_way(
+    server, monkeypatch
+) -> None:
+    idle = [await asyncio.open_connection(*server.address) for _ in range(5)]
+    await until(lambda: len(server.open_connections) == MAX_CONNECTIONS)
+    oldest, second = list(server.waiting)[:2]
+    taking = property(lambda connection: connection is oldest)
+    monkeypatch.setattr(BoundedConnection, "has_unsent_bytes", taking)
+    assert b"<last>" in await call(server, LAST)
+    assert oldest in server.open_connections
+    assert second not in server.open_connections
+    for _, writer in idle:
+        writer.close()
+
+
 async def test_new_connection_is_left_unread_while_all_are_busy(server) -> None:
     server.may_answer.clear()
     busy = [asyncio.create_task(call(server, LAST)) for _ in range(MAX_CONNECTIONS)]
