--- a/packages/daemon/tests/test_loop_lag.py
+++ b/packages/daemon/tests/test_loop_lag.py
@@ -7,7 +7,7 @@
 import pytest
 from aiohttp import web
 
-from sardinequay_daemon.caller_connection import UnreadConnection
+from sardinequay_daemon.bounded_http import UnreadConnection
 from sardinequay_daemon.loop_lag import CHECK_PERIOD, MAX_LAG, LoopLag
 from sardinequay_lab.ports import free_port
 
