Do not take the rest of a body for the beginning of a head

What callers saw: a request that is refused before its body has come, then the body's rest; the kept connection was closed after the header timeout in place of the idle timeout.

Cause: any byte that came while no request was in flight began the time for a head, and nothing ended it. Found in reading it.

Change: only bytes before a body begin that time, also those that wait behind a message. The test failed before.

--- a/packages/daemon/src/sardinequay_daemon/bounded_http/connection.py
+++ b/packages/daemon/src/sardinequay_daemon/bounded_http/connection.py
@@ -101,13 +101,18 @@
         if self.framer.is_stopped:
             self.drop(len(data))
             return
-        if self.idle_since is not None and self.head_began_at is None:
-            self.head_began_at = self.server.clock.monotonic()
+        if self.framer.is_before_body:
+            self.begin_head()
         self.framer.feed(data)
         self.lacks_bytes = False
         self.server.turns.offer(self)
         self.update_reading()
 
+    def begin_head(self) -> None:
+        """Record that the first byte of a request has come, unless one is in flight."""
+        if self.idle_since is not None and self.head_began_at is None:
+            self.head_began_at = self.server.clock.monotonic()
+
     def drop(self, size: int) -> None:
         """Count bytes that came after a refusal; with too many, close at once."""
         self.dropped_bytes += size
@@ -151,6 +156,8 @@
             if was_before_body:
                 self.begin_message()
             super().data_received(part.data)
+        if self.framer.is_before_body and self.framer.pending_bytes:
+            self.begin_head()
         self.update_reading()
         return part.pieces
 
@@ -184,8 +191,7 @@
 
     def end_message(self) -> None:
         """Record that an answer is written, and handle what came meanwhile."""
-        now = self.server.clock.monotonic()
-        self.idle_since = now
+        self.idle_since = self.server.clock.monotonic()
         if self.fault is not None and self.content is not None:
             # The rest of the body need not be waited for.
             self.content.feed_eof()
@@ -194,8 +200,8 @@
         self.framer.limits = self.server.framing_limits()
         if self.framer.is_stopped:
             self.close_soon()
-        if self.framer.pending_bytes and self.framer.is_between:
-            self.head_began_at = now
+        if self.framer.is_before_body and self.framer.pending_bytes:
+            self.begin_head()
         self.server.turns.offer(self)
 
     # Reading.
--- a/packages/daemon/tests/test_bounded_http.py
+++ b/packages/daemon/tests/test_bounded_http.py
@@ -42,11 +42,12 @@
         self.may_answer = asyncio.Event()
         self.may_answer.set()
         self.began = 0
-        self.idle_s = 60.0
+        self.idle_s = self.header_s = 60.0
+        self.reads_bodies = True
 
     def limits(self) -> CallerLimits:
         return CallerLimits(
-            500, MAX_BODY_BYTES, seconds(self.idle_s), seconds(self.idle_s)
+            500, MAX_BODY_BYTES, seconds(self.header_s), seconds(self.idle_s)
         )
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
@@ -55,6 +56,8 @@
         connection.begin_request(http.content)
         self.began += 1
         await self.may_answer.wait()
+        if not self.reads_bodies:
+            return web.Response(body=b"<early>")
         try:
             body = await http.content.read()
         except BodyRefusedError as error:
@@ -191,10 +194,25 @@
 
 @pytest.mark.parametrize("data", [b"", b"\r\n", HEAD])
 async def test_connection_without_a_whole_request_is_closed(server, data) -> None:
-    server.idle_s = 0.1
+    server.idle_s = server.header_s = 0.1
     assert await call(server, data) == b""
 
 
+async def test_rest_of_a_body_is_not_the_beginning_of_a_head(server) -> None:
+    # Its connection was closed when the time for a head was over.
+    server.header_s = 0.2
+    server.reads_bodies = False
+    reader, writer = await asyncio.open_connection(*server.address)
+    writer.write(HEAD + b"Content-Length: 6\r\n\r\nabc")
+    async with asyncio.timeout(ENDS_WITHIN_S):
+        await reader.readuntil(b"<early>")
+        writer.write(b"def")
+        await asyncio.sleep(1)
+        writer.write(LAST)
+        assert b"<early>" in await reader.read()
+    writer.close()
+
+
 @dataclass
 class Source:
     """Input of a number of pieces."""
