Keep the syntax that requests and answers share in one module

The framer of requests had the grammar of fields, chunks and lines for itself. Answers are to be judged by the same grammar, so it moves to http_syntax, with the reading of a bounded line. What the framer takes and refuses is unchanged: its tests pass as they were (test_request_framing, test_bounded_http).

--- a/packages/core/src/sardinequay_core/request_framing/framer.py
+++ b/packages/core/src/sardinequay_core/request_framing/framer.py
@@ -5,21 +5,23 @@
 are bounded here, before and within and after each message.
 """
 
-import re
 from dataclasses import dataclass
 from enum import Enum, auto
 
+from ..http_syntax import (
+    CHUNK_LINE_PATTERN,
+    FIELD_LINE_PATTERN,
+    HEAD_END,
+    LAST_CHUNK,
+    LINE_END,
+    SHORT_CHUNK_PATTERN,
+    LineTooLongError,
+    take_line,
+)
 from .faults import FramingFault, RequestFramingError
-from .heads import FIELD_LINE_PATTERN, find_fault, read_body_frame
+from .heads import find_fault, read_body_frame
 from .limits import FramingLimits
 
-LINE_END = b"\r\n"
-HEAD_END = b"\r\n\r\n"
-LAST_CHUNK = b"0\r\n\r\n"
-CHUNK_LINE_PATTERN = re.compile(
-    rb"([0-9A-Fa-f]{1,16})[\t ]*+(?:;[\t\x20-\x7e\x80-\xff]*+)?"
-)
-SHORT_CHUNK_PATTERN = re.compile(rb"([0-9A-Fa-f]{1,8})\r\n")
 PART_BYTES = 65_536
 """Bytes of a body that are passed on at once, at most."""
 
@@ -290,14 +292,10 @@
         fault : FramingFault
             What a longer line is.
         """
-        end = self.buffer.find(LINE_END, 0, max_bytes + len(LINE_END))
-        if end < 0:
-            if len(self.buffer) > max_bytes + 1:
-                raise RequestFramingError(fault)
-            return None
-        line = bytes(self.buffer[:end])
-        del self.buffer[: end + len(LINE_END)]
-        return line
+        try:
+            return take_line(self.buffer, max_bytes)
+        except LineTooLongError as error:
+            raise RequestFramingError(fault) from error
 
 
 CHUNK_STAGES = frozenset(
--- a/packages/core/src/sardinequay_core/request_framing/heads.py
+++ b/packages/core/src/sardinequay_core/request_framing/heads.py
@@ -9,27 +9,25 @@
 import re
 from dataclasses import dataclass
 
+from ..http_syntax import (
+    BAD_LINE_END_PATTERN,
+    CHUNKED,
+    CONTROL_PATTERN,
+    FIELD_LINE,
+    LENGTH_PATTERN,
+    TOKEN,
+)
 from .faults import FramingFault, RequestFramingError
 from .limits import FramingLimits
 
-TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]"
-FIELD_VALUE = rb"[\t\x20-\x7e\x80-\xff]*+"
-FIELD_LINE = TOKEN + rb"++:" + FIELD_VALUE + rb"\r\n"
 HEAD_PATTERN = re.compile(
     TOKEN + rb"{1,32}+ [\x21-\x7e]++ HTTP/1\.[01]\r\n(?:" + FIELD_LINE + rb")*+\r\n"
 )
-FIELD_LINE_PATTERN = re.compile(FIELD_LINE)
-BAD_LINE_END_PATTERN = re.compile(rb"(?<!\r)\n|\r(?=[^\n])")
-CONTROL_PATTERN = re.compile(rb"[\x00-\x08\x0b\x0c\x0e-\x1f\x7f]")
 LENGTH_FIELD_PATTERN = re.compile(
     rb"\n(content-length|transfer-encoding|host):[\t ]*+([^\r]*)", re.IGNORECASE
 )
-LENGTH_PATTERN = re.compile(rb"[0-9]{1,18}")
-"""A longer number is beyond what any peer counts with."""
-
 CONNECT = b"CONNECT "
 OLD_VERSION = b" HTTP/1.0\r\n"
-CHUNKED = b"chunked"
 
 
 @dataclass(frozen=True, slots=True)
