Judge each answer's head and framing before the HTTP library parses it

What callers saw: an engine's status 000 as "HTTP/1.1 0 X", also 001, 042, 099, 600 to 999, and 101 that nobody had asked for; HTTP/2.0 and HTTP/0.9 as HTTP/1.1; chunks' own lines as the body of a success (coding `chunked, identity`); a connection closed without an answer after a control byte in a value or a reason. With the parser in Python, also of two lengths, blanks in the status line or before a chunk's size.

Cause: what is an answer was left to the library. Its parser in C runs leniently for answers, the one in Python differs from it, neither bounds the status, and its writer checks what its parser does not.

Evidence: a table of 138 answers that are none and 28 odd ones that are (lab, broken_answers), sent as bytes by stand-ins.

The change: core `answer_framing` judges heads by one grammar (status line, names, values, reason, length or chunks, interim answers) and lets the parser have whole heads and bodies up to their end, in plain chunks. It stands in the connections that all sessions of the daemon use (BoundedResponseHandler), direct or through a peer's tunnel; `HeadReader` of the relaying side uses the same reader of heads. A refused head is never parsed, so no status, statement or seal of it exists; the attempt ends as a broken answer does: it may have run, health, paths and quarantine learn of it. Bytes after an answer close its connection; before, only targets' connections looked at them, when one was to be reused.

Decided, each once: lone line feeds, folded lines, length and chunks together, two equal lengths, codings other than chunked and an empty line before the status are refused (RFC 9112 lets a gateway refuse each); no blank after the status, an empty reason, extensions and trailers of chunks, 8-bit values pass. Offers to upgrade are left out.

test_heads_that_stop: its mutation of the library shows an answer no more, since the parser has nothing of an unfinished head. The test asserts that now, and shows the answer with the framer taken out as well, so it is as strict as before.

--- a/packages/daemon/src/sardinequay_daemon/strict_connector.py
+++ b/packages/daemon/src/sardinequay_daemon/strict_connector.py
@@ -1,4 +1,8 @@
-"""Connections to targets that tell the end of an answer apart from other ends."""
+"""Connections on which answers are judged, and their ends told apart.
+
+Every answer that a host takes, of targets and of the platform's services, comes over
+these connections.
+"""
 
 import asyncio
 from functools import partial
@@ -6,17 +10,21 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
-from aiohttp.http import HttpProcessingError, RawResponseMessage
+from aiohttp.http import HttpProcessingError
 from aiohttp.streams import StreamReader
 
+from sardinequay_core.answer_framing import (
+    MAX_FIELDS,
+    MAX_HEAD_BYTES,
+    AnswerFault,
+    AnswerFramer,
+    AnswerFramingError,
+)
 from sardinequay_core.byte_budget import AnswerReading
 from sardinequay_core.clock import Instant, seconds
 
 from .connection_reset import reset
 
-MAX_INTERIM_ANSWERS = 32
-"""Interim answers that may come before an answer."""
-
 RECEIVE_BYTES = 65_536
 """Size of one read from a connection. Up to twice `READ_BUFFER_BYTES` and one read are
 held of an answer that is not passed on."""
@@ -24,19 +32,29 @@
 READ_BUFFER_BYTES = 32_768
 """Reading of an answer pauses while twice as much of it is not passed on."""
 
-MIN_FINAL_STATUS = 200
-"""Lowest status of an answer that is no interim one."""
+MAX_PARSED_LINES = MAX_FIELDS + 8
+"""Lines of a head that the parser takes: more than the framer lets through."""
 
 
 class BoundedResponseHandler(ResponseHandler):
-    """Connection protocol that bounds what is read of an answer at once.
+    """Connection protocol whose parser sees sound answers only, one for each request.
+
+    All bytes pass the framer first, so that both of aiohttp's parsers come to the same.
+    A refused answer ends the connection, and so do bytes that belong to no answer.
 
-    aiohttp reads interim answers without end, and keeps those that nobody asked for.
+    Attributes
+    ----------
+    framer : AnswerFramer or None
+        Judges the answer to the request in progress, or the last one; None before the
+        first request.
+    refusal : Exception or None
+        Why the answer was refused.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
-        self.interim_answers = 0
+        self.framer: AnswerFramer | None = None
+        self.refusal: Exception | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Bound how much one read takes."""
@@ -44,26 +62,56 @@
             transport.max_size = RECEIVE_BYTES
         super().connection_made(transport)
 
-    def set_response_params(self, **params: Any) -> None:
+    def set_response_params(self, *, skip_payload: bool = False, **params: Any) -> None:
         """Expect the answer to a further request, and forget the one before."""
         self._payload = None
-        super().set_response_params(**params)
+        self.framer = AnswerFramer(has_body=not skip_payload)
+        params |= {"max_line_size": MAX_HEAD_BYTES, "max_field_size": MAX_HEAD_BYTES}
+        params["max_headers"] = MAX_PARSED_LINES
+        super().set_response_params(skip_payload=skip_payload, **params)
 
-    def feed_data(
-        self, data: tuple[RawResponseMessage, StreamReader], size: int = 0
-    ) -> None:
-        """Take the head of an answer; end the connection after too many of them.
+    def data_received(self, data: bytes) -> None:
+        """Judge received bytes and let the parser have those of a sound answer.
 
-        Answers that nobody asked for count as interim ones do, as nobody takes them.
+        No bytes are received when aiohttp lets its parser go on after a pause.
         """
-        is_interim = data[0].code < MIN_FINAL_STATUS
-        self.interim_answers = self.interim_answers + 1 if is_interim else 0
-        if max(self.interim_answers, len(self)) <= MAX_INTERIM_ANSWERS:
-            super().feed_data(data, size)
-        elif self.transport is not None and not self.transport.is_closing():
-            self.set_exception(HttpProcessingError(message="too many interim answers"))
+        if not data:
+            super().data_received(data)
+            return
+        if self.framer is None or self.framer.has_ended or self.refusal is not None:
+            self.end_by_excess()
+            return
+        framed = self.framer.feed(data)
+        if framed.data:
+            super().data_received(framed.data)
+        if framed.fault is not None:
+            self.refuse(framed.fault)
+        elif framed.has_excess:
+            self.end_by_excess()
+
+    def refuse(self, fault: AnswerFault) -> None:
+        """End the connection of an answer that is none, and fail its reader."""
+        detail = str(AnswerFramingError(fault))
+        self.refusal = HttpProcessingError(message=detail)
+        self.set_exception(self.refusal)
+        fail_unless_whole(self._payload, detail)
+        if self.transport is not None:
             self.transport.abort()
 
+    def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
+        """Fail the reader of the next head; a refusal stays the reason."""
+        super().set_exception(self.refusal or exc, *cause)
+
+    def end_by_excess(self) -> None:
+        """Close the connection after bytes that belong to no answer."""
+        self.force_close()
+        if self.transport is not None:
+            self.transport.close()
+
+    def is_connected(self) -> bool:
+        """Return whether the connection can take another request."""
+        return super().is_connected() and not self.should_close
+
     def close(self) -> None:
         """Close the connection; reset it while an answer is due.
 
@@ -88,10 +136,9 @@
 class StrictResponseHandler(BoundedResponseHandler):
     """Connection protocol that detects ends of answers that are not whole.
 
-    It also detects unsolicited answers, and records when the answer was read.
+    It also records when the answer was read.
 
-    aiohttp takes any end of a connection for the end of an answer without a length. It
-    also reuses an idle connection on which an unsolicited answer has arrived.
+    aiohttp takes any end of a connection for the end of an answer without a length.
 
     Attributes
     ----------
@@ -137,10 +184,6 @@
         # After bytes that are no chunk aiohttp drops the answer without an error.
         fail_unless_whole(payload, "ended inside the answer")
 
-    def is_connected(self) -> bool:
-        """Return whether the connection can take another request."""
-        return super().is_connected() and not self.should_close
-
 
 class BoundedConnector(aiohttp.TCPConnector):
     """Connector whose connections use `BoundedResponseHandler`."""
--- a/packages/daemon/tests/test_answer_head.py
+++ b/packages/daemon/tests/test_answer_head.py
@@ -2,7 +2,9 @@
 
 import pytest
 
-from sardinequay_daemon.answer_head import MAX_HEAD_BYTES, HeadReader
+from sardinequay_core.answer_framing import MAX_HEAD_BYTES, AnswerFramer
+from sardinequay_daemon.answer_head import HeadReader
+from sardinequay_lab.broken_answers import answer_cases
 
 HEAD = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 3\r\nX-A: 1\r\n\r\n"
 
@@ -45,4 +47,21 @@
     reader = HeadReader()
     assert reader.feed(data) is None
     assert reader.is_done
-    assert reader.buffer == b""
+    assert not reader.reader.buffer
+
+
+def has_head(data: bytes) -> bool:
+    """Return whether the host that asked for an answer takes its head."""
+    framer = AnswerFramer()
+    framer.feed(data)
+    return framer.head is not None
+
+
+@pytest.mark.parametrize("piece_bytes", [1, 9, 100_000])
+def test_head_is_read_just_where_the_host_that_asked_takes_it(piece_bytes) -> None:
+    for case in answer_cases():
+        reader, data = HeadReader(), case.data()
+        starts = range(0, len(data), piece_bytes)
+        heads = [reader.feed(data[start : start + piece_bytes]) for start in starts]
+        found = [head for head in heads if head is not None]
+        assert len(found) == has_head(data), case.name
--- a/packages/daemon/tests/test_heads_that_stop.py
+++ b/packages/daemon/tests/test_heads_that_stop.py
@@ -14,6 +14,7 @@
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import EMPTY_PAYLOAD
 
+from sardinequay_core.answer_framing import AnswerFramer, FramedAnswer
 from sardinequay_daemon.answer_head import HeadReader
 from sardinequay_daemon.connection_reset import reset
 from sardinequay_daemon.strict_connector import BoundedConnector, StrictConnector
@@ -113,7 +114,14 @@
             self.feed_data((rest, EMPTY_PAYLOAD), 0)
         original(self, exc)
 
+    def let_all_through(self, data: bytes) -> FramedAnswer:
+        return FramedAnswer(data)
+
     monkeypatch.setattr(ResponseHandler, "connection_lost", hand_out_the_rest)
+    assert not await answers_to_cut_heads(
+        StrictConnector, HEADS["length"], ENDS["closes"], 0
+    )
+    monkeypatch.setattr(AnswerFramer, "feed", let_all_through)
     assert await answers_to_cut_heads(
         StrictConnector, HEADS["length"], ENDS["closes"], 0
     )
