Leave bytes that are not UTF-8 out of header values before they are written

What callers would see: nothing with the HTTP library's writer in C, which drops such bytes; with the one in Python an error for the whole head, so a closed connection.

Cause: the library's parsers keep undecodable bytes as surrogates; its writers differ on them. Evidence: test_bytes_that_are_not_utf8_are_left_out failed before with UnicodeEncodeError on what forwardable_headers returns.

Passing such bytes on unchanged is not possible with either writer; the rest of the value is.

--- a/packages/daemon/src/sardinequay_daemon/header_values.py
+++ b/packages/daemon/src/sardinequay_daemon/header_values.py
@@ -1,4 +1,4 @@
-"""Values of headers in targets' answers that any deployment may have."""
+"""Values of headers that any deployment may have."""
 
 import re
 from dataclasses import dataclass
@@ -50,3 +50,10 @@
     longest_s = max(float(text) for text in texts)
     backoff = timedelta(seconds=min(longest_s, MAX_BACKOFF.total_seconds()))
     return Success(backoff or None)
+
+
+def encodable(value: str) -> str:
+    """Return a value without its bytes that are not UTF-8, which cannot be written."""
+    if value.isascii():
+        return value
+    return value.encode("utf-8", "ignore").decode("utf-8")
--- a/packages/daemon/src/sardinequay_daemon/services.py
+++ b/packages/daemon/src/sardinequay_daemon/services.py
@@ -24,7 +24,7 @@
 from .claimer import Claimer, WonClaim
 from .dispatch import RetryBudgets
 from .errors import TargetError, TargetFault
-from .header_values import parse_backoff
+from .header_values import encodable, parse_backoff
 from .journal import Journal
 from .metrics import Metrics
 from .progress import Progress, RequestRefusedError, deadline_refusal
@@ -345,7 +345,7 @@
     passed: CIMultiDict[str] = CIMultiDict()
     for name, value in headers.items():
         if name.lower() not in HOP_BY_HOP:
-            passed.add(name, value)
+            passed.add(name, encodable(value))
     return passed
 
 
