Answer with a typed 502 where the head of a target's answer cannot be written

What callers saw: a connection closed without an answer, also for requests that may be sent again; the log had "request failed" with a traceback (a control byte in a value or in the reason of an engine's answer).

Cause: the answer counted as begun before its head was written, so when the writer raised, the host aborted it. Nothing had been sent.

The change: `write_head` turns the writer's error into HeadNotWrittenError and undoes the framing that the library had set for the body; the answer begins once its head is written. On the users' machines the attempt ends as with a broken answer, so another one may follow; with bundles it is refused as failed.

--- a/packages/daemon/src/sardinequay_daemon/answer_forwarder.py
+++ b/packages/daemon/src/sardinequay_daemon/answer_forwarder.py
@@ -96,8 +96,8 @@
     async def forward_head(self) -> None:
         """Pass the answer's head on, unless an earlier attempt has passed one on."""
         if not self.exchange.answer_started:
-            self.exchange.answer_started = True
             await self.sink.begin_answer(AnswerHead(self.answer.status, self.answer))
+            self.exchange.answer_started = True
 
     async def forward_body(self) -> None:
         """Pass a plain answer on: in one piece if it is small, else in chunks.
--- a/packages/daemon/src/sardinequay_daemon/caller_answer.py
+++ b/packages/daemon/src/sardinequay_daemon/caller_answer.py
@@ -10,7 +10,9 @@
 from sardinequay_core.outcome import Outcome, Reason, Refusal
 
 from .caller_connection import CallerConnection
+from .caller_head import write_head
 from .connection_reset import cut_off
+from .errors import HeadNotWrittenError, TargetError, TargetFault
 from .exchange import AnswerHead, AnswerSink
 from .relay_state import RelayState
 from .serving_metrics import ServingMetrics
@@ -53,17 +55,26 @@
         return (self.server.clock.monotonic() - self.arrived).total_seconds()
 
     async def send_head(self, head: AnswerHead) -> None:
-        """Send the head of a target's answer."""
+        """Send the head of a target's answer.
+
+        Raises
+        ------
+        TargetError
+            If it cannot be passed on; the caller has got nothing then.
+        """
         headers = self.server.dialect.caller_headers(head.answer.headers)
         response = web.StreamResponse(
             status=head.status, reason=head.answer.reason, headers=headers
         )
         if self.server.is_closing:
             response.force_close()
+        try:
+            await write_head(response, self.http)
+        except HeadNotWrittenError as error:
+            raise TargetError(TargetFault.BROKEN, str(error)) from error
         self.response = response
         self.first_byte_s = self.elapsed_s()
         self.server.metrics.first_byte.observe({"route": self.route}, self.first_byte_s)
-        await response.prepare(self.http)
 
     async def write(self, data: bytes) -> None:
         """Send a part of the answer's body."""
--- a/packages/daemon/src/sardinequay_daemon/caller_server.py
+++ b/packages/daemon/src/sardinequay_daemon/caller_server.py
@@ -29,6 +29,7 @@
     refusal_response,
 )
 from .bounded_http import BoundedConnection, BoundedServer, ListenerBounds
+from .caller_head import write_head
 from .caller_requests import (
     ModelRequest,
     RequestEnvelope,
@@ -38,7 +39,7 @@
 )
 from .connection_reset import cut_off
 from .dispatch import ModelDispatcher
-from .errors import BodyRefusedError, MalformedAnswerError
+from .errors import BodyRefusedError, HeadNotWrittenError, MalformedAnswerError
 from .journal import Journal
 from .metrics import Metrics
 from .progress import (
@@ -289,8 +290,9 @@
             if is_small and request.method != "HEAD":
                 # Small answers are sent in one piece, which saves writes.
                 body = await answer.read()
-                self.record_first_byte(exchange)
-                return web.Response(status=answer.status, headers=headers, body=body)
+                whole = web.Response(status=answer.status, headers=headers, body=body)
+                await self.begin_answer(exchange, whole)
+                return whole
             if length is not None:
                 headers["Content-Length"] = str(length)
             await self.write(exchange, answer.status, headers, b"")
@@ -309,14 +311,30 @@
         try:
             if exchange.response is None:
                 response = web.StreamResponse(status=status, headers=headers)
-                exchange.response = response
-                self.record_first_byte(exchange)
-                await response.prepare(exchange.http)
-            if data:
+                await self.begin_answer(exchange, response)
+            if data and exchange.response is not None:
                 await exchange.response.write(data)
         except (OSError, aiohttp.ClientError) as error:
             raise CallerGoneError from error
 
+    async def begin_answer(
+        self, exchange: CallerExchange, response: web.StreamResponse
+    ) -> None:
+        """Send the head of an answer.
+
+        Raises
+        ------
+        RequestRefusedError
+            If it cannot be passed on; the caller has got nothing then.
+        """
+        try:
+            await write_head(response, exchange.http)
+        except HeadNotWrittenError as error:
+            refusal = Refusal(Reason.TARGET_FAILED, Outcome.RAN, str(error))
+            raise RequestRefusedError(refusal) from error
+        exchange.response = response
+        self.record_first_byte(exchange)
+
     def record_first_byte(self, exchange: CallerExchange) -> None:
         """Record the time to the first byte of an answer."""
         elapsed = self.clock.monotonic() - exchange.began_at
--- a/packages/daemon/src/sardinequay_daemon/errors.py
+++ b/packages/daemon/src/sardinequay_daemon/errors.py
@@ -39,6 +39,16 @@
         return str(self.cause)
 
 
+@dataclass(unsafe_hash=True)
+class HeadNotWrittenError(DaemonError):
+    """The head of an answer cannot be written to its caller."""
+
+    detail: str
+
+    def __str__(self) -> str:
+        return f"the answer's head cannot be passed on: {self.detail}"
+
+
 @dataclass(unsafe_hash=True)
 class PeerError(DaemonError):
     """A call to another entry host got no reply."""
