Bound what sardinequayd reads of an engine's answers to calls and of its refusals

Cause: reports, orders, cancellations and refusals (any status but 200) were read whole. Calls ended with their total timeout; a refusal of a request had a timeout between two reads only, so it had no bound at all. Ruled out: the users' machines read such answers by `read_bounded`, with tests; streams and plain answers are bounded by their readers.

The change: all of them use `read_bounded` with the bound that calls on the users' machines have, which now stands beside it. A longer answer closes its connection and leaves open whether the request has run.

--- a/packages/daemon/src/sardinequay_daemon/bounded_answer.py
+++ b/packages/daemon/src/sardinequay_daemon/bounded_answer.py
@@ -2,6 +2,10 @@
 
 import aiohttp
 
+MAX_ANSWER_BYTES = 1_048_576
+"""Longest answer to a call to an engine. Reports name its models and adapters, in some
+kilobytes; an engine in trouble may send without end."""
+
 
 class AnswerTooLongError(aiohttp.ClientError):
     """An answer is longer than any that its caller can use."""
--- a/packages/daemon/src/sardinequay_daemon/engine_client.py
+++ b/packages/daemon/src/sardinequay_daemon/engine_client.py
@@ -21,6 +21,7 @@
 from sardinequay_core.names import AdapterRef, Address, TargetId
 from sardinequay_core.roster import Target, TargetKind
 
+from .bounded_answer import MAX_ANSWER_BYTES, read_bounded
 from .errors import TargetError, TargetFault
 from .target_errors import TargetErrorTranslator
 from .target_probe import ProbeResult
@@ -112,7 +113,7 @@
         url = f"http://{target.address}/v1/report"
         try:
             async with self.session.get(url, timeout=self.report_timeout) as response:
-                data = await response.read()
+                data = await read_bounded(response, MAX_ANSWER_BYTES)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Failure(TargetError(TargetFault.BROKEN, repr(error)))
         if response.status != 200:
@@ -151,7 +152,7 @@
             async with self.session.post(
                 url, json=body, timeout=self.order_timeout
             ) as response:
-                data = await response.read()
+                data = await read_bounded(response, MAX_ANSWER_BYTES)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Failure(TargetError(TargetFault.BROKEN, repr(error)))
         if response.status == 200:
@@ -178,7 +179,8 @@
             )
             async with post_context as response:
                 if response.status != 200:
-                    raise refusal_error(response.status, await response.read())
+                    data = await read_bounded(response, MAX_ANSWER_BYTES)
+                    raise refusal_error(response.status, data)
                 yield response
 
     @asynccontextmanager
@@ -217,7 +219,7 @@
             async with self.session.delete(
                 url, timeout=self.report_timeout
             ) as response:
-                await response.read()
+                await read_bounded(response, MAX_ANSWER_BYTES)
         except (aiohttp.ClientError, TimeoutError, OSError):
             return
 
