Bound the completions that are assembled from engines' streams

Cause: each event is bounded, but not what the assembler keeps of all of them.

Streams that are passed on keep nothing.

The change: text counts with what its pieces cost (some 400,000 tokens), the fields of an answer with the longest chunk, and there are at most 128 choices. More is no answer: the request is refused as one whose target failed, and says that it has run.

--- a/packages/daemon/src/sardinequay_daemon/answers.py
+++ b/packages/daemon/src/sardinequay_daemon/answers.py
@@ -18,6 +18,19 @@
 REASON_HEADER = "Sardinequay-Reason"
 ADAPTER_HEADER = "Sardinequay-Adapter"
 BUNDLE_HEADER = "Sardinequay-Bundle"
+MAX_CHOICES = 128
+"""Choices of one answer."""
+
+MAX_FIELDS_COST = 67_108_864
+"""Bound on the fields of an answer and its choices, in bytes: each was in a chunk that
+is no longer than the longest."""
+
+PIECE_COST = 64
+"""What a piece of text costs beyond its characters, in bytes."""
+
+MAX_TEXT_COST = 33_554_432
+"""Bound on the text of an answer with its pieces: some 400,000 tokens."""
+
 CHUNK_ERRORS = (DocumentError, AttributeError, LookupError, TypeError, ValueError)
 """Errors about chunks that are no JSON, or of other types than those of the format."""
 
@@ -64,12 +77,17 @@
 
 
 class CompletionAssembler:
-    """Assembles the chunks of a stream into one completion or chat answer."""
+    """Assembles the chunks of a stream into one completion or chat answer.
+
+    What it keeps is bounded: a faulty engine may send chunks without end.
+    """
 
     def __init__(self) -> None:
         self.template: dict[str, Any] = {}
         self.texts: dict[int, list[str]] = {}
         self.choices: dict[int, dict[str, Any]] = {}
+        self.text_cost = 0
+        self.longest_chunk = 0
 
     def add_events(self, data: bytes) -> None:
         """Add the chunks of whole events."""
@@ -83,13 +101,25 @@
         Raises
         ------
         MalformedAnswerError
-            If it is no chunk of a completion or of a chat.
+            If it is no chunk of a completion or of a chat, or too much is to be kept.
         """
         try:
             self.add_chunk(decode_json_value(payload))
+            self.longest_chunk = max(self.longest_chunk, len(payload))
+            self.check_size()
         except CHUNK_ERRORS as error:
             raise MalformedAnswerError(repr(error)) from error
 
+    def check_size(self) -> None:
+        """Raise an error if more is kept than an answer consists of."""
+        if self.text_cost > MAX_TEXT_COST:
+            raise ValueError("the text is too long")
+        if len(self.choices) > MAX_CHOICES:
+            raise ValueError(f"there are more than {MAX_CHOICES} choices")
+        fields = len(self.template) + sum(map(len, self.choices.values()))
+        if fields * self.longest_chunk > MAX_FIELDS_COST:
+            raise ValueError("the fields of the chunks are too large")
+
     def add_chunk(self, chunk: dict[str, Any]) -> None:
         """Add one chunk of a completion or of a chat."""
         self.template.update({k: v for k, v in chunk.items() if k != "choices"})
@@ -98,6 +128,7 @@
             delta = choice.get("delta") or {}
             text = choice.get("text") or delta.get("content") or ""
             self.texts.setdefault(index, []).append(text)
+            self.text_cost += len(text) + PIECE_COST
             merged = self.choices.setdefault(index, {"index": index})
             merged.update(
                 {k: v for k, v in choice.items() if k not in ("text", "delta")}
--- a/packages/daemon/tests/test_events.py
+++ b/packages/daemon/tests/test_events.py
@@ -1,7 +1,9 @@
 """Splitting of server-sent events, and assembly of chunks to a whole answer."""
 
 import json
-from itertools import pairwise
+import tracemalloc
+from collections.abc import Iterator
+from itertools import count, islice, pairwise, repeat
 
 import pytest
 from hypothesis import given
@@ -27,6 +29,8 @@
     b"sardinequay-weight-versions: 5\nid: 4\ndata: data: [DONE]\n\n",
     b"event: x\nid: 5\ndata:\n\n",
 )
+MAX_KEPT_BYTES = 100_000_000
+MANY_CHUNKS = 20_000
 LINE_ENDS = (b"\n", b"\r\n", b"\r")
 
 
@@ -168,6 +172,45 @@
             continue
 
 
+def texts_of(text: bytes, pieces: int) -> bytes:
+    """Return a chunk with several pieces of one choice's text."""
+    return b'{"choices": [%b]}' % b",".join([b'{"text": "%b"}' % text] * pieces)
+
+
+def endless_fields() -> Iterator[bytes]:
+    for number in count():
+        yield json.dumps({f"f{number}": "x" * 4000, "choices": []}).encode()
+
+
+def endless_choices() -> Iterator[bytes]:
+    for number in count():
+        yield b'{"choices": [{"index": %d, "text": "x"}]}' % number
+
+
+@pytest.mark.parametrize(
+    "payloads",
+    [
+        pytest.param(repeat(texts_of(b"x", 50)), id="short-texts"),
+        pytest.param(repeat(texts_of(b"x" * 90_000, 1)), id="long-texts"),
+        pytest.param(repeat(texts_of(b"", 50)), id="no-texts"),
+        pytest.param(endless_fields(), id="fields"),
+        pytest.param(endless_choices(), id="choices"),
+    ],
+)
+def test_chunks_without_end_are_kept_within_a_bound(payloads: Iterator[bytes]) -> None:
+    """Guards against one engine that takes all of a host's memory."""
+    whole = CompletionAssembler()
+    tracemalloc.start()
+    try:
+        with pytest.raises(MalformedAnswerError):
+            for payload in islice(payloads, MANY_CHUNKS):
+                whole.add_payload(payload)
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak < MAX_KEPT_BYTES
+
+
 def test_event_with_a_number_of_thousands_of_digits_breaks_the_stream_off() -> None:
     with pytest.raises(ValueError):
         EventReader().feed(b"id: " + b"9" * 5_000 + b"\ndata: x\n\n")
