Judge and bound the answers that the command reads of hosts

What an operator would see: the body of an answer with status 000, or an endless answer kept for five seconds.

Cause: `fleet_verbs` was the only reader of answers with a session of the library's own.

The command now uses the daemon's connections and its bounded reading; such a host is shown as unreachable, as before.

The server of raw bytes that these tests and those of calls to engines share is one now.

--- a/packages/cli/src/sardinequay_cli/fleet_verbs.py
+++ b/packages/cli/src/sardinequay_cli/fleet_verbs.py
@@ -12,6 +12,9 @@
 
 from sardinequay_core.documents import decode_json_value
 from sardinequay_core.errors import DocumentError
+from sardinequay_daemon.bounded_answer import read_bounded
+from sardinequay_daemon.single_send import client_session
+from sardinequay_daemon.strict_connector import BoundedConnector
 
 from .errors import (
     EXIT_FINDINGS,
@@ -23,6 +26,9 @@
 from .output import Output
 
 REQUEST_TIMEOUT_S = 5.0
+MAX_ANSWER_BYTES = 33_554_432
+"""Longest answer of a host: its status lists all peers and targets."""
+
 SETTINGS_READER_GROUP = "sardinequay.settings"
 """Group of entry points that read settings files, named by the file extension."""
 
@@ -42,7 +48,8 @@
     """Send a request to the operator listener of one host."""
     try:
         async with session.request(method, f"http://{address}{path}") as answer:
-            return HostAnswer(address, decode_json_value(await answer.read()))
+            body = await read_bounded(answer, MAX_ANSWER_BYTES)
+            return HostAnswer(address, decode_json_value(body))
     except (aiohttp.ClientError, TimeoutError, OSError, DocumentError) as error:
         return HostAnswer(address, error=type(error).__name__)
 
@@ -52,7 +59,7 @@
 ) -> list[HostAnswer]:
     """Send a request to all hosts concurrently."""
     timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    async with client_session(BoundedConnector(None), timeout=timeout) as session:
         requests = [
             request_host(session, address, path, method) for address in addresses
         ]
--- a/packages/daemon/src/sardinequay_daemon/strict_connector.py
+++ b/packages/daemon/src/sardinequay_daemon/strict_connector.py
@@ -186,12 +186,19 @@
 
 
 class BoundedConnector(aiohttp.TCPConnector):
-    """Connector whose connections use `BoundedResponseHandler`."""
+    """Connector whose connections use `BoundedResponseHandler`.
+
+    Parameters
+    ----------
+    source_ip : str or None
+        Source address of the connections; None to leave it open.
+    """
 
     handler_type: ClassVar[type[BoundedResponseHandler]] = BoundedResponseHandler
 
-    def __init__(self, source_ip: str, **options: Any) -> None:
-        super().__init__(limit=0, local_addr=(source_ip, 0), **options)
+    def __init__(self, source_ip: str | None, **options: Any) -> None:
+        local_addr = None if source_ip is None else (source_ip, 0)
+        super().__init__(limit=0, local_addr=local_addr, **options)
         self._factory = partial(self.handler_type, loop=self._loop)  # type: ignore[assignment]
 
 
--- a/packages/daemon/tests/test_engine_client.py
+++ b/packages/daemon/tests/test_engine_client.py
@@ -1,15 +1,14 @@
 """Calls to engines in trouble: answers without end, and answers that are none."""
 
-import asyncio
 import tracemalloc
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import asynccontextmanager
 
 import pytest
 
 from sardinequay_core.leases import AdapterUse
 from sardinequay_core.names import (
     AdapterRef,
-    Address,
     DataCentre,
     PoolName,
     TargetId,
@@ -20,11 +19,11 @@
 from sardinequay_daemon.single_send import client_session
 from sardinequay_daemon.strict_connector import StrictConnector
 from sardinequay_lab.broken_answers import refused_cases
+from sardinequay_lab.raw_server import raw_server
 
 IP = "127.0.0.1"
 MAX_HELD_BYTES = 40_000_000
 ADAPTER = AdapterRef("x", "1")
-Engine = Callable[[bytes, bytes], Awaitable[Target]]
 Call = Callable[[HttpEngineClient, Target], Awaitable[object]]
 
 
@@ -70,36 +69,14 @@
 }
 
 
-@pytest.fixture
-async def engine() -> AsyncIterator[Engine]:
-    """Return a function that makes an engine which answers with the same bytes."""
-    servers: list[asyncio.Server] = []
-
-    async def make(beginning: bytes, repeated: bytes = b"") -> Target:
-        async def serve(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            try:
-                await reader.readuntil(b"\r\n\r\n")
-                writer.write(beginning)
-                while repeated:
-                    writer.write(repeated)
-                    await writer.drain()
-                writer.close()
-            except (ConnectionError, asyncio.IncompleteReadError):
-                writer.transport.abort()
-
-        server = await asyncio.start_server(serve, IP, 0)
-        servers.append(server)
-        address = Address(IP, server.sockets[0].getsockname()[1])
-        return Target(
+@asynccontextmanager
+async def engine(beginning: bytes, repeated: bytes = b"") -> AsyncIterator[Target]:
+    """An engine that answers with the same bytes."""
+    async with raw_server(beginning, repeated) as address:
+        yield Target(
             TargetId("e"), PoolName("p"), TargetKind.ENGINE, DataCentre("d"), address
         )
 
-    yield make
-    for server in servers:
-        server.close()
-
 
 @pytest.fixture
 async def engines() -> AsyncIterator[HttpEngineClient]:
@@ -125,11 +102,12 @@
 @pytest.mark.parametrize("status", [b"200 OK", b"409 Conflict", b"503 Busy"])
 @pytest.mark.parametrize("call", ["report", "load", "unload", "send"])
 async def test_answer_without_end_is_held_within_a_bound(
-    engine: Engine, engines: HttpEngineClient, memory, call: str, status: bytes
+    engines: HttpEngineClient, memory, call: str, status: bytes
 ) -> None:
     """Guards against one engine that takes all of a host's memory."""
-    target = await engine(b"HTTP/1.1 " + status + b"\r\n\r\n", b"x" * 65_536)
-    error = await CALLS[call](engines, target)
+    head = b"HTTP/1.1 " + status + b"\r\n\r\n"
+    async with engine(head, b"x" * 65_536) as target:
+        error = await CALLS[call](engines, target)
     if call == "send" and status.startswith(b"200"):
         assert error is None
         return
@@ -138,21 +116,21 @@
 
 
 async def test_answer_without_end_to_a_cancellation_is_held_within_a_bound(
-    engine: Engine, engines: HttpEngineClient, memory
+    engines: HttpEngineClient, memory
 ) -> None:
-    target = await engine(b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65_536)
-    await engines.cancel(target.address, "r1")
+    async with engine(b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65_536) as target:
+        await engines.cancel(target.address, "r1")
 
 
 @pytest.mark.parametrize("call", CALLS)
 async def test_answer_that_is_none_is_a_typed_error(
-    engine: Engine, engines: HttpEngineClient, call: str
+    engines: HttpEngineClient, call: str
 ) -> None:
     for case in refused_cases():
         if "chunk" in case.name or "size" in case.name:
             continue
-        target = await engine(case.data())
-        error = await CALLS[call](engines, target)
+        async with engine(case.data()) as target:
+            error = await CALLS[call](engines, target)
+            await engines.cancel(target.address, "r1")
         assert isinstance(error, TargetError), case.name
         assert error.fault is TargetFault.BROKEN, case.name
-        await engines.cancel(target.address, "r1")
