--- a/packages/core/src/sardinequay_core/answer_framing/chunks.py
+++ b/packages/core/src/sardinequay_core/answer_framing/chunks.py
@@ -62,11 +62,12 @@
             If the bytes are no chunks. `take_output` has those before.
         """
         is_at_chunk = self.stage is ChunkStage.LINE and not self.buffer
-        if is_at_chunk and are_plain_chunks(data):
+        if is_at_chunk and is_plain_chunk(data):
             return data
         self.buffer += data
+        self.read_whole_chunks()
         while self.step():
-            pass
+            self.read_whole_chunks()
         return self.take_output()
 
     def take_output(self) -> bytes:
@@ -75,6 +76,28 @@
         self.output.clear()
         return taken
 
+    def read_whole_chunks(self) -> None:
+        """Read as one chunk what is there of plain ones; others are left to steps."""
+        if self.stage is not ChunkStage.LINE:
+            return
+        body, position = bytearray(), 0
+        while (line := SHORT_CHUNK_PATTERN.match(self.buffer, position)) is not None:
+            size = int(line[1], 16)
+            end = line.end() + size
+            if not size or not self.buffer.startswith(LINE_END, end):
+                break
+            body += self.buffer[line.end() : end]
+            position = end + len(LINE_END)
+        if body:
+            del self.buffer[:position]
+            self.add_chunk(body)
+
+    def add_chunk(self, data: bytearray) -> None:
+        """Add one plain chunk to the output."""
+        self.output += b"%x\r\n" % len(data)
+        self.output += data
+        self.output += LINE_END
+
     def step(self) -> bool:
         """Take one step; return whether another one may follow."""
         if self.stage is ChunkStage.LINE:
@@ -101,11 +124,11 @@
 
     def read_data(self) -> bool:
         """Read what is there of a chunk."""
-        data = bytes(self.buffer[: self.left_bytes])
+        data = self.buffer[: self.left_bytes]
         if not data:
             return False
         del self.buffer[: len(data)]
-        self.output += b"%x\r\n%b\r\n" % (len(data), data)
+        self.add_chunk(data)
         self.left_bytes -= len(data)
         if not self.left_bytes:
             self.stage = ChunkStage.DATA_END
@@ -151,15 +174,11 @@
             raise AnswerFramingError(fault) from error
 
 
-def are_plain_chunks(data: bytes) -> bool:
-    """Return whether bytes are whole chunks without extensions, not the last one."""
-    position, size = 0, len(data)
-    while position < size:
-        line = SHORT_CHUNK_PATTERN.match(data, position)
-        length = int(line[1], 16) if line is not None else 0
-        if line is None or not length:
-            return False
-        position = line.end() + length + len(LINE_END)
-        if not data.startswith(LINE_END, position - len(LINE_END)):
-            return False
-    return position == size
+def is_plain_chunk(data: bytes) -> bool:
+    """Return whether bytes are one whole chunk without extensions, not the last one."""
+    line = SHORT_CHUNK_PATTERN.match(data)
+    if line is None:
+        return False
+    size = int(line[1], 16)
+    end = line.end() + size
+    return bool(size) and end + len(LINE_END) == len(data) and data.endswith(LINE_END)
--- a/packages/core/src/sardinequay_core/answer_framing/heads.py
+++ b/packages/core/src/sardinequay_core/answer_framing/heads.py
@@ -13,7 +13,9 @@
 from ..http_syntax import CHUNKED, FIELD_LINE, HEAD_END, LENGTH_PATTERN
 from .faults import AnswerFault, AnswerFramingError
 
-MAX_HEAD_BYTES = 65_536
+MAX_HEAD_BYTES = 32_768
+"""Bytes of a head, with all its fields. Each request in flight may hold as many."""
+
 MAX_FIELDS = 128
 """Lines of a head; each costs some hundred bytes of objects, however short it is."""
 
