--- a/packages/daemon/tests/test_engine_client.py
+++ b/packages/daemon/tests/test_engine_client.py
@@ -127,7 +127,7 @@
     engines: HttpEngineClient, call: str
 ) -> None:
     for case in refused_cases():
-        if "chunk" in case.name or "size" in case.name:
+        if not case.is_head_refused:
             continue
         async with engine(case.data()) as target:
             error = await CALLS[call](engines, target)
--- a/packages/daemon/tests/test_tunnels.py
+++ b/packages/daemon/tests/test_tunnels.py
@@ -24,6 +24,7 @@
 from sardinequay_daemon.target_connector import TargetConnector
 from sardinequay_daemon.tunnel_client import TunnelClient
 from sardinequay_daemon.tunnel_server import FIRST_BYTES_TIMEOUT_S, TunnelServer
+from sardinequay_lab.broken_answers import answer_cases, refused_cases
 
 IP = "127.0.0.1"
 LATER = seconds(1e6)
@@ -187,6 +188,32 @@
     assert await paths.get(target) == b"whole"
 
 
+async def test_answer_through_a_peer_has_the_verdict_of_the_table(
+    paths: Paths, serve
+) -> None:
+    """The peer believes the heads that the host that asked takes, and no others."""
+    for case in answer_cases():
+        target = await serve(RawTarget(case.data()))
+        paths.gate.heads.clear()
+        try:
+            body = await paths.get(target)
+        except aiohttp.ClientError:
+            assert not case.status, case.name
+            continue
+        assert case.status, case.name
+        assert body == case.body
+        assert [head.status for head in paths.gate.heads] == [case.status], case.name
+
+
+async def test_peer_believes_no_refused_head(paths: Paths, serve) -> None:
+    for case in refused_cases():
+        if case.is_head_refused:
+            target = await serve(RawTarget(case.data(b"Server-Leaving: 1\r\n")))
+            with pytest.raises(aiohttp.ClientError):
+                await paths.get(target)
+    assert not paths.gate.heads
+
+
 async def test_an_answer_that_the_target_resets_is_not_complete(
     paths: Paths, serve
 ) -> None:
--- a/packages/lab/src/sardinequay_lab/broken_answers.py
+++ b/packages/lab/src/sardinequay_lab/broken_answers.py
@@ -17,6 +17,7 @@
 
 LENGTH = b"Content-Length: 5"
 CHUNKED = b"Transfer-Encoding: chunked"
+CHUNKED_END = CHUNKED + b"\r\n\r\n"
 CHUNKS = b"5\r\na:b\n\n\r\n0\r\n\r\n"
 CONTROLS = (0x00, 0x01, 0x08, 0x0B, 0x0C, 0x0D, 0x1B, 0x1F, 0x7F)
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -42,6 +43,11 @@
     status: int = 0
     body: bytes = b""
 
+    @property
+    def is_head_refused(self) -> bool:
+        """Return whether the answer is refused before any byte of its body."""
+        return not self.status and CHUNKED_END not in self.template
+
     def data(self, fields: bytes = b"") -> bytes:
         """Return the bytes, with more lines in the head.
 
@@ -315,6 +321,9 @@
             204,
             b"",
         ),
+        sound(
+            "not modified", build(b"HTTP/1.1 304 X", LENGTH, b""), "no body", 304, b""
+        ),
         sound("zeros first", build(fields=b"Content-Length: 0005"), "a number"),
         sound("blanks around", build(fields=b"Content-Length: \t 5 \t"), "white space"),
         sound("no length", build(fields=b"Connection: close"), "ends with connection"),
