Show that bytes before a request end their connection, without a race

Cause: test_target_that_speaks_first asserted only that the request failed or did not, so it passed without the change: whether the target's first bytes arrive before the request is a race, and afterwards nothing tells them from an answer.

The test now gives the bytes to the connection before any request.

--- a/packages/daemon/tests/test_refused_answers.py
+++ b/packages/daemon/tests/test_refused_answers.py
@@ -4,6 +4,7 @@
 import contextlib
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
+from unittest.mock import Mock
 
 import aiohttp
 import pytest
@@ -14,7 +15,12 @@
 from sardinequay_daemon.connection_reset import reset
 from sardinequay_daemon.errors import TargetError, TargetFault
 from sardinequay_daemon.pending_send import PendingSend
-from sardinequay_daemon.strict_connector import BoundedConnector, StrictConnector
+from sardinequay_daemon.strict_connector import (
+    BoundedConnector,
+    BoundedResponseHandler,
+    StrictConnector,
+    StrictResponseHandler,
+)
 from sardinequay_daemon.target_errors import TargetErrorTranslator
 from sardinequay_daemon.upstream import Upstream, UpstreamRequest
 from sardinequay_lab.broken_answers import AnswerCase, answer_cases, refused_cases
@@ -32,14 +38,11 @@
     ----------
     answers : list of bytes
         Answers to the requests in order, over all connections.
-    first : bytes
-        What each connection begins with, before any request.
     closes : bool
         Whether a connection ends after the last answer.
     """
 
     answers: list[bytes]
-    first: bytes = b""
     closes: bool = False
     connections: int = 0
 
@@ -47,7 +50,6 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
-        writer.write(self.first)
         try:
             while self.answers and await reader.readuntil(b"\r\n\r\n"):
                 writer.write(self.answers.pop(0))
@@ -172,11 +174,17 @@
         assert "no answer: " in error.detail, case.name
 
 
-async def test_target_that_speaks_first_has_answered_no_request(send) -> None:
-    target = RawTarget([SOUND], first=STALE)
-    async with listening(target) as address:
-        error = await send(address)
-    assert error is None or error.fault is TargetFault.BROKEN
+@pytest.mark.parametrize("handler", [StrictResponseHandler, BoundedResponseHandler])
+async def test_bytes_that_come_before_a_request_end_their_connection(handler) -> None:
+    """A target that speaks first has answered no request."""
+    transport = Mock(spec=asyncio.Transport)
+    transport.is_closing.return_value = False
+    connection = handler(asyncio.get_running_loop())
+    connection.connection_made(transport)
+    assert connection.is_connected()
+    connection.data_received(STALE)
+    assert not connection.is_connected()
+    transport.close.assert_called_once()
 
 
 async def test_refused_answer_ends_its_connection(send) -> None:
